--- /dev/null
+++ b/components/catalog/src/commit.rs
@@ -0,0 +1,268 @@
+//! Commits revisions to the store and reads them back.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use clock::Millis;
+use garde::Validate;
+use snafu::ResultExt;
+use store::{Entry, Store, Swap};
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::change::{MAX_COMMIT_LINES, changes_between};
+use crate::declaration::{Declarations, Service};
+use crate::error::{Error, MalformedSnafu, Result, StoreSnafu};
+use crate::head::{Commit, HEAD_KEY, Head, ServiceRef};
+use crate::topology::Catalog;
+
+const SETTLE_TRIES: u32 = 8;
+const SETTLE_PAUSE: Millis = Millis(250);
+
+/// A change that an operator asks for.
+#[derive(Clone, Debug)]
+pub struct Proposal<'a> {
+    /// The revision that the change was planned on.
+    pub base: u64,
+    /// Identifier of the change; a repeated one is not committed twice.
+    pub operation: &'a str,
+    /// The services to add or replace.
+    pub declarations: &'a Declarations,
+    /// Whether services that are not named are removed.
+    pub prune: bool,
+}
+
+/// What became of a proposal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The change is committed as this revision.
+    Committed(Commit),
+    /// The declarations are in force already at this revision.
+    Unchanged(u64),
+    /// Another change came first; nothing was committed.
+    Conflict {
+        /// The revision that is committed now.
+        revision: u64,
+        /// What the other operators changed.
+        changes: Vec<String>,
+    },
+    /// The merged declarations break rules; nothing was committed.
+    Invalid(Vec<String>),
+    /// The store stopped answering after the write; ask again with the same
+    /// operation.
+    Unknown,
+}
+
+/// The committed revisions in the store.
+pub struct Repository {
+    store: Rc<dyn Store>,
+    blobs: RefCell<HashMap<String, Rc<Service>>>,
+}
+
+impl Repository {
+    /// Returns a repository on a store.
+    pub fn new(store: Rc<dyn Store>) -> Self {
+        Self {
+            store,
+            blobs: RefCell::default(),
+        }
+    }
+
+    /// Reads the head with its version.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does.
+    pub async fn read_head(&self) -> Result<(u64, Head)> {
+        let entry = self.store.get(HEAD_KEY).await.context(StoreSnafu)?;
+        decode_head(entry)
+    }
+
+    /// Waits for a head above a version of the store's value.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does.
+    pub async fn watch_head(&self, after: u64, wait: Millis) -> Result<Option<(u64, Head)>> {
+        let entry = self
+            .store
+            .watch(HEAD_KEY, after, wait)
+            .await
+            .context(StoreSnafu)?;
+        entry.map(|e| decode_head(Some(e))).transpose()
+    }
+
+    /// Builds the catalog of a head, reading the services that `previous`
+    /// lacks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does.
+    pub async fn load(&self, head: Head, previous: &Catalog) -> Result<Catalog> {
+        self.forget_unused(&head);
+        for entry in head.services.values() {
+            let known = previous.services.values().any(|t| t.blob == entry.blob);
+            if !known && !self.blobs.borrow().contains_key(&entry.blob) {
+                let service = self.read_service(&entry.blob).await?;
+                self.blobs.borrow_mut().insert(entry.blob.clone(), service);
+            }
+        }
+        let blobs = self.blobs.borrow();
+        Catalog::build(head, previous, |key| blobs.get(key).cloned())
+            .map_err(|key| Error::Missing { key })
+    }
+
+    fn forget_unused(&self, head: &Head) {
+        let mut blobs = self.blobs.borrow_mut();
+        blobs.retain(|key, _| head.services.values().any(|entry| entry.blob == *key));
+    }
+
+    async fn read_service(&self, key: &str) -> Result<Rc<Service>> {
+        let entry = self.store.get(key).await.context(StoreSnafu)?;
+        let entry = entry.ok_or_else(|| Error::Missing {
+            key: key.to_owned(),
+        })?;
+        serde_json::from_str(&entry.value)
+            .context(MalformedSnafu { key })
+            .map(Rc::new)
+    }
+
+    /// Commits a proposal with one compare-and-swap on the head.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does before the head is written.
+    pub async fn commit(&self, proposal: &Proposal<'_>) -> Result<Outcome> {
+        let (version, head) = self.read_head().await?;
+        if let Some(commit) = head.find_operation(proposal.operation) {
+            return Ok(Outcome::Committed(commit.clone()));
+        }
+        if head.revision != proposal.base {
+            return Ok(conflict(&head, proposal.base));
+        }
+        let catalog = self.load(head, &Catalog::default()).await?;
+        let old = catalog.declarations();
+        let new = merge(&old, proposal);
+        if let Err(report) = new.validate_with(&settings::Pass::Errors) {
+            let lines = report.iter().map(|(path, e)| format!("{path}: {e}"));
+            return Ok(Outcome::Invalid(lines.collect()));
+        }
+        let mut changes = changes_between(&old, &new);
+        if changes.is_empty() {
+            return Ok(Outcome::Unchanged(catalog.revision()));
+        }
+        changes.truncate(MAX_COMMIT_LINES);
+        let head = self.write_services(&catalog.head, &new).await?;
+        self.swap_head(version, head, proposal, changes).await
+    }
+
+    /// Stores each changed service and returns the head that names them.
+    async fn write_services(&self, old: &Head, declarations: &Declarations) -> Result<Head> {
+        let revision = old.revision + 1;
+        let mut head = Head {
+            revision,
+            services: Default::default(),
+            history: old.history.clone(),
+        };
+        for service in &declarations.services {
+            let json =
+                serde_json::to_string(service).context(MalformedSnafu { key: &service.name })?;
+            let digest = xxh3_128(json.as_bytes());
+            let blob = format!("service/{}/{digest:032x}", service.name);
+            let kept = old
+                .services
+                .get(&service.name)
+                .filter(|entry| entry.blob == blob);
+            let entry = match kept {
+                Some(entry) => entry.clone(),
+                None => {
+                    // The key is the digest of the value, so a conflict means
+                    // that the same value is there already.
+                    self.store.swap(&blob, 0, &json).await.context(StoreSnafu)?;
+                    ServiceRef { revision, blob }
+                }
+            };
+            head.services.insert(service.name.clone(), entry);
+        }
+        Ok(head)
+    }
+
+    async fn swap_head(
+        &self,
+        version: u64,
+        mut head: Head,
+        proposal: &Proposal<'_>,
+        changes: Vec<String>,
+    ) -> Result<Outcome> {
+        let commit = Commit {
+            revision: head.revision,
+            committed_ms: Millis::wall(),
+            operation: proposal.operation.to_owned(),
+            changes,
+        };
+        head.push_commit(commit.clone());
+        let json = serde_json::to_string(&head).context(MalformedSnafu { key: HEAD_KEY })?;
+        let mut sent = false;
+        for _ in 0..SETTLE_TRIES {
+            match self.store.swap(HEAD_KEY, version, &json).await {
+                Ok(Swap::Written(_)) => return Ok(Outcome::Committed(commit)),
+                // A write whose answer was lost makes its own repetition
+                // conflict, so the head tells who won.
+                Ok(Swap::Conflict) => return self.settle(proposal).await,
+                Err(source @ store::Error::TooLarge { .. }) => return Err(Error::Store { source }),
+                Err(source @ store::Error::Unavailable { .. }) if !sent => {
+                    return Err(Error::Store { source });
+                }
+                Err(_) => sent = true,
+            }
+            compio::time::sleep(SETTLE_PAUSE.into()).await;
+        }
+        Ok(Outcome::Unknown)
+    }
+
+    async fn settle(&self, proposal: &Proposal<'_>) -> Result<Outcome> {
+        for _ in 0..SETTLE_TRIES {
+            if let Ok((_, head)) = self.read_head().await {
+                return Ok(match head.find_operation(proposal.operation) {
+                    Some(commit) => Outcome::Committed(commit.clone()),
+                    None => conflict(&head, proposal.base),
+                });
+            }
+            compio::time::sleep(SETTLE_PAUSE.into()).await;
+        }
+        Ok(Outcome::Unknown)
+    }
+}
+
+fn decode_head(entry: Option<Entry>) -> Result<(u64, Head)> {
+    match entry {
+        None => Ok((0, Head::default())),
+        Some(entry) => {
+            let head =
+                serde_json::from_str(&entry.value).context(MalformedSnafu { key: HEAD_KEY })?;
+            Ok((entry.version, head))
+        }
+    }
+}
+
+fn conflict(head: &Head, base: u64) -> Outcome {
+    let changes = head.commits_above(base).flat_map(|c| {
+        let revision = c.revision;
+        c.changes
+            .iter()
+            .map(move |line| format!("revision {revision}: {line}"))
+    });
+    Outcome::Conflict {
+        revision: head.revision,
+        changes: changes.collect(),
+    }
+}
+
+fn merge(old: &Declarations, proposal: &Proposal<'_>) -> Declarations {
+    let new = &proposal.declarations.services;
+    let is_kept = |s: &&Service| !proposal.prune && !new.iter().any(|n| n.name == s.name);
+    let mut services: Vec<Service> = old.services.iter().filter(is_kept).cloned().collect();
+    services.extend(new.iter().cloned());
+    services.sort_by(|a, b| a.name.cmp(&b.name));
+    Declarations { services }
+}
--- /dev/null
+++ b/components/catalog/src/group.rs
@@ -0,0 +1,98 @@
+//! Groups of upstreams that are owned together.
+
+use crate::declaration::Service;
+
+/// Upstreams in a group, unless the replicas of one shard need more.
+pub const GROUP_UPSTREAMS: usize = 16;
+
+/// A set of upstreams with one owner, and the shards that it serves.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Group {
+    /// Indexes of the shards in the declaration.
+    pub shards: Vec<usize>,
+    /// Indexes of the upstreams in the declaration.
+    pub upstreams: Vec<usize>,
+}
+
+/// Divides a service into groups; `replicas` holds the upstreams by shard.
+///
+/// Shards that share an upstream stay in one group up to the size limit.
+/// Beyond it a group is cut, and the shared upstream belongs to the group of
+/// the first shard that names it.
+pub(crate) fn divide(service: &Service, replicas: &[Vec<usize>]) -> Vec<Group> {
+    let mut groups: Vec<Group> = Vec::new();
+    let mut taken = vec![false; service.upstreams.len()];
+    for shards in components(service.upstreams.len(), replicas) {
+        let size = shards
+            .iter()
+            .flat_map(|&s| &replicas[s])
+            .filter(|&&u| !taken[u])
+            .count();
+        let fits = groups
+            .last()
+            .is_some_and(|g| g.upstreams.len() + size <= GROUP_UPSTREAMS);
+        if !fits {
+            groups.push(Group::default());
+        }
+        for shard in shards {
+            add_shard(&mut groups, shard, &replicas[shard], &mut taken);
+        }
+    }
+    groups
+}
+
+fn add_shard(groups: &mut Vec<Group>, shard: usize, replicas: &[usize], taken: &mut [bool]) {
+    let new = replicas.iter().filter(|&&u| !taken[u]).count();
+    let full = groups
+        .last()
+        .is_none_or(|g| g.upstreams.len() + new > GROUP_UPSTREAMS);
+    let has_shards = groups.last().is_some_and(|g| !g.shards.is_empty());
+    if full && has_shards {
+        groups.push(Group::default());
+    }
+    let Some(group) = groups.last_mut() else {
+        return;
+    };
+    group.shards.push(shard);
+    for &upstream in replicas {
+        if !taken[upstream] {
+            taken[upstream] = true;
+            group.upstreams.push(upstream);
+        }
+    }
+}
+
+/// Returns the sets of shards that share upstreams, in the order of their
+/// first shards.
+fn components(upstreams: usize, replicas: &[Vec<usize>]) -> Vec<Vec<usize>> {
+    let mut parent: Vec<usize> = (0..upstreams).collect();
+    for list in replicas {
+        for pair in list.windows(2) {
+            let (a, b) = (
+                find_root(&mut parent, pair[0]),
+                find_root(&mut parent, pair[1]),
+            );
+            parent[b] = a;
+        }
+    }
+    let mut position = vec![usize::MAX; upstreams];
+    let mut sets: Vec<Vec<usize>> = Vec::new();
+    for (shard, list) in replicas.iter().enumerate() {
+        let Some(&first) = list.first() else { continue };
+        let root = find_root(&mut parent, first);
+        if position[root] == usize::MAX {
+            position[root] = sets.len();
+            sets.push(Vec::new());
+        }
+        sets[position[root]].push(shard);
+    }
+    sets
+}
+
+fn find_root(parent: &mut [usize], mut node: usize) -> usize {
+    while parent[node] != node {
+        parent[node] = parent[parent[node]];
+        node = parent[node];
+    }
+    node
+}
--- /dev/null
+++ b/components/catalog/src/lib.rs
@@ -0,0 +1,21 @@
+//! Services, shards and upstreams: what operators declare, how a revision is
+//! committed, and the form that daemons use.
+
+mod change;
+mod commit;
+mod declaration;
+mod error;
+mod group;
+mod head;
+mod limits;
+mod rules;
+mod topology;
+
+pub use change::{MAX_COMMIT_LINES, changes_between};
+pub use commit::{Outcome, Proposal, Repository};
+pub use declaration::{Declarations, Objective, Service, Shard, Upstream, parse, render};
+pub use error::{Error, Result};
+pub use group::{GROUP_UPSTREAMS, Group};
+pub use head::{Commit, HEAD_KEY, Head, ServiceRef};
+pub use limits::upstream_connections;
+pub use topology::{Bundle, Catalog, Topology};
--- /dev/null
+++ b/components/daemon/src/callers.rs
@@ -0,0 +1,256 @@
+//! The HTTP interface for callers.
+
+use std::rc::Rc;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{Path, Request, State};
+use axum::response::Response;
+use axum::routing::{get, post};
+use bytes::Bytes;
+use clock::Millis;
+use http::{HeaderMap, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use ledger::Key;
+use query::{BookRequest, Kind, Refusal, Result, SearchRequest};
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::value::RawValue;
+use transport::{Local, detached, local};
+use uuid::Uuid;
+
+use crate::problem;
+use crate::state::Daemon;
+
+const REQUEST_ID: &str = "x-request-id";
+const DEADLINE_MS: &str = "x-deadline-ms";
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+const REQUEST_ID_LENGTH: usize = 128;
+const LONGEST_DEADLINE: Millis = Millis(60_000);
+
+#[derive(Clone)]
+struct App(Local<Rc<Daemon>>);
+
+/// The body of a search.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SearchBody {
+    query: Box<RawValue>,
+    shards: Option<Vec<String>>,
+}
+
+/// The body of a booking.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct BookBody {
+    booking: Box<RawValue>,
+    shard: Option<String>,
+}
+
+/// Returns the routes for callers.
+pub(crate) fn router(daemon: Rc<Daemon>) -> Router {
+    Router::new()
+        .route("/v1/services/{service}/search", post(search))
+        .route("/v1/services/{service}/book", post(book))
+        .route("/healthz", get(healthz))
+        .route("/readyz", get(readyz))
+        .route("/metrics", get(render_metrics))
+        .fallback(unknown_path)
+        .method_not_allowed_fallback(wrong_method)
+        .with_state(App(Local::new(daemon)))
+}
+
+async fn search(State(app): State<App>, Path(service): Path<String>, request: Request) -> Response {
+    local(async move {
+        let request_id = request_id(request.headers());
+        let result = run_search(&app.0, service, &request_id, request).await;
+        respond(result, &request_id)
+    })
+    .await
+}
+
+async fn run_search(
+    daemon: &Daemon,
+    service: String,
+    id: &str,
+    request: Request,
+) -> Result<Vec<u8>> {
+    let headers = request.headers().clone();
+    check_id(&headers)?;
+    let budget = budget(&headers)?;
+    let body = read_body(request, daemon.settings.body_bytes).await?;
+    let body: SearchBody = decode(&body)?;
+    let request = SearchRequest {
+        request_id: id.to_owned(),
+        service,
+        budget,
+        shards: body.shards,
+        body: body.query.get().to_owned().into(),
+    };
+    let answer = daemon.root.search(&request).await;
+    slog::debug!(daemon.log, "search"; "request_id" => id, "service" => &request.service,
+        "covered" => answer.as_ref().map_or(0, |a| a.covered.len()));
+    answer.map(|a| encode(&a))
+}
+
+async fn book(State(app): State<App>, Path(service): Path<String>, request: Request) -> Response {
+    local(async move {
+        let request_id = request_id(request.headers());
+        let result = run_booking(&app.0, service, &request_id, request).await;
+        respond(result, &request_id)
+    })
+    .await
+}
+
+async fn run_booking(
+    daemon: &Rc<Daemon>,
+    service: String,
+    id: &str,
+    request: Request,
+) -> Result<Vec<u8>> {
+    let headers = request.headers().clone();
+    check_id(&headers)?;
+    let budget = budget(&headers)?;
+    let key = idempotency_key(&headers)?;
+    let body = read_body(request, daemon.settings.body_bytes).await?;
+    let body: BookBody = decode(&body)?;
+    let request = BookRequest {
+        request_id: id.to_owned(),
+        service,
+        key,
+        budget,
+        shard: body.shard,
+        body: body.booking.get().to_owned().into(),
+    };
+    // The booking goes on if the caller hangs up, so that its outcome is kept.
+    let root = daemon.root.clone();
+    let answer = detached(async move { root.book(&request).await }).await;
+    let lost = || Refusal {
+        kind: Kind::OutcomeUnknown,
+        ran: upstreams::Ran::Unknown,
+        detail: "the booking's task ended without an outcome".to_owned(),
+        retry_after: None,
+    };
+    answer.unwrap_or_else(|| Err(lost())).map(|a| encode(&a))
+}
+
+async fn healthz() -> &'static str {
+    "ok\n"
+}
+
+async fn readyz(State(app): State<App>) -> (StatusCode, &'static str) {
+    match app.0.unready_reason() {
+        None => (StatusCode::OK, "ready\n"),
+        Some(reason) => (StatusCode::SERVICE_UNAVAILABLE, reason),
+    }
+}
+
+async fn render_metrics(State(app): State<App>) -> String {
+    app.0.refresh_gauges();
+    app.0.recorder.render()
+}
+
+async fn unknown_path(request: Request) -> Response {
+    let detail = format!("no such path: {}", request.uri().path());
+    let refusal = Refusal::invalid(Kind::UnknownPath, detail);
+    problem::response(&refusal, &request_id(request.headers()))
+}
+
+async fn wrong_method(request: Request) -> Response {
+    let detail = format!("{} is not allowed here", request.method());
+    let refusal = Refusal::invalid(Kind::WrongMethod, detail);
+    problem::response(&refusal, &request_id(request.headers()))
+}
+
+fn respond(result: Result<Vec<u8>>, request_id: &str) -> Response {
+    match result {
+        Ok(body) => Response::builder()
+            .header(header::CONTENT_TYPE, "application/json")
+            .header(REQUEST_ID, request_id)
+            .body(Body::from(body))
+            .unwrap_or_default(),
+        Err(refusal) => problem::response(&refusal, request_id),
+    }
+}
+
+fn encode<T: Serialize>(answer: &T) -> Vec<u8> {
+    // The answers hold nothing that JSON can't express.
+    serde_json::to_vec(answer).unwrap_or_default()
+}
+
+fn decode<'a, T: Deserialize<'a>>(body: &'a Bytes) -> Result<T> {
+    serde_json::from_slice(body).map_err(|e| {
+        Refusal::invalid(
+            Kind::BadRequest,
+            format!("the body is not what is expected: {e}"),
+        )
+    })
+}
+
+async fn read_body(request: Request, limit: usize) -> Result<Bytes> {
+    match Limited::new(request.into_body(), limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(Refusal::invalid(
+            Kind::BodyTooLarge,
+            format!("the body is larger than {limit} bytes"),
+        )),
+        Err(e) => Err(Refusal::invalid(
+            Kind::BadRequest,
+            format!("the body could not be read: {e}"),
+        )),
+    }
+}
+
+/// Returns the caller's request identifier, or a new one.
+fn request_id(headers: &HeaderMap) -> String {
+    let given = headers
+        .get(REQUEST_ID)
+        .and_then(|v| v.to_str().ok())
+        .filter(|v| is_valid_id(v));
+    given.map_or_else(|| Uuid::new_v4().to_string(), str::to_owned)
+}
+
+fn is_valid_id(id: &str) -> bool {
+    !id.is_empty() && id.len() <= REQUEST_ID_LENGTH && id.bytes().all(|b| b.is_ascii_graphic())
+}
+
+fn check_id(headers: &HeaderMap) -> Result<()> {
+    let is_valid = headers
+        .get(REQUEST_ID)
+        .is_none_or(|v| v.to_str().is_ok_and(is_valid_id));
+    match is_valid {
+        true => Ok(()),
+        false => {
+            let detail =
+                format!("X-Request-Id must be 1 to {REQUEST_ID_LENGTH} visible ASCII characters");
+            Err(Refusal::invalid(Kind::BadRequest, detail))
+        }
+    }
+}
+
+fn budget(headers: &HeaderMap) -> Result<Option<Millis>> {
+    let Some(value) = headers.get(DEADLINE_MS) else {
+        return Ok(None);
+    };
+    let number: Option<i64> = value.to_str().ok().and_then(|v| v.trim().parse().ok());
+    match number {
+        None => Err(Refusal::invalid(
+            Kind::BadRequest,
+            "X-Deadline-Ms is not a whole number of milliseconds",
+        )),
+        Some(ms) if ms <= 0 => Err(Refusal::invalid(
+            Kind::BadRequest,
+            "the deadline in X-Deadline-Ms has passed",
+        )),
+        Some(ms) => Ok(Some(Millis(ms.unsigned_abs()).min(LONGEST_DEADLINE))),
+    }
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Key> {
+    let value = headers.get(IDEMPOTENCY_KEY);
+    let value = value.ok_or_else(|| {
+        Refusal::invalid(Kind::BadRequest, "the Idempotency-Key header is missing")
+    })?;
+    let text = value.to_str().unwrap_or_default();
+    Key::parse(text).map_err(|e| Refusal::invalid(Kind::BadRequest, e.to_string()))
+}
--- /dev/null
+++ b/components/daemon/src/digest.rs
@@ -0,0 +1,35 @@
+//! What this daemon adds to its heartbeats and takes from those of others.
+
+use std::rc::Rc;
+
+use clock::Millis;
+use members::{Digest, Member};
+use schema::HeartbeatMessage;
+use upstreams::Shared;
+
+use crate::sync::Sync;
+
+/// Revision, leaving marks and strikes.
+pub(crate) struct DaemonDigest {
+    pub(crate) sync: Rc<Sync>,
+    pub(crate) shared: Rc<Shared>,
+}
+
+impl Digest for DaemonDigest {
+    fn revision(&self) -> u64 {
+        self.sync.revision()
+    }
+
+    fn collect(&self, message: &mut HeartbeatMessage) {
+        message.drains = self.shared.drains.collect();
+        message.strikes = self.shared.suspects.collect(Millis::now());
+    }
+
+    fn absorb(&self, message: &HeartbeatMessage) {
+        self.shared.drains.absorb(&message.drains);
+        self.shared.suspects.absorb(&message.strikes, Millis::now());
+        if let Some(sender) = message.sender.as_ref().and_then(Member::from_message) {
+            self.sync.note_peer(&sender);
+        }
+    }
+}
--- /dev/null
+++ b/components/daemon/src/lib.rs
@@ -0,0 +1,15 @@
+//! A daemon: its tasks, its interfaces and its shutdown.
+
+mod callers;
+mod confirm;
+mod digest;
+mod dump;
+mod operator;
+mod peers;
+mod problem;
+mod run;
+mod shutdown;
+mod state;
+mod sync;
+
+pub use run::{Error, Result, run};
--- /dev/null
+++ b/components/daemon/src/operator.rs
@@ -0,0 +1,366 @@
+//! The service for operators.
+
+use std::rc::Rc;
+
+use catalog::{Catalog, Declarations, Outcome, Proposal, changes_between};
+use futures_util::future::join_all;
+use schema::apply_reply::Outcome as Code;
+use schema::operator_server::Operator;
+use schema::{
+    ApplyReply, ApplyRequest, DrainReply, DrainRequest, DumpReply, DumpRequest, Finding, GetReply,
+    GetRequest, HistoryEntry, HistoryReply, HistoryRequest, InstanceStatus, PlanReply, PlanRequest,
+    StatusReply, StatusRequest,
+};
+use settings::Severity;
+use slog::info;
+use tonic::{Request, Response, Status};
+use transport::{Local, detached, local};
+use uuid::Uuid;
+
+use crate::dump;
+use crate::state::Daemon;
+
+const DRAIN_TRIES: usize = 3;
+
+type Reply<T> = std::result::Result<Response<T>, Status>;
+
+/// Answers operators.
+pub(crate) struct OperatorService(pub(crate) Local<Rc<Daemon>>);
+
+#[tonic::async_trait]
+impl Operator for OperatorService {
+    async fn plan(&self, request: Request<PlanRequest>) -> Reply<PlanReply> {
+        let daemon = self.0.clone();
+        local(async move { plan(&daemon, request.get_ref()).await })
+            .await
+            .map(Response::new)
+    }
+
+    async fn apply(&self, request: Request<ApplyRequest>) -> Reply<ApplyReply> {
+        let daemon = self.0.clone();
+        let task = local(detached(
+            async move { apply(&daemon, request.get_ref()).await },
+        ));
+        let reply = task
+            .await
+            .ok_or_else(|| Status::internal("the task ended without an outcome"))?;
+        Ok(Response::new(reply))
+    }
+
+    async fn get(&self, request: Request<GetRequest>) -> Reply<GetReply> {
+        let catalog = self.0.sync.catalog();
+        let mut declarations = catalog.declarations();
+        let name = &request.get_ref().service;
+        if !name.is_empty() {
+            declarations.services.retain(|s| s.name == *name);
+        }
+        if !name.is_empty() && declarations.services.is_empty() {
+            return Err(Status::not_found(format!(
+                "service `{name}` is not declared"
+            )));
+        }
+        let yaml = catalog::render(&declarations);
+        Ok(Response::new(GetReply {
+            revision: catalog.revision(),
+            yaml,
+        }))
+    }
+
+    async fn history(&self, request: Request<HistoryRequest>) -> Reply<HistoryReply> {
+        let limit = request.get_ref().limit as usize;
+        let catalog = self.0.sync.catalog();
+        let entries = catalog
+            .head
+            .history
+            .iter()
+            .rev()
+            .take(limit)
+            .map(|c| HistoryEntry {
+                revision: c.revision,
+                committed_ms: c.committed_ms.0,
+                operation_id: c.operation.clone(),
+                changes: c.changes.clone(),
+            });
+        Ok(Response::new(HistoryReply {
+            entries: entries.collect(),
+        }))
+    }
+
+    async fn status(&self, _request: Request<StatusRequest>) -> Reply<StatusReply> {
+        let daemon = self.0.clone();
+        Ok(Response::new(
+            local(async move { status(&daemon).await }).await,
+        ))
+    }
+
+    async fn drain(&self, request: Request<DrainRequest>) -> Reply<DrainReply> {
+        let daemon = self.0.clone();
+        local(async move { drain(&daemon, request.get_ref()).await })
+            .await
+            .map(Response::new)
+    }
+
+    async fn dump(&self, _request: Request<DumpRequest>) -> Reply<DumpReply> {
+        let json = dump::render(&self.0).map_err(|e| Status::internal(e.to_string()))?;
+        Ok(Response::new(DumpReply { json }))
+    }
+}
+
+async fn plan(daemon: &Daemon, request: &PlanRequest) -> Result<PlanReply, Status> {
+    let (declarations, findings) = match catalog::parse(&request.yaml, &request.file) {
+        Ok(parsed) => parsed,
+        Err(e) => {
+            return Ok(PlanReply {
+                findings: messages(&e.list),
+                ..PlanReply::default()
+            });
+        }
+    };
+    let (_, head) = daemon
+        .sync
+        .repository
+        .read_head()
+        .await
+        .map_err(unavailable)?;
+    let current = daemon
+        .sync
+        .repository
+        .load(head, &daemon.sync.catalog())
+        .await
+        .map_err(unavailable)?;
+    let old = current.declarations();
+    let new = merged(&old, declarations, request.prune);
+    Ok(PlanReply {
+        base_revision: current.revision(),
+        changes: changes_between(&old, &new),
+        findings: messages(&findings),
+    })
+}
+
+/// Returns what the declarations would be after an apply.
+fn merged(old: &Declarations, new: Declarations, prune: bool) -> Declarations {
+    let is_kept = |s: &&catalog::Service| !prune && !new.services.iter().any(|n| n.name == s.name);
+    let mut services: Vec<_> = old.services.iter().filter(is_kept).cloned().collect();
+    services.extend(new.services);
+    Declarations { services }
+}
+
+fn unavailable(error: catalog::Error) -> Status {
+    Status::unavailable(error.to_string())
+}
+
+async fn apply(daemon: &Daemon, request: &ApplyRequest) -> ApplyReply {
+    if request.operation_id.is_empty() {
+        let detail = "the operation id is missing".to_owned();
+        return ApplyReply {
+            outcome: Code::Invalid.into(),
+            detail,
+            ..ApplyReply::default()
+        };
+    }
+    let (declarations, findings) = match catalog::parse(&request.yaml, &request.file) {
+        Ok(parsed) => parsed,
+        Err(e) => {
+            let findings = messages(&e.list);
+            return ApplyReply {
+                outcome: Code::Invalid.into(),
+                findings,
+                ..ApplyReply::default()
+            };
+        }
+    };
+    let proposal = Proposal {
+        base: request.base_revision,
+        operation: &request.operation_id,
+        declarations: &declarations,
+        prune: request.prune,
+    };
+    let reply = commit(daemon, &proposal).await;
+    ApplyReply {
+        findings: messages(&findings),
+        ..reply
+    }
+}
+
+/// Commits a proposal and puts it in force here without waiting for a watch.
+async fn commit(daemon: &Daemon, proposal: &Proposal<'_>) -> ApplyReply {
+    let empty = ApplyReply::default();
+    let outcome = match daemon.sync.repository.commit(proposal).await {
+        Ok(outcome) => outcome,
+        Err(e) => {
+            return ApplyReply {
+                outcome: Code::Unavailable.into(),
+                detail: e.to_string(),
+                ..empty
+            };
+        }
+    };
+    match outcome {
+        Outcome::Committed(commit) => {
+            info!(daemon.log, "revision committed"; "revision" => commit.revision, "operation" => &commit.operation);
+            refresh(daemon).await;
+            let (revision, changes) = (commit.revision, commit.changes);
+            ApplyReply {
+                outcome: Code::Committed.into(),
+                revision,
+                changes,
+                ..empty
+            }
+        }
+        Outcome::Unchanged(revision) => ApplyReply {
+            outcome: Code::Unchanged.into(),
+            revision,
+            ..empty
+        },
+        Outcome::Conflict { revision, changes } => {
+            let detail = format!(
+                "revision {revision} was committed after revision {}",
+                proposal.base
+            );
+            ApplyReply {
+                outcome: Code::Conflict.into(),
+                revision,
+                changes,
+                detail,
+                ..empty
+            }
+        }
+        Outcome::Invalid(lines) => ApplyReply {
+            outcome: Code::Invalid.into(),
+            detail: lines.join("\n"),
+            ..empty
+        },
+        Outcome::Unknown => {
+            let detail =
+                "the store stopped answering; apply again with the same operation id".to_owned();
+            ApplyReply {
+                outcome: Code::Unknown.into(),
+                detail,
+                ..empty
+            }
+        }
+    }
+}
+
+/// Installs what was committed and tells peers; a failure is made up for by
+/// the watch.
+async fn refresh(daemon: &Daemon) {
+    if let Ok((_, head)) = daemon.sync.repository.read_head().await {
+        let _ = daemon.sync.install_head(head).await;
+    }
+    daemon.members.nudge();
+}
+
+async fn status(daemon: &Daemon) -> StatusReply {
+    let peers = daemon.members.reachable();
+    let answered = join_all(peers.iter().map(|p| daemon.members.exchange(p))).await;
+    let me = daemon.members.me();
+    let mut instances = vec![instance_status(&me, 0)];
+    for (peer, is_answered) in peers.iter().zip(answered) {
+        let member = daemon
+            .members
+            .find(&peer.id)
+            .unwrap_or_else(|| peer.clone());
+        let mut status = instance_status(&member, daemon.members.age(&peer.id).0);
+        if !is_answered {
+            status.state = format!("{} (no answer)", status.state);
+        }
+        instances.push(status);
+    }
+    let revision = instances.iter().map(|i| i.revision).max().unwrap_or(0);
+    StatusReply {
+        revision,
+        instances,
+    }
+}
+
+fn instance_status(member: &members::Member, age_ms: u64) -> InstanceStatus {
+    InstanceStatus {
+        id: member.id.clone(),
+        domain: member.domain.clone(),
+        state: format!("{:?}", member.state).to_lowercase(),
+        revision: member.revision,
+        age_ms,
+    }
+}
+
+/// Commits a revision in which one upstream takes no new work, or does again.
+async fn drain(daemon: &Daemon, request: &DrainRequest) -> Result<DrainReply, Status> {
+    let mut detail = String::new();
+    for _ in 0..DRAIN_TRIES {
+        let (_, head) = daemon
+            .sync
+            .repository
+            .read_head()
+            .await
+            .map_err(unavailable)?;
+        let current = daemon
+            .sync
+            .repository
+            .load(head, &daemon.sync.catalog())
+            .await
+            .map_err(unavailable)?;
+        let declarations = drained(&current, request)?;
+        let operation = Uuid::new_v4().to_string();
+        let proposal = Proposal {
+            base: current.revision(),
+            operation: &operation,
+            declarations: &declarations,
+            prune: false,
+        };
+        let reply = commit(daemon, &proposal).await;
+        match reply.outcome() {
+            Code::Committed => {
+                return Ok(DrainReply {
+                    accepted: true,
+                    detail: format!("revision {}", reply.revision),
+                });
+            }
+            Code::Unchanged => {
+                return Ok(DrainReply {
+                    accepted: true,
+                    detail: "nothing to change".to_owned(),
+                });
+            }
+            _ => detail = reply.detail,
+        }
+    }
+    Ok(DrainReply {
+        accepted: false,
+        detail,
+    })
+}
+
+fn drained(catalog: &Catalog, request: &DrainRequest) -> Result<Declarations, Status> {
+    let topology = catalog.services.get(&request.service);
+    let topology = topology.ok_or_else(|| {
+        Status::not_found(format!("service `{}` is not declared", request.service))
+    })?;
+    let mut service = (*topology.service).clone();
+    let upstream = service
+        .upstreams
+        .iter_mut()
+        .find(|u| u.name == request.upstream);
+    let upstream = upstream.ok_or_else(|| {
+        Status::not_found(format!(
+            "service `{}` has no upstream `{}`",
+            request.service, request.upstream
+        ))
+    })?;
+    upstream.drain = !request.resume;
+    Ok(Declarations {
+        services: vec![service],
+    })
+}
+
+fn messages(list: &[settings::Finding]) -> Vec<Finding> {
+    let message = |f: &settings::Finding| Finding {
+        warning: f.severity == Severity::Warning,
+        file: f.file.clone(),
+        line: f.line,
+        column: f.column,
+        message: f.message.clone(),
+        hint: f.hint.clone(),
+    };
+    list.iter().map(message).collect()
+}
--- /dev/null
+++ b/components/daemon/src/shutdown.rs
@@ -0,0 +1,52 @@
+//! The shutdown after SIGTERM or SIGINT.
+
+use std::rc::Rc;
+
+use clock::Millis;
+use futures_util::future::{Either, select};
+use slog::info;
+
+use crate::state::Daemon;
+
+const CHECK_INTERVAL: Millis = Millis(20);
+
+/// Waits for SIGTERM or SIGINT.
+pub(crate) async fn wait_for_signal() {
+    let term = std::pin::pin!(compio::signal::unix::signal(libc::SIGTERM));
+    let int = std::pin::pin!(compio::signal::unix::signal(libc::SIGINT));
+    select(term, int).await;
+}
+
+/// Announces the departure, serves for the grace, then finishes what is in
+/// flight; a second signal ends all at once.
+pub(crate) async fn drain(daemon: Rc<Daemon>) {
+    let graceful = std::pin::pin!(drain_gracefully(&daemon));
+    let second = std::pin::pin!(wait_for_signal());
+    if let Either::Right(_) = select(graceful, second).await {
+        info!(daemon.log, "stopped at once"; "in_flight" => daemon.root.in_flight());
+    }
+}
+
+async fn drain_gracefully(daemon: &Daemon) {
+    info!(daemon.log, "leaving"; "in_flight" => daemon.root.in_flight(), "grace_ms" => daemon.settings.grace_ms.0);
+    daemon.is_leaving.set(true);
+    daemon.members.leave().await;
+    compio::time::sleep(daemon.settings.grace_ms.into()).await;
+    let at_grace_end = daemon.root.in_flight();
+    daemon.callers_shutdown.begin();
+    let end = Millis::now() + daemon.settings.drain_ms;
+    while daemon.is_busy() && Millis::now() < end {
+        compio::time::sleep(CHECK_INTERVAL.into()).await;
+    }
+    daemon.peers_shutdown.begin();
+    compio::time::sleep(CHECK_INTERVAL.into()).await;
+    info!(daemon.log, "drained"; "finished" => at_grace_end, "cut" => daemon.root.in_flight());
+}
+
+impl Daemon {
+    /// Whether requests of callers or sub-requests of peers are in flight.
+    fn is_busy(&self) -> bool {
+        let has_slots_in_use = self.pools.all().iter().any(|p| p.is_busy());
+        self.root.in_flight() > 0 || has_slots_in_use || self.callers_open.get() > 0
+    }
+}
--- /dev/null
+++ b/components/daemon/src/sync.rs
@@ -0,0 +1,194 @@
+//! Keeps the revision in force up to date: from the store by watch, from
+//! peers by heartbeats. A daemon only ever moves to a higher revision.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use catalog::{Bundle, Catalog, Head, Repository};
+use clock::Millis;
+use members::{Member, Members};
+use schema::FetchCatalogRequest;
+use slog::{Logger, info, warn};
+use telemetry::names;
+
+/// Daemons of a failure domain that hold a watch.
+const WATCHERS: usize = 2;
+const WATCH_WAIT: Millis = Millis(1_000);
+const FIRST_PAUSE: Millis = Millis(100);
+const LONGEST_PAUSE: Millis = Millis(1_000);
+const FOLLOW_INTERVAL: Millis = Millis(500);
+const FETCH_TIMEOUT: Millis = Millis(2_000);
+// A daemon that hears from no peer asks the store itself.
+const LONELY_AGE: Millis = Millis(1_500);
+
+type Listener = Box<dyn Fn(&Rc<Catalog>)>;
+
+/// The revision in force and the tasks that renew it.
+pub(crate) struct Sync {
+    pub(crate) repository: Repository,
+    members: Rc<Members>,
+    catalog: RefCell<Rc<Catalog>>,
+    listeners: RefCell<Vec<Listener>>,
+    is_fetching: Cell<bool>,
+    log: Logger,
+}
+
+impl Sync {
+    pub(crate) fn new(repository: Repository, members: &Rc<Members>, log: &Logger) -> Rc<Self> {
+        Rc::new(Self {
+            repository,
+            members: members.clone(),
+            catalog: RefCell::default(),
+            listeners: RefCell::default(),
+            is_fetching: Cell::new(false),
+            log: log.clone(),
+        })
+    }
+
+    /// Adds a part of the daemon that follows the revision.
+    pub(crate) fn add_listener(&self, listener: impl Fn(&Rc<Catalog>) + 'static) {
+        self.listeners.borrow_mut().push(Box::new(listener));
+    }
+
+    pub(crate) fn catalog(&self) -> Rc<Catalog> {
+        self.catalog.borrow().clone()
+    }
+
+    pub(crate) fn revision(&self) -> u64 {
+        self.catalog.borrow().revision()
+    }
+
+    /// Whether the revision in force was confirmed lately, or nobody else is
+    /// known who could have another one.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        self.members.contact.is_fresh(Millis::now())
+            || (self.revision() > 0 && self.members.is_alone())
+    }
+
+    /// Puts a revision in force if it is higher than the present one.
+    pub(crate) fn install(&self, catalog: Catalog) {
+        if catalog.revision() <= self.revision() {
+            return;
+        }
+        let catalog = Rc::new(catalog);
+        *self.catalog.borrow_mut() = catalog.clone();
+        for listener in self.listeners.borrow().iter() {
+            listener(&catalog);
+        }
+        metrics::gauge!(names::REVISION).set(catalog.revision() as f64);
+        info!(self.log, "revision in force"; "revision" => catalog.revision(), "services" => catalog.services.len());
+    }
+
+    /// Loads and installs a head that was read from the store.
+    pub(crate) async fn install_head(&self, head: Head) -> catalog::Result<()> {
+        if head.revision > self.revision() {
+            let catalog = self.repository.load(head, &self.catalog()).await?;
+            self.install(catalog);
+        }
+        Ok(())
+    }
+
+    /// Follows the store until the daemon stops.
+    pub(crate) async fn follow_store(self: Rc<Self>) {
+        let mut pause = FIRST_PAUSE;
+        let mut version = 0;
+        loop {
+            let is_needed = self.revision() == 0
+                || self.members.is_chosen("watch", WATCHERS)
+                || self.members.contact.age(Millis::now()) > LONELY_AGE;
+            if !is_needed {
+                compio::time::sleep(FOLLOW_INTERVAL.into()).await;
+                continue;
+            }
+            match self.follow_once(version).await {
+                Ok(seen) => {
+                    version = seen;
+                    pause = FIRST_PAUSE;
+                }
+                Err(e) => {
+                    warn!(self.log, "store not read"; "error" => %e, "retry_ms" => pause.0);
+                    compio::time::sleep(pause.into()).await;
+                    pause = Millis(pause.0 * 2).min(LONGEST_PAUSE);
+                    version = 0;
+                }
+            }
+        }
+    }
+
+    /// Reads or watches the head once; returns the version that was seen.
+    async fn follow_once(&self, version: u64) -> catalog::Result<u64> {
+        let sent = Millis::now();
+        let (version, head) = match version {
+            0 => self.repository.read_head().await?,
+            after => match self.repository.watch_head(after, WATCH_WAIT).await? {
+                Some(read) => read,
+                None => {
+                    self.members.contact.confirm(sent);
+                    return Ok(after);
+                }
+            },
+        };
+        self.install_head(head).await?;
+        self.members.contact.confirm(sent);
+        if version == 0 {
+            // Nothing is committed yet, and an absent key can't be watched.
+            compio::time::sleep(FOLLOW_INTERVAL.into()).await;
+        }
+        Ok(version)
+    }
+
+    /// Notes a peer's revision and fetches it if it is higher.
+    pub(crate) fn note_peer(self: &Rc<Self>, member: &Member) {
+        if member.revision <= self.revision() || self.is_fetching.get() {
+            return;
+        }
+        self.is_fetching.set(true);
+        let (sync, member) = (self.clone(), member.clone());
+        let task = async move {
+            let sent = Millis::now();
+            if sync.fetch(&member).await {
+                sync.members.contact.confirm(sent);
+            }
+            sync.is_fetching.set(false);
+        };
+        compio::runtime::spawn(task).detach();
+    }
+
+    /// Fetches a revision from a peer, or from the store if the peer does not
+    /// answer.
+    async fn fetch(&self, member: &Member) -> bool {
+        let known = self.revision();
+        if self.fetch_above(member, known).await || self.fetch_above(member, 0).await {
+            return true;
+        }
+        let read = self.repository.read_head().await;
+        match read {
+            Ok((_, head)) => {
+                self.install_head(head).await.is_ok() && self.revision() >= member.revision
+            }
+            Err(_) => false,
+        }
+    }
+
+    async fn fetch_above(&self, member: &Member, above_revision: u64) -> bool {
+        let mut client = self.members.client(member.address);
+        let call = client.fetch_catalog(FetchCatalogRequest { above_revision });
+        let Ok(Ok(reply)) = compio::time::timeout(FETCH_TIMEOUT.into(), call).await else {
+            return false;
+        };
+        let reply = reply.into_inner();
+        let Ok(bundle) = serde_json::from_slice::<Bundle>(&reply.catalog) else {
+            return false;
+        };
+        let previous = self.catalog();
+        match Catalog::build(bundle.head, &previous, |key| {
+            bundle.services.get(key).cloned()
+        }) {
+            Ok(catalog) => {
+                self.install(catalog);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+}
--- /dev/null
+++ b/components/ledger/src/lib.rs
@@ -0,0 +1,13 @@
+//! The ledger of idempotency keys: a booking is dispatched only after its
+//! key was claimed in the platform's store.
+
+mod bucket;
+mod committer;
+mod key;
+mod pace;
+mod verdict;
+
+pub use bucket::{Bucket, Claim};
+pub use committer::{BucketView, Ledger, Request};
+pub use key::{FUTURE_SKEW, Key, KeyError, Result};
+pub use verdict::Verdict;
--- /dev/null
+++ b/components/members/src/contact.rs
@@ -0,0 +1,36 @@
+//! When this daemon last confirmed that its revision is current.
+
+use std::cell::Cell;
+
+use clock::Millis;
+
+/// Time without confirmation after which a daemon asks before it works.
+const VALIDITY: Millis = Millis(3_000);
+
+/// The time of the last exchange that confirmed the revision in force.
+///
+/// The time at which the exchange began counts: an answer that waited in a
+/// socket while this process was paused confirms nothing.
+#[derive(Debug, Default)]
+pub struct Contact {
+    last: Cell<Millis>,
+    ever: Cell<bool>,
+}
+
+impl Contact {
+    /// Notes a confirming exchange that began at `sent`.
+    pub fn confirm(&self, sent: Millis) {
+        self.last.set(self.last.get().max(sent));
+        self.ever.set(true);
+    }
+
+    /// Whether the last confirmation is recent enough to take new work.
+    pub fn is_fresh(&self, now: Millis) -> bool {
+        self.ever.get() && now.since(self.last.get()) <= VALIDITY
+    }
+
+    /// Time since the last confirmation.
+    pub fn age(&self, now: Millis) -> Millis {
+        now.since(self.last.get())
+    }
+}
--- /dev/null
+++ b/components/members/src/table.rs
@@ -0,0 +1,223 @@
+//! The table of members and the rules by which news is merged into it.
+
+use std::collections::BTreeMap;
+
+use clock::Millis;
+use serde::Serialize;
+
+use crate::member::{Member, State};
+
+const MISSES_TO_SUSPECT: u32 = 2;
+const SUSPECT_TO_DEAD: Millis = Millis(3_000);
+const DEAD_TO_FORGOTTEN: Millis = Millis(30_000);
+// News is repeated for this long, so that it reaches every daemon.
+const NEWS_AGE: Millis = Millis(10_000);
+const NEWS_LENGTH: usize = 64;
+const MEMBER_LIMIT: usize = 4_096;
+
+/// What a merge changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Update {
+    /// Nothing.
+    Unchanged,
+    /// The set of members that can own upstreams.
+    Changed,
+    /// This daemon is said to be gone and must raise its incarnation.
+    Refute(u64),
+}
+
+/// A member with what this daemon observed of it.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Record {
+    pub(crate) member: Member,
+    /// When the state last changed here.
+    pub(crate) changed: Millis,
+    /// When the member last answered this daemon; the send time counts.
+    pub(crate) heard: Millis,
+    pub(crate) misses: u32,
+}
+
+/// The members that this daemon knows, itself not included.
+#[derive(Debug)]
+pub struct Table {
+    me: String,
+    records: BTreeMap<String, Record>,
+    epoch: u64,
+    had_members: bool,
+}
+
+impl Table {
+    /// Returns an empty table of the daemon `me`.
+    pub fn new(me: &str) -> Self {
+        Self {
+            me: me.to_owned(),
+            records: BTreeMap::new(),
+            epoch: 1,
+            had_members: false,
+        }
+    }
+
+    /// Grows whenever the set of members that can own upstreams changes.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns the members in a state.
+    pub fn in_state(&self, state: State) -> impl Iterator<Item = &Member> {
+        self.records
+            .values()
+            .map(|r| &r.member)
+            .filter(move |m| m.state == state)
+    }
+
+    /// Returns all members that are worth a heartbeat.
+    pub fn reachable(&self) -> impl Iterator<Item = &Member> {
+        self.records
+            .values()
+            .map(|r| &r.member)
+            .filter(|m| m.state != State::Dead)
+    }
+
+    /// Finds a member by its name.
+    pub fn find(&self, id: &str) -> Option<&Member> {
+        self.records.get(id).map(|r| &r.member)
+    }
+
+    /// Whether no member was ever known.
+    pub fn is_empty(&self) -> bool {
+        !self.had_members
+    }
+
+    /// When a member last answered.
+    pub fn heard(&self, id: &str) -> Option<Millis> {
+        self.records.get(id).map(|r| r.heard)
+    }
+
+    pub(crate) fn records(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    /// Adds a member from the platform's list unless it is known already.
+    pub fn seed(&mut self, member: Member, now: Millis) {
+        if member.id != self.me && !self.records.contains_key(&member.id) {
+            self.insert(member, now);
+        }
+    }
+
+    /// Merges what a message says of a member.
+    pub fn merge(&mut self, news: Member, now: Millis) -> Update {
+        if news.id == self.me {
+            let is_gone = matches!(news.state, State::Suspect | State::Dead);
+            return if is_gone {
+                Update::Refute(news.incarnation)
+            } else {
+                Update::Unchanged
+            };
+        }
+        let Some(record) = self.records.get_mut(&news.id) else {
+            if news.state == State::Dead {
+                return Update::Unchanged;
+            }
+            self.insert(news, now);
+            return Update::Changed;
+        };
+        let old = &record.member;
+        let wins = (news.incarnation, news.state) > (old.incarnation, old.state);
+        if !wins {
+            return Update::Unchanged;
+        }
+        let moved = old.address != news.address || old.state != news.state;
+        if news.incarnation > old.incarnation {
+            record.misses = 0;
+        }
+        record.member = Member {
+            revision: news.revision.max(old.revision),
+            ..news
+        };
+        record.changed = now;
+        if moved {
+            self.epoch += 1;
+            return Update::Changed;
+        }
+        Update::Unchanged
+    }
+
+    /// Notes that a member answered a heartbeat sent at `sent`.
+    pub fn note_answer(&mut self, news: Member, sent: Millis, now: Millis) -> Update {
+        let (id, revision) = (news.id.clone(), news.revision);
+        let update = self.merge(news, now);
+        if let Some(record) = self.records.get_mut(&id) {
+            record.heard = record.heard.max(sent);
+            record.misses = 0;
+            record.member.revision = revision;
+        }
+        update
+    }
+
+    /// Notes that a member did not answer; `refused` if nothing listens there.
+    pub fn note_miss(&mut self, id: &str, refused: bool, now: Millis) -> Update {
+        let Some(record) = self.records.get_mut(id) else {
+            return Update::Unchanged;
+        };
+        record.misses += 1;
+        let is_late = refused || record.misses >= MISSES_TO_SUSPECT;
+        if record.member.state != State::Alive || !is_late {
+            return Update::Unchanged;
+        }
+        record.member.state = State::Suspect;
+        record.changed = now;
+        self.epoch += 1;
+        Update::Changed
+    }
+
+    /// Turns old suspicions into deaths and forgets old deaths.
+    pub fn expire(&mut self, now: Millis) {
+        for record in self.records.values_mut() {
+            let age = now.since(record.changed);
+            let is_gone = match record.member.state {
+                State::Suspect => age >= SUSPECT_TO_DEAD,
+                State::Leaving => age >= SUSPECT_TO_DEAD && record.misses > 0,
+                State::Alive | State::Dead => false,
+            };
+            if is_gone {
+                record.member.state = State::Dead;
+                record.changed = now;
+            }
+        }
+        let is_kept =
+            |r: &Record| r.member.state != State::Dead || now.since(r.changed) < DEAD_TO_FORGOTTEN;
+        self.records.retain(|_, r| is_kept(r));
+    }
+
+    /// Returns the members whose state changed lately, newest first, and
+    /// always `target`, so that it can refute a suspicion.
+    pub fn news_for(&self, target: &str, now: Millis) -> Vec<Member> {
+        let is_news = |r: &&Record| now.since(r.changed) < NEWS_AGE || r.member.id == target;
+        let mut list: Vec<&Record> = self.records.values().filter(is_news).collect();
+        list.sort_by_key(|r| (r.member.id != target, std::cmp::Reverse(r.changed)));
+        list.into_iter()
+            .take(NEWS_LENGTH)
+            .map(|r| r.member.clone())
+            .collect()
+    }
+
+    /// Returns all members that are not dead, for a daemon that just joined.
+    pub fn everyone(&self) -> Vec<Member> {
+        self.reachable().cloned().collect()
+    }
+
+    fn insert(&mut self, member: Member, now: Millis) {
+        if self.records.len() >= MEMBER_LIMIT {
+            return;
+        }
+        let record = Record {
+            changed: now,
+            heard: Millis::ZERO,
+            misses: 0,
+            member,
+        };
+        self.records.insert(record.member.id.clone(), record);
+        self.had_members = true;
+        self.epoch += 1;
+    }
+}
--- /dev/null
+++ b/components/query/src/booking.rs
@@ -0,0 +1,351 @@
+//! Bookings: the key is claimed in the ledger, then the booking is dispatched
+//! once.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use catalog::Topology;
+use clock::Millis;
+use ledger::{Key, Request, Verdict};
+use schema::{ClaimRequest, DispatchReply, DispatchRequest, OutcomeRequest};
+use telemetry::names;
+use upstreams::{Failure, Ran, Reason};
+use uuid::Uuid;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::answer::BookingAnswer;
+use crate::merge::decode_result;
+use crate::outcomes::Kept;
+use crate::owner::{PeerError, finish};
+use crate::refusal::{Kind, Refusal, Result};
+use crate::root::{Root, fingerprint};
+use crate::serve::verdict;
+
+const LEDGER_RETRY: Millis = Millis(1_000);
+const RUNNING_RETRY: Millis = Millis(100);
+const OUTCOME_TIMEOUT: Millis = Millis(500);
+const HOP_MARGIN: Millis = Millis(3);
+// A dispatch starts only with this much time left.
+const MIN_DISPATCH_TIME: Millis = Millis(5);
+
+/// A booking as a caller asks it.
+#[derive(Clone, Debug)]
+pub struct BookRequest {
+    /// The caller's identifier of the request.
+    pub request_id: String,
+    /// Name of the service.
+    pub service: String,
+    /// The idempotency key.
+    pub key: Key,
+    /// Time for the answer; the service's deadline if absent.
+    pub budget: Option<Millis>,
+    /// The shard to book on; chosen by the key if absent.
+    pub shard: Option<String>,
+    /// The booking for the upstream.
+    pub body: Bytes,
+}
+
+impl Root {
+    /// Runs a booking at most once and answers it.
+    ///
+    /// The future must be run to its end: it is the caller's task that may
+    /// go away, not the booking's.
+    ///
+    /// # Errors
+    ///
+    /// The refusal tells whether the booking ran.
+    pub async fn book(&self, request: &BookRequest) -> Result<BookingAnswer> {
+        let result = self.book_until(request, Millis::now()).await;
+        match &result {
+            Err(refusal) if refusal.kind != Kind::UnknownService => {
+                let (service, reason) = (request.service.clone(), refusal.kind.name());
+                metrics::counter!(names::REFUSALS_TOTAL, "service" => service, "reason" => reason)
+                    .increment(1);
+            }
+            _ => {}
+        }
+        result
+    }
+
+    async fn book_until(&self, request: &BookRequest, started: Millis) -> Result<BookingAnswer> {
+        let topology = self.find_service(&request.service)?;
+        let service = &topology.service;
+        if !service.bookings {
+            let detail = format!("service `{}` takes no bookings", request.service);
+            return Err(Refusal::invalid(Kind::BookingsOff, detail));
+        }
+        let shard = choose_shard(&topology, request)?;
+        let deadline = started + request.budget.unwrap_or(service.deadline_ms);
+        let _in_flight = self.admit(&topology)?;
+        let fingerprint = fingerprint(&request.service, &request.body);
+        self.check_quarantine(fingerprint)?;
+        self.gate.pass().await?;
+        let booking = Booking {
+            root: self,
+            request,
+            topology: &topology,
+            shard,
+            fingerprint,
+            deadline,
+        };
+        booking.run().await
+    }
+}
+
+/// A booking that was admitted.
+struct Booking<'a> {
+    root: &'a Root,
+    request: &'a BookRequest,
+    topology: &'a Rc<Topology>,
+    shard: String,
+    fingerprint: u64,
+    deadline: Millis,
+}
+
+impl Booking<'_> {
+    async fn run(&self) -> Result<BookingAnswer> {
+        let claim = self.claim_request();
+        match self.claim(claim.clone()).await {
+            Verdict::Claimed => {
+                let reply = self.dispatch_claimed(claim).await;
+                booking_answer(self.request, &self.shard, reply, false)
+            }
+            Verdict::Duplicate { claimer } => self.replay(&claimer).await,
+            other => {
+                let left = self.deadline.since(Millis::now());
+                self.root.ledger.release_later(claim, left);
+                Err(unclaimed(&other))
+            }
+        }
+    }
+
+    fn claim_request(&self) -> Request {
+        Request {
+            service: self.request.service.clone(),
+            key: self.request.key.clone(),
+            nonce: Uuid::new_v4().simple().to_string(),
+            claimer: self.root.members.me().id,
+            retention: self.topology.service.retention_ms,
+            deadline: self.deadline,
+            release: false,
+        }
+    }
+
+    /// Claims a key through the daemon that writes its bucket, or directly if
+    /// that daemon does not answer; the nonce makes both the same claim.
+    async fn claim(&self, claim: Request) -> Verdict {
+        let root = self.root;
+        let bucket = claim.key.bucket(&claim.service);
+        let owners = root.owners(&bucket, "");
+        let me = root.members.me().id;
+        let Some(writer) = owners.first().filter(|m| m.id != me) else {
+            return root.ledger.submit(claim).await;
+        };
+        let left = claim.deadline.since(Millis::now());
+        let message = ClaimRequest {
+            service: claim.service.clone(),
+            key: claim.key.text.clone(),
+            nonce: claim.nonce.clone(),
+            claimer: me,
+            budget_ms: left.0,
+            release: false,
+        };
+        let mut client = root.members.client(writer.address);
+        // Half of the time is left for the direct claim.
+        let timeout = Millis(left.0 / 2);
+        match finish(compio::time::timeout(timeout.into(), client.claim(message)).await) {
+            Ok(reply) => verdict(reply),
+            Err(_) => root.ledger.submit(claim).await,
+        }
+    }
+
+    /// Dispatches a booking whose key this attempt has claimed.
+    async fn dispatch_claimed(&self, claim: Request) -> DispatchReply {
+        let outcomes = &self.root.outcomes;
+        let (service, key) = (&self.request.service, &self.request.key.text);
+        outcomes.begin(service, key, Millis::now());
+        let has_time = Millis::now() + MIN_DISPATCH_TIME < self.deadline;
+        let reply = match has_time {
+            true => self.dispatch().await,
+            false => not_run_reply(Reason::Timeout),
+        };
+        outcomes.end(service, key, &reply, Millis::now());
+        if Ran::from(reply.ran) == Ran::No {
+            self.root.ledger.release_later(claim, Millis::ZERO);
+        }
+        reply
+    }
+
+    /// Sends a booking to the owner of its shard; to the next owner only if
+    /// it is known not to have reached the first.
+    async fn dispatch(&self) -> DispatchReply {
+        let topology = self.topology;
+        let group = topology
+            .find_shard(&self.shard)
+            .map_or(0, |s| topology.group_of[s]);
+        let owners = self
+            .root
+            .owners(&topology.group_key(group), topology.group_domain(group));
+        for member in owners.iter() {
+            let budget = self.deadline.since(Millis::now() + HOP_MARGIN);
+            if budget == Millis::ZERO {
+                break;
+            }
+            let message = self.dispatch_request(budget);
+            match self
+                .root
+                .owner(member)
+                .dispatch(message, budget + HOP_MARGIN)
+                .await
+            {
+                Ok(reply) => return reply,
+                Err(PeerError::Unsent) => {}
+                Err(PeerError::Lost) => {
+                    let ran = Ran::Unknown.into();
+                    return DispatchReply {
+                        ran,
+                        ..not_run_reply(Reason::OwnerUnreachable)
+                    };
+                }
+            }
+        }
+        not_run_reply(Reason::OwnerUnreachable)
+    }
+
+    fn dispatch_request(&self, budget: Millis) -> DispatchRequest {
+        DispatchRequest {
+            request_id: Uuid::new_v4().simple().to_string(),
+            service: self.request.service.clone(),
+            revision: self.topology.revision,
+            partitioning: self.topology.service.partitioning.clone(),
+            shard: self.shard.clone(),
+            key: self.request.key.text.clone(),
+            budget_ms: budget.0,
+            body: self.request.body.to_vec(),
+            fingerprint: self.fingerprint,
+        }
+    }
+
+    /// Answers a key that was claimed before with what is kept of it.
+    async fn replay(&self, claimer: &str) -> Result<BookingAnswer> {
+        match self.find_outcome(claimer).await {
+            Some(Kept::Done(reply)) => booking_answer(self.request, &self.shard, reply, true),
+            Some(Kept::Running) => Err(claimed("the booking is running", RUNNING_RETRY)),
+            None => Err(claimed(
+                "the key was claimed before and the outcome is not known",
+                LEDGER_RETRY,
+            )),
+        }
+    }
+
+    async fn find_outcome(&self, claimer: &str) -> Option<Kept> {
+        let (service, key) = (&self.request.service, &self.request.key.text);
+        let members = &self.root.members;
+        if claimer == members.me().id {
+            return self.root.outcomes.find(service, key);
+        }
+        let member = members.find(claimer)?;
+        let mut client = members.client(member.address);
+        let message = OutcomeRequest {
+            service: service.clone(),
+            key: key.clone(),
+        };
+        let call = compio::time::timeout(OUTCOME_TIMEOUT.into(), client.outcome(message));
+        let reply = finish(call.await).ok()?;
+        match reply.reply {
+            _ if !reply.known => None,
+            _ if reply.running => Some(Kept::Running),
+            reply => reply.map(Kept::Done),
+        }
+    }
+}
+
+fn choose_shard(topology: &Topology, request: &BookRequest) -> Result<String> {
+    let shards = &topology.service.shards;
+    match &request.shard {
+        Some(name) if topology.find_shard(name).is_some() => Ok(name.clone()),
+        Some(name) => {
+            let detail = format!("service `{}` has no shard `{name}`", request.service);
+            Err(Refusal::invalid(Kind::BadRequest, detail))
+        }
+        None => {
+            let index = xxh3_64(request.key.text.as_bytes()) as usize % shards.len();
+            Ok(shards[index].name.clone())
+        }
+    }
+}
+
+fn unclaimed(verdict: &Verdict) -> Refusal {
+    match verdict {
+        Verdict::TooOld => Refusal::invalid(
+            Kind::KeyOutsideWindow,
+            "the Idempotency-Key is older than the time that keys are kept",
+        ),
+        Verdict::Future => Refusal::invalid(
+            Kind::KeyOutsideWindow,
+            "the Idempotency-Key carries a time in the future",
+        ),
+        Verdict::Full => Refusal::not_run(
+            Kind::LedgerUnavailable,
+            "the ledger is full for now",
+            LEDGER_RETRY,
+        ),
+        _ => Refusal::not_run(
+            Kind::LedgerUnavailable,
+            "the store did not confirm the claim in time",
+            LEDGER_RETRY,
+        ),
+    }
+}
+
+fn claimed(detail: &str, retry_after: Millis) -> Refusal {
+    let retry_after = Some(retry_after);
+    Refusal {
+        kind: Kind::KeyClaimed,
+        ran: Ran::Unknown,
+        detail: detail.to_owned(),
+        retry_after,
+    }
+}
+
+fn not_run_reply(reason: Reason) -> DispatchReply {
+    DispatchReply {
+        ran: Ran::No.into(),
+        reason: reason.name().to_owned(),
+        ..DispatchReply::default()
+    }
+}
+
+fn booking_answer(
+    request: &BookRequest,
+    shard: &str,
+    reply: DispatchReply,
+    replayed: bool,
+) -> Result<BookingAnswer> {
+    let ran = Ran::from(reply.ran);
+    let body = Bytes::from(reply.body);
+    match decode_result(&body).filter(|_| reply.done) {
+        Some(result) => Ok(BookingAnswer {
+            request_id: request.request_id.clone(),
+            service: request.service.clone(),
+            shard: shard.to_owned(),
+            key: request.key.text.clone(),
+            replayed,
+            result,
+        }),
+        None => {
+            let reason = Reason::find(&reply.reason).unwrap_or(Reason::UpstreamError);
+            let failure = Failure {
+                ran,
+                retry_after: Millis(reply.retry_after_ms),
+                ..Failure::not_run(reason)
+            };
+            let fallback = match ran {
+                Ran::No => Kind::NotRun,
+                Ran::Yes => Kind::Rejected,
+                Ran::Unknown => Kind::OutcomeUnknown,
+            };
+            Err(Refusal::from_failure(&failure, fallback))
+        }
+    }
+}
--- /dev/null
+++ b/components/query/src/lib.rs
@@ -0,0 +1,24 @@
+//! The root's side: plans a request, sends it to the owners, merges what
+//! comes back, and answers.
+
+mod answer;
+mod booking;
+mod merge;
+mod outcomes;
+mod owner;
+mod plan;
+mod refusal;
+mod root;
+mod scatter;
+mod serve;
+mod views;
+
+pub use answer::{BookingAnswer, MissingShard, SearchAnswer};
+pub use booking::BookRequest;
+pub use merge::Merge;
+pub use outcomes::{Kept, Outcomes};
+pub use owner::{LocalOwner, Owner, PeerError, RemoteOwner};
+pub use plan::{Version, choose_version};
+pub use refusal::{Kind, Refusal, Result};
+pub use root::{Gate, Root, SearchRequest};
+pub use serve::Server;
--- /dev/null
+++ b/components/query/src/scatter.rs
@@ -0,0 +1,255 @@
+//! Sends the sub-requests of a search to their owners, one call to each, and
+//! to the next owner where one does not answer.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use catalog::Topology;
+use clock::Millis;
+use futures_util::future::{Either, join_all, select};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use members::Member;
+use schema::{ScatterReply, ScatterRequest, SurveyRequest};
+use upstreams::{Failure, Holding, Ran, Reason};
+
+use crate::merge::Merge;
+use crate::owner::PeerError;
+use crate::plan::Version;
+use crate::root::Root;
+use crate::views::{Knowledge, Views};
+
+// An owner answers this much before the root must.
+const HOP_MARGIN: Millis = Millis(3);
+const SURVEY_TIMEOUT: Millis = Millis(200);
+// How often a call checks whether the peer it waits for is still alive.
+const LIVENESS_INTERVAL: Millis = Millis(25);
+
+/// One search at one version.
+pub(crate) struct Scatter<'a> {
+    pub(crate) root: &'a Root,
+    pub(crate) topology: &'a Rc<Topology>,
+    pub(crate) request_id: &'a str,
+    pub(crate) version: &'a Version,
+}
+
+/// The groups with one owner, and the asked shards of each.
+struct Batch {
+    owners: Rc<Vec<Member>>,
+    groups: Vec<usize>,
+    shards: Vec<String>,
+}
+
+impl Scatter<'_> {
+    /// Runs the search; what did not come by the deadline is missing.
+    pub(crate) async fn run(
+        &self,
+        asked: &[String],
+        body: Bytes,
+        fingerprint: u64,
+        deadline: Millis,
+    ) -> Merge {
+        let mut merge = Merge::new(self.request_id, self.version, asked);
+        let mut running: FuturesUnordered<_> = self
+            .batches(asked)
+            .into_iter()
+            .map(|batch| self.send(batch, body.clone(), fingerprint, deadline))
+            .collect();
+        let left = deadline.since(Millis::now());
+        let mut timer = Box::pin(compio::time::sleep(left.into()));
+        loop {
+            match select(running.next(), timer).await {
+                Either::Left((Some((batch, reply)), rest)) => {
+                    self.take(&mut merge, &batch, reply);
+                    timer = rest;
+                }
+                Either::Left((None, _)) => return merge,
+                Either::Right(_) => break,
+            }
+        }
+        drop(running);
+        merge.fail_rest(asked, &Failure::unknown(Reason::Timeout));
+        merge
+    }
+
+    fn batches(&self, asked: &[String]) -> Vec<Batch> {
+        let mut by_group: BTreeMap<usize, Vec<String>> = BTreeMap::new();
+        for shard in asked {
+            let index = self.topology.find_shard(shard);
+            if let Some(index) = index {
+                by_group
+                    .entry(self.topology.group_of[index])
+                    .or_default()
+                    .push(shard.clone());
+            }
+        }
+        let mut by_owner: BTreeMap<String, Batch> = BTreeMap::new();
+        for (group, shards) in by_group {
+            let key = self.topology.group_key(group);
+            let owners = self.root.owners(&key, self.topology.group_domain(group));
+            let first = owners.first().map_or(String::new(), |m| m.id.clone());
+            let batch = by_owner.entry(first).or_insert_with(|| Batch {
+                owners,
+                groups: Vec::new(),
+                shards: Vec::new(),
+            });
+            batch.groups.push(group);
+            batch.shards.extend(shards);
+        }
+        by_owner.into_values().collect()
+    }
+
+    /// Sends a batch to its owner, or to the next one if it is gone.
+    async fn send(
+        &self,
+        batch: Batch,
+        body: Bytes,
+        fingerprint: u64,
+        deadline: Millis,
+    ) -> (Batch, Result<ScatterReply, Failure>) {
+        let mut ran = Ran::No;
+        for member in batch.owners.iter() {
+            let budget = deadline.since(Millis::now() + HOP_MARGIN);
+            if budget == Millis::ZERO {
+                break;
+            }
+            let request = ScatterRequest {
+                request_id: self.request_id.to_owned(),
+                service: self.topology.service.name.clone(),
+                revision: self.topology.revision,
+                partitioning: self.version.partitioning.clone(),
+                snapshot: self.version.snapshot,
+                shards: batch.shards.clone(),
+                budget_ms: budget.0,
+                body: body.to_vec(),
+                fingerprint,
+            };
+            match self.call(member, request, budget + HOP_MARGIN).await {
+                Ok(reply) => return (batch, Ok(reply)),
+                Err(PeerError::Unsent) => {}
+                Err(PeerError::Lost) => ran = Ran::Unknown,
+            }
+        }
+        let failure = Failure {
+            ran,
+            ..Failure::not_run(Reason::OwnerUnreachable)
+        };
+        (batch, Err(failure))
+    }
+
+    /// Calls an owner and gives it up once it is suspected.
+    async fn call(
+        &self,
+        member: &Member,
+        request: ScatterRequest,
+        timeout: Millis,
+    ) -> Result<ScatterReply, PeerError> {
+        let owner = self.root.owner(member);
+        let mut calling = owner.scatter(request, timeout);
+        loop {
+            let check = std::pin::pin!(compio::time::sleep(LIVENESS_INTERVAL.into()));
+            match select(calling, check).await {
+                Either::Left((result, _)) => return result,
+                Either::Right((_, rest)) => calling = rest,
+            }
+            let is_me = member.id == self.root.members.me().id;
+            if !is_me && !self.root.members.is_alive(&member.id) {
+                return Err(PeerError::Lost);
+            }
+        }
+    }
+
+    fn take(&self, merge: &mut Merge, batch: &Batch, reply: Result<ScatterReply, Failure>) {
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(failure) => return merge.fail_rest(&batch.shards, &failure),
+        };
+        if reply.refused {
+            let reason = Reason::find(&reply.reason).unwrap_or(Reason::Overloaded);
+            let retry_after = Millis(reply.retry_after_ms);
+            let failure = Failure {
+                retry_after,
+                ..Failure::not_run(reason)
+            };
+            return merge.fail_rest(&batch.shards, &failure);
+        }
+        self.learn(&batch.groups, reply.holdings);
+        reply.parts.into_iter().for_each(|part| merge.add(part));
+        merge.fail_rest(&batch.shards, &Failure::unknown(Reason::Mismatch));
+    }
+
+    fn learn(&self, groups: &[usize], holdings: Vec<schema::Holding>) {
+        learn(&self.root.views, self.topology, groups, holdings);
+    }
+}
+
+/// Notes what an owner said of some groups.
+fn learn(views: &Views, topology: &Topology, groups: &[usize], holdings: Vec<schema::Holding>) {
+    let now = Millis::now();
+    for &group in groups {
+        let in_group = |s: &String| {
+            topology
+                .find_shard(s)
+                .is_some_and(|i| topology.group_of[i] == group)
+        };
+        let held = holdings.iter().map(|h| Holding {
+            partitioning: h.partitioning.clone(),
+            snapshot: h.snapshot,
+            shards: h.shards.iter().filter(|s| in_group(s)).cloned().collect(),
+        });
+        views.set(&topology.group_key(group), held.collect(), now);
+    }
+}
+
+impl Root {
+    /// Asks the owners of groups that nothing is known of, and refreshes in
+    /// the background what is old.
+    pub(crate) async fn refresh_views(
+        &self,
+        topology: &Rc<Topology>,
+        keys: &[String],
+        deadline: Millis,
+    ) {
+        let now = Millis::now();
+        let groups = (0..topology.groups.len()).filter(|&g| keys.contains(&topology.group_key(g)));
+        let mut unknown = Vec::new();
+        for group in groups {
+            let key = topology.group_key(group);
+            match self.views.knowledge(&key, now) {
+                Knowledge::Fresh => {}
+                Knowledge::Unknown => unknown.push(self.survey(topology, group)),
+                Knowledge::Stale => {
+                    self.views.touch(&key, now);
+                    compio::runtime::spawn(self.survey(topology, group)).detach();
+                }
+            }
+        }
+        let left = deadline.since(now).0 / 2;
+        let timeout = Millis(left.min(SURVEY_TIMEOUT.0));
+        if !unknown.is_empty() {
+            let _ = compio::time::timeout(timeout.into(), join_all(unknown)).await;
+        }
+    }
+
+    /// Asks the owner of a group, then the next ones, what is held.
+    fn survey(&self, topology: &Rc<Topology>, group: usize) -> impl Future<Output = ()> + use<> {
+        let owners = self.owners(&topology.group_key(group), topology.group_domain(group));
+        let callees: Vec<_> = owners.iter().map(|m| self.owner(m)).collect();
+        let (views, topology) = (self.views.clone(), topology.clone());
+        async move {
+            let shards = topology.groups[group]
+                .shards
+                .iter()
+                .map(|&s| topology.service.shards[s].name.clone());
+            let request = SurveyRequest {
+                service: topology.service.name.clone(),
+                shards: shards.collect(),
+            };
+            for owner in callees {
+                if let Ok(reply) = owner.survey(request.clone(), SURVEY_TIMEOUT).await {
+                    return learn(&views, &topology, &[group], reply.holdings);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/query/src/serve.rs
@@ -0,0 +1,236 @@
+//! The owner's side of the service between daemons.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use catalog::Topology;
+use clock::Millis;
+use ledger::{Key, Ledger, Request, Verdict};
+use schema::{
+    ClaimReply, ClaimRequest, DispatchReply, DispatchRequest, OutcomeReply, OutcomeRequest, Part,
+    ScatterReply, ScatterRequest, SurveyReply, SurveyRequest,
+};
+use upstreams::{Call, Failure, Pool, Pools, Ran, Reason};
+
+use crate::outcomes::{Kept, Outcomes};
+
+/// Answers what peers, and the root's side of this daemon, ask of an owner.
+pub struct Server {
+    /// The upstreams.
+    pub pools: Rc<Pools>,
+    /// The ledger.
+    pub ledger: Rc<Ledger>,
+    /// Kept answers of bookings.
+    pub outcomes: Rc<Outcomes>,
+}
+
+impl Server {
+    /// Returns the snapshots that the upstreams of some shards hold.
+    pub fn survey(&self, request: &SurveyRequest) -> SurveyReply {
+        let Some(pool) = self.pools.find(&request.service) else {
+            return SurveyReply::default();
+        };
+        let topology = pool.topology();
+        let shards: Vec<usize> = request
+            .shards
+            .iter()
+            .filter_map(|s| topology.find_shard(s))
+            .collect();
+        SurveyReply {
+            revision: topology.revision,
+            holdings: holdings(&pool, &topology, &shards),
+        }
+    }
+
+    /// Runs the sub-requests of a search.
+    pub async fn scatter(&self, request: ScatterRequest) -> ScatterReply {
+        let Some(pool) = self.pools.find(&request.service) else {
+            return refuse(&Failure::not_run(Reason::PartitioningUnknown));
+        };
+        let Some(topology) = pool.find_topology(&request.partitioning) else {
+            return refuse(&Failure::not_run(Reason::PartitioningUnknown));
+        };
+        let shards: Option<Vec<usize>> = request
+            .shards
+            .iter()
+            .map(|s| topology.find_shard(s))
+            .collect();
+        let Some(shards) = shards else {
+            return refuse(&Failure::not_run(Reason::PartitioningUnknown));
+        };
+        let call = Call {
+            request_id: request.request_id,
+            partitioning: request.partitioning,
+            snapshot: request.snapshot,
+            key: None,
+            fingerprint: request.fingerprint,
+            deadline: Millis::now() + Millis(request.budget_ms),
+            body: request.body.into(),
+        };
+        let results = match pool.search(&topology, &call, &shards).await {
+            Ok(results) => results,
+            Err(failure) => return refuse(&failure),
+        };
+        let parts = shards
+            .iter()
+            .zip(results)
+            .map(|(&s, r)| part(&call, &topology.service.shards[s].name, r));
+        ScatterReply {
+            parts: parts.collect(),
+            holdings: holdings(&pool, &topology, &shards),
+            revision: topology.revision,
+            ..ScatterReply::default()
+        }
+    }
+
+    /// Runs a booking.
+    pub async fn dispatch(&self, request: DispatchRequest) -> DispatchReply {
+        let found = self.pools.find(&request.service).and_then(|pool| {
+            let topology = pool.find_topology(&request.partitioning)?;
+            let shard = topology.find_shard(&request.shard)?;
+            Some((pool, topology, shard))
+        });
+        let Some((pool, topology, shard)) = found else {
+            return dispatch_reply(Err(Failure::not_run(Reason::PartitioningUnknown)));
+        };
+        let call = Call {
+            request_id: request.request_id,
+            partitioning: request.partitioning,
+            snapshot: 0,
+            key: Some(request.key),
+            fingerprint: request.fingerprint,
+            deadline: Millis::now() + Millis(request.budget_ms),
+            body: request.body.into(),
+        };
+        dispatch_reply(pool.dispatch(&topology, &call, shard).await)
+    }
+
+    /// Claims or releases an idempotency key.
+    pub async fn claim(&self, request: ClaimRequest) -> ClaimReply {
+        let Ok(key) = Key::parse(&request.key) else {
+            return claim_reply(Verdict::Unavailable);
+        };
+        let Some(pool) = self.pools.find(&request.service) else {
+            return claim_reply(Verdict::Unavailable);
+        };
+        let retention = pool.topology().service.retention_ms;
+        let request = Request {
+            service: request.service,
+            key,
+            nonce: request.nonce,
+            claimer: request.claimer,
+            retention,
+            deadline: Millis::now() + Millis(request.budget_ms),
+            release: request.release,
+        };
+        claim_reply(self.ledger.submit(request).await)
+    }
+
+    /// Returns the kept answer of a booking.
+    pub fn outcome(&self, request: &OutcomeRequest) -> OutcomeReply {
+        match self.outcomes.find(&request.service, &request.key) {
+            None => OutcomeReply::default(),
+            Some(Kept::Running) => OutcomeReply {
+                known: true,
+                running: true,
+                reply: None,
+            },
+            Some(Kept::Done(reply)) => OutcomeReply {
+                known: true,
+                running: false,
+                reply: Some(reply),
+            },
+        }
+    }
+}
+
+fn holdings(pool: &Pool, topology: &Topology, shards: &[usize]) -> Vec<schema::Holding> {
+    let held = pool.holdings(topology, shards).into_iter();
+    let message = |h: upstreams::Holding| schema::Holding {
+        partitioning: h.partitioning,
+        snapshot: h.snapshot,
+        shards: h.shards,
+    };
+    held.map(message).collect()
+}
+
+fn refuse(failure: &Failure) -> ScatterReply {
+    ScatterReply {
+        refused: true,
+        reason: failure.reason.name().to_owned(),
+        retry_after_ms: failure.retry_after.0,
+        ..ScatterReply::default()
+    }
+}
+
+fn part(call: &Call, shard: &str, result: upstreams::Result<Bytes>) -> Part {
+    let part = Part {
+        request_id: call.request_id.clone(),
+        shard: shard.to_owned(),
+        snapshot: call.snapshot,
+        partitioning: call.partitioning.clone(),
+        ..Part::default()
+    };
+    match result {
+        Ok(rows) => Part {
+            covered: true,
+            ran: Ran::Yes.into(),
+            rows: rows.into(),
+            ..part
+        },
+        Err(f) => Part {
+            reason: f.reason.name().to_owned(),
+            ran: f.ran.into(),
+            ..part
+        },
+    }
+}
+
+fn dispatch_reply(result: upstreams::Result<Bytes>) -> DispatchReply {
+    match result {
+        Ok(body) => DispatchReply {
+            ran: Ran::Yes.into(),
+            done: true,
+            body: body.into(),
+            ..DispatchReply::default()
+        },
+        Err(f) => DispatchReply {
+            ran: f.ran.into(),
+            reason: f.reason.name().to_owned(),
+            retry_after_ms: f.retry_after.0,
+            ..DispatchReply::default()
+        },
+    }
+}
+
+fn claim_reply(verdict: Verdict) -> ClaimReply {
+    let (code, claimer) = match verdict {
+        Verdict::Claimed => (1, String::new()),
+        Verdict::Duplicate { claimer } => (2, claimer),
+        Verdict::TooOld => (3, String::new()),
+        Verdict::Future => (4, String::new()),
+        Verdict::Full => (5, String::new()),
+        Verdict::Released => (6, String::new()),
+        Verdict::Unavailable => (0, String::new()),
+    };
+    ClaimReply {
+        verdict: code,
+        claimer,
+        detail: String::new(),
+    }
+}
+
+/// Reads the verdict of a peer's reply.
+pub(crate) fn verdict(reply: ClaimReply) -> Verdict {
+    match reply.verdict {
+        1 => Verdict::Claimed,
+        2 => Verdict::Duplicate {
+            claimer: reply.claimer,
+        },
+        3 => Verdict::TooOld,
+        4 => Verdict::Future,
+        5 => Verdict::Full,
+        6 => Verdict::Released,
+        _ => Verdict::Unavailable,
+    }
+}
--- /dev/null
+++ b/components/settings/src/reader.rs
@@ -0,0 +1,178 @@
+//! Reads a YAML file and collects all findings with their places.
+
+use garde::{Report, Validate};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_saphyr::path_map::{PathKey, PathMap};
+use serde_saphyr::{Error, Location};
+
+use crate::finding::{Finding, Findings, Severity};
+
+/// Result of this crate.
+pub type Result<T, E = Findings> = std::result::Result<T, E>;
+
+/// Which rules a validation applies.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Pass {
+    /// The rules that a file must meet.
+    #[default]
+    Errors,
+    /// The rules that a file should meet.
+    Warnings,
+}
+
+// Separates the message from the hint in the texts of validation rules.
+const HINT_MARK: &str = "; hint: ";
+
+/// Parses `text` and applies all rules of `T`.
+///
+/// Returns the value with its warnings.
+///
+/// # Errors
+///
+/// Returns every error and warning with its place if there is any error.
+pub fn parse<T>(text: &str, file: &str) -> Result<(T, Vec<Finding>)>
+where
+    T: DeserializeOwned + Validate<Context = Pass>,
+{
+    let mut unknown = Vec::new();
+    let parsed = serde_saphyr::with_deserializer_from_str(text, |de| {
+        serde_ignored::deserialize(de, |path| unknown.push(path.to_string()))
+    });
+    let value: T = match parsed {
+        Ok(value) => value,
+        Err(e) => {
+            return Err(Findings {
+                list: vec![shape_finding(&e, file)],
+            });
+        }
+    };
+    let mut list = findings_of::<T>(text, file, &unknown, Pass::Errors);
+    let warnings = findings_of::<T>(text, file, &[], Pass::Warnings);
+    if list.is_empty() {
+        return Ok((value, warnings));
+    }
+    list.extend(warnings);
+    list.sort_by_key(|f| (f.line, f.column));
+    Err(Findings { list })
+}
+
+fn shape_finding(error: &Error, file: &str) -> Finding {
+    let place = error.location().unwrap_or(Location::UNKNOWN);
+    let text = error.without_snippet().to_string();
+    Finding {
+        severity: Severity::Error,
+        file: file.to_owned(),
+        line: place.line(),
+        column: place.column(),
+        message: text.lines().next().unwrap_or_default().to_owned(),
+        hint: String::new(),
+    }
+}
+
+/// Wraps a value so that validation always reports, since the library only
+/// hands out the map of locations with a report.
+#[derive(Deserialize)]
+#[serde(transparent)]
+struct Located<T>(T);
+
+impl<T: Validate<Context = Pass>> Validate for Located<T> {
+    type Context = Pass;
+
+    fn validate_into(
+        &self,
+        ctx: &Pass,
+        parent: &mut dyn FnMut() -> garde::Path,
+        report: &mut Report,
+    ) {
+        self.0.validate_into(ctx, parent, report);
+        report.append(parent(), garde::Error::new(""));
+    }
+}
+
+fn findings_of<T>(text: &str, file: &str, unknown: &[String], pass: Pass) -> Vec<Finding>
+where
+    T: DeserializeOwned + Validate<Context = Pass>,
+{
+    let options = serde_saphyr::options! { with_snippet: false };
+    let result =
+        serde_saphyr::from_str_with_options_context_valid::<Located<T>>(text, options, &pass);
+    let Err(Error::ValidationError {
+        issues, locations, ..
+    }) = result
+    else {
+        return Vec::new();
+    };
+    let severity = match pass {
+        Pass::Errors => Severity::Error,
+        Pass::Warnings => Severity::Warning,
+    };
+    let ruled = issues.iter().filter_map(|issue| {
+        let text = issue.message.as_deref().filter(|m| !m.is_empty())?;
+        let (message, hint) = text.split_once(HINT_MARK).unwrap_or((text, ""));
+        let place = place_of(&locations, &issue.path);
+        Some(Finding {
+            severity,
+            file: file.to_owned(),
+            line: place.line(),
+            column: place.column(),
+            message: format!("{}: {message}", name_of(&issue.path)),
+            hint: hint.to_owned(),
+        })
+    });
+    let keys = unknown
+        .iter()
+        .map(|path| unknown_key(text, file, path, &locations));
+    let mut list: Vec<Finding> = ruled.chain(keys).collect();
+    list.sort_by_key(|f| (f.line, f.column));
+    list
+}
+
+/// Returns the place of the value at `path`, or of its nearest ancestor.
+fn place_of(locations: &PathMap, path: &PathKey) -> Location {
+    let segments: Vec<_> = path.segments().collect();
+    (0..=segments.len())
+        .rev()
+        .map(|len| key_of(segments[..len].iter().map(|(_, s)| *s)))
+        .find_map(|key| locations.locations_for(&key)?.primary_location())
+        .unwrap_or(Location::UNKNOWN)
+}
+
+fn key_of<'a>(segments: impl Iterator<Item = &'a str>) -> PathKey {
+    segments.fold(PathKey::new(), |key, s| match s.parse::<usize>() {
+        Ok(index) => key.join_index(index),
+        Err(_) => key.join_key(s),
+    })
+}
+
+fn name_of(path: &PathKey) -> String {
+    let segments: Vec<_> = path.segments().map(|(_, s)| s).collect();
+    segments.join(".")
+}
+
+fn unknown_key(text: &str, file: &str, path: &str, locations: &PathMap) -> Finding {
+    let (parent, key) = path.rsplit_once('.').unwrap_or(("", path));
+    let parent_key = key_of(parent.split('.').filter(|s| !s.is_empty()));
+    let start = place_of(locations, &parent_key);
+    let (line, column) =
+        find_key(text, key, start.line()).unwrap_or((start.line(), start.column()));
+    Finding {
+        severity: Severity::Error,
+        file: file.to_owned(),
+        line,
+        column,
+        message: format!("unknown key `{path}`"),
+        hint: "see docs/OPERATING.md for the keys and their units".to_owned(),
+    }
+}
+
+/// Finds the first use of `key` as a mapping key at or below a line.
+fn find_key(text: &str, key: &str, first_line: u64) -> Option<(u64, u64)> {
+    let skip = usize::try_from(first_line).unwrap_or(1).saturating_sub(1);
+    text.lines().enumerate().skip(skip).find_map(|(i, line)| {
+        let column = line.find(&format!("{key}:"))?;
+        let before = line[..column].chars().next_back();
+        let starts = before.is_none_or(|c| matches!(c, ' ' | '{' | ','));
+        starts.then_some((i as u64 + 1, column as u64 + 1))
+    })
+}
--- /dev/null
+++ b/components/store/src/http.rs
@@ -0,0 +1,146 @@
+//! The HTTP adapter of the key-value store; docs/INTERFACES.md describes the
+//! calls.
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use clock::Millis;
+use http::{Method, Request, Response, StatusCode};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use transport::{Client, Payload};
+
+use crate::error::{Error, Result};
+use crate::kv::{Entry, Store, Swap, VALUE_LIMIT_BYTES};
+
+const SERVICE: &str = "store";
+const CALL_TIMEOUT: Millis = Millis(1_500);
+const WATCH_MARGIN: Millis = Millis(1_000);
+const ANSWER_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+
+/// The key-value store over HTTP.
+pub struct HttpStore {
+    client: Client,
+    // A watch holds its connection for seconds, so it has its own client.
+    watches: Client,
+}
+
+impl HttpStore {
+    /// Returns an adapter for the store at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            client: Client::new(address),
+            watches: Client::new(address),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct Version {
+    version: u64,
+}
+
+#[async_trait(?Send)]
+impl Store for HttpStore {
+    async fn get(&self, key: &str) -> Result<Option<Entry>> {
+        let request = build(SERVICE, Method::GET, &format!("/v1/kv/{key}"), Bytes::new())?;
+        let response = call(SERVICE, &self.client, request, CALL_TIMEOUT).await?;
+        match response.status() {
+            StatusCode::OK => decode(SERVICE, response.body()).map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => Err(refused(SERVICE, status)),
+        }
+    }
+
+    async fn swap(&self, key: &str, expected: u64, value: &str) -> Result<Swap> {
+        if value.len() > VALUE_LIMIT_BYTES {
+            let key = key.to_owned();
+            return Err(Error::TooLarge {
+                key,
+                bytes: value.len(),
+                limit: VALUE_LIMIT_BYTES,
+            });
+        }
+        let body = json!({ "expected": expected, "value": value }).to_string();
+        let request = build(
+            SERVICE,
+            Method::POST,
+            &format!("/v1/cas/{key}"),
+            body.into(),
+        )?;
+        let response = call(SERVICE, &self.client, request, CALL_TIMEOUT).await?;
+        match response.status() {
+            StatusCode::OK => {
+                decode::<Version>(SERVICE, response.body()).map(|v| Swap::Written(v.version))
+            }
+            StatusCode::CONFLICT => Ok(Swap::Conflict),
+            status => Err(refused(SERVICE, status)),
+        }
+    }
+
+    async fn watch(&self, key: &str, after: u64, wait: Millis) -> Result<Option<Entry>> {
+        let path = format!("/v1/watch/{key}?after={after}&wait_ms={}", wait.0);
+        let request = build(SERVICE, Method::GET, &path, Bytes::new())?;
+        let response = call(SERVICE, &self.watches, request, wait + WATCH_MARGIN).await?;
+        match response.status() {
+            StatusCode::OK => decode(SERVICE, response.body()).map(Some),
+            StatusCode::NO_CONTENT => Ok(None),
+            status => Err(refused(SERVICE, status)),
+        }
+    }
+}
+
+pub(crate) fn build(
+    service: &'static str,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Payload>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(http::header::HOST, service)
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Payload::new(body))
+        .map_err(|e| Error::Malformed {
+            service,
+            detail: e.to_string(),
+        })
+}
+
+pub(crate) async fn call(
+    service: &'static str,
+    client: &Client,
+    request: Request<Payload>,
+    timeout: Millis,
+) -> Result<Response<Bytes>> {
+    client
+        .send(request, ANSWER_LIMIT_BYTES, timeout)
+        .await
+        .map_err(|e| {
+            let detail = e.to_string();
+            match e.is_unsent() {
+                true => Error::Unavailable { service, detail },
+                false => Error::Lost { service, detail },
+            }
+        })
+}
+
+pub(crate) fn decode<T: DeserializeOwned>(service: &'static str, body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|e| Error::Malformed {
+        service,
+        detail: e.to_string(),
+    })
+}
+
+/// An answer of 503 promises that nothing was done; other failures promise
+/// nothing.
+pub(crate) fn refused(service: &'static str, status: StatusCode) -> Error {
+    let detail = format!("status {status}");
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => Error::Unavailable { service, detail },
+        _ => Error::Lost { service, detail },
+    }
+}
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,7 @@
+//! Logs as JSON lines and metrics as Prometheus text.
+
+mod log;
+mod metric;
+
+pub use log::{Level, logger};
+pub use metric::{Recorder, install, names};
--- /dev/null
+++ b/components/telemetry/src/log.rs
@@ -0,0 +1,64 @@
+//! Structured logs, one JSON object a line on standard error.
+
+use std::io;
+use std::str::FromStr;
+use std::sync::Mutex;
+
+use serde::{Deserialize, Serialize};
+use slog::{Drain, FnValue, Logger, PushFnValue, Record, o};
+
+/// The least severe level that is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// Failures that need an operator.
+    Error,
+    /// Conditions that may need an operator.
+    Warning,
+    /// Changes of state; nothing per request.
+    #[default]
+    Info,
+    /// One line per request and more.
+    Debug,
+}
+
+impl From<Level> for slog::Level {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Error => slog::Level::Error,
+            Level::Warning => slog::Level::Warning,
+            Level::Info => slog::Level::Info,
+            Level::Debug => slog::Level::Debug,
+        }
+    }
+}
+
+impl FromStr for Level {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        match s {
+            "error" => Ok(Level::Error),
+            "warning" => Ok(Level::Warning),
+            "info" => Ok(Level::Info),
+            "debug" => Ok(Level::Debug),
+            _ => Err(format!("`{s}` is not one of error, warning, info, debug")),
+        }
+    }
+}
+
+/// Returns a logger that writes JSON lines with the name of the instance.
+pub fn logger(level: Level, instance: &str) -> Logger {
+    let json = slog_json::Json::new(io::stderr())
+        .add_key_value(o!(
+            "msg" => PushFnValue(|r: &Record, s| s.emit(r.msg())),
+            "level" => FnValue(|r: &Record| r.level().as_str()),
+            "ts_ms" => FnValue(|_: &Record| clock::Millis::wall().0),
+        ))
+        .build();
+    let filtered = slog::LevelFilter::new(json, level.into());
+    Logger::root(
+        Mutex::new(filtered).fuse(),
+        o!("instance" => instance.to_owned()),
+    )
+}
--- /dev/null
+++ b/components/telemetry/src/metric.rs
@@ -0,0 +1,76 @@
+//! The names of all metrics and the recorder that renders them.
+
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+
+/// Names of the metrics; docs/METRICS.md gives the unit and meaning of each.
+pub mod names {
+    /// Time from a search's arrival to its answer, in seconds.
+    pub const SEARCH_SECONDS: &str = "coltsfootgw_search_seconds";
+    /// Share of the asked shards that an answer covers.
+    pub const COVERAGE_RATIO: &str = "coltsfootgw_coverage_ratio";
+    /// Refused requests, by service and reason.
+    pub const REFUSALS_TOTAL: &str = "coltsfootgw_refusals_total";
+    /// Sub-requests that were needed.
+    pub const SUBREQUESTS_TOTAL: &str = "coltsfootgw_subrequests_total";
+    /// Sub-requests that were sent to upstreams, hedges and retries included.
+    pub const SENDS_TOTAL: &str = "coltsfootgw_sends_total";
+    /// Hedged sub-requests.
+    pub const HEDGES_TOTAL: &str = "coltsfootgw_hedges_total";
+    /// Retried sub-requests.
+    pub const RETRIES_TOTAL: &str = "coltsfootgw_retries_total";
+    /// Upstream answers that were dropped because their echo did not match.
+    pub const MISMATCHES_TOTAL: &str = "coltsfootgw_mismatches_total";
+    /// The configuration revision in force.
+    pub const REVISION: &str = "coltsfootgw_revision";
+    /// Age of the last confirmation of the revision, in seconds.
+    pub const CONFIRMATION_AGE_SECONDS: &str = "coltsfootgw_confirmation_age_seconds";
+    /// Ledger writes that were sent to the store.
+    pub const LEDGER_WRITES_TOTAL: &str = "coltsfootgw_ledger_writes_total";
+    /// Keys that were claimed.
+    pub const LEDGER_CLAIMS_TOTAL: &str = "coltsfootgw_ledger_claims_total";
+    /// Calls to the store, by operation.
+    pub const STORE_CALLS_TOTAL: &str = "coltsfootgw_store_calls_total";
+    /// Connections to upstreams that are open.
+    pub const UPSTREAM_CONNECTIONS: &str = "coltsfootgw_upstream_connections";
+    /// Slots of upstreams that are in use.
+    pub const SLOTS_USED: &str = "coltsfootgw_slots_used";
+    /// Sub-requests that wait for a slot.
+    pub const QUEUE_LENGTH: &str = "coltsfootgw_queue_length";
+    /// Requests that are quarantined because they crash upstreams.
+    pub const QUARANTINED: &str = "coltsfootgw_quarantined";
+    /// Bytes of control messages sent to peers.
+    pub const CONTROL_BYTES_TOTAL: &str = "coltsfootgw_control_bytes_total";
+}
+
+/// Renders the metrics of this process.
+#[derive(Clone)]
+pub struct Recorder(PrometheusHandle);
+
+impl Recorder {
+    /// Returns all metrics in the Prometheus text format.
+    pub fn render(&self) -> String {
+        self.0.run_upkeep();
+        self.0.render()
+    }
+}
+
+const LATENCY_BUCKETS_SECONDS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.14, 0.2, 0.5, 1.0, 5.0,
+];
+const RATIO_BUCKETS: [f64; 7] = [0.0, 0.25, 0.5, 0.75, 0.9, 0.99, 1.0];
+
+/// Installs the process-wide recorder.
+///
+/// # Errors
+///
+/// Fails if a recorder is installed already.
+pub fn install() -> Result<Recorder, String> {
+    let seconds = Matcher::Suffix("_seconds".into());
+    let ratio = Matcher::Suffix("_ratio".into());
+    PrometheusBuilder::new()
+        .set_buckets_for_metric(seconds, &LATENCY_BUCKETS_SECONDS)
+        .and_then(|b| b.set_buckets_for_metric(ratio, &RATIO_BUCKETS))
+        .and_then(PrometheusBuilder::install_recorder)
+        .map(Recorder)
+        .map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/components/transport/src/client.rs
@@ -0,0 +1,84 @@
+//! An HTTP/1.1 client for one address that keeps a few idle connections.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use clock::Millis;
+use http::{Request, Response};
+
+use crate::connection::{Connection, Payload};
+use crate::error::{Error, Result};
+
+const IDLE_LIMIT: usize = 4;
+
+/// Sends requests to one address; a connection is reused only after a whole
+/// answer.
+pub struct Client {
+    address: SocketAddr,
+    idle: RefCell<Vec<Connection>>,
+    idle_limit: usize,
+}
+
+impl Client {
+    /// Returns a client that is not connected yet.
+    pub fn new(address: SocketAddr) -> Self {
+        Self::with_idle(address, IDLE_LIMIT)
+    }
+
+    /// Returns a client that keeps up to `idle_limit` idle connections.
+    pub fn with_idle(address: SocketAddr, idle_limit: usize) -> Self {
+        Self {
+            address,
+            idle: RefCell::default(),
+            idle_limit,
+        }
+    }
+
+    /// Sends a request and reads its answer of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::is_unsent`] tells whether the request can have had an effect.
+    pub async fn send(
+        &self,
+        request: Request<Payload>,
+        limit: usize,
+        timeout: Millis,
+    ) -> Result<Response<Bytes>> {
+        match compio::time::timeout(timeout.into(), self.exchange(request, limit)).await {
+            Ok(result) => result,
+            Err(_) => Err(Error::Timeout {
+                address: self.address,
+                waited: timeout,
+            }),
+        }
+    }
+
+    async fn exchange(&self, request: Request<Payload>, limit: usize) -> Result<Response<Bytes>> {
+        while let Some(mut conn) = self.take_idle() {
+            match conn.send(request.clone(), limit).await {
+                Err(Error::NotSent { .. }) => {}
+                Ok(response) => return Ok(self.keep(conn, response)),
+                Err(e) => return Err(e),
+            }
+        }
+        let mut conn = Connection::open(self.address).await?;
+        let response = conn.send(request, limit).await?;
+        Ok(self.keep(conn, response))
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(Connection::is_open);
+        idle.pop()
+    }
+
+    fn keep(&self, conn: Connection, response: Response<Bytes>) -> Response<Bytes> {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < self.idle_limit && conn.is_open() {
+            idle.push(conn);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/components/transport/src/lib.rs
@@ -0,0 +1,16 @@
+//! HTTP/1.1 and gRPC on the compio runtime: one client connection type for
+//! HTTP/1.1, one reconnecting channel for gRPC, one server loop for both.
+
+mod channel;
+mod client;
+mod connection;
+mod error;
+mod local;
+mod server;
+
+pub use channel::{Channel, PeerClient, operator_client, peer_client};
+pub use client::Client;
+pub use connection::{Connection, Payload, request};
+pub use error::{Error, Result};
+pub use local::{Local, detached, local};
+pub use server::{Listener, ServerLimits, Shutdown, serve};
--- /dev/null
+++ b/components/transport/src/server.rs
@@ -0,0 +1,188 @@
+//! The server loop: one task for each connection, HTTP/1.1 and HTTP/2.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use axum::Router;
+use clock::Millis;
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioExecutor, CompioTimer, HyperStream};
+use futures_channel::oneshot;
+use futures_util::future::{Either, select};
+use hyper::body::Incoming;
+use hyper_util::server::conn::auto::Builder;
+use snafu::ResultExt;
+use tower_service::Service;
+
+use crate::error::{ListenSnafu, Result};
+
+const ACCEPT_RETRY: Millis = Millis(50);
+
+/// Bounds on what callers can make a server hold.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Open connections; further ones are closed at once.
+    pub connections: usize,
+    /// Time in which a request's headers must arrive.
+    pub header_timeout: Millis,
+    /// Bytes of headers in one request.
+    pub header_bytes: u32,
+    /// Concurrent requests on one HTTP/2 connection.
+    pub streams: u32,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 10_000,
+            header_timeout: Millis(5_000),
+            header_bytes: 16 * 1024,
+            streams: 4_096,
+        }
+    }
+}
+
+/// Tells a server loop to stop accepting and to finish what is in flight.
+#[derive(Clone, Default)]
+pub struct Shutdown(Rc<ShutdownState>);
+
+#[derive(Default)]
+struct ShutdownState {
+    begun: Cell<bool>,
+    waiting: RefCell<Vec<oneshot::Sender<()>>>,
+}
+
+impl Shutdown {
+    /// Begins the shutdown.
+    pub fn begin(&self) {
+        self.0.begun.set(true);
+        self.0.waiting.borrow_mut().clear();
+    }
+
+    /// Whether the shutdown has begun.
+    pub fn has_begun(&self) -> bool {
+        self.0.begun.get()
+    }
+
+    /// Waits until the shutdown begins.
+    pub async fn wait(&self) {
+        if self.has_begun() {
+            return;
+        }
+        let (sender, receiver) = oneshot::channel();
+        self.0.waiting.borrow_mut().push(sender);
+        let _ = receiver.await;
+    }
+
+    fn forget_gone(&self) {
+        self.0.waiting.borrow_mut().retain(|s| !s.is_canceled());
+    }
+}
+
+/// A bound TCP listener.
+pub struct Listener {
+    inner: TcpListener,
+    /// The address that was bound.
+    pub address: SocketAddr,
+}
+
+impl Listener {
+    /// Binds `address`; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn bind(address: SocketAddr) -> Result<Self> {
+        let inner = TcpListener::bind(address)
+            .await
+            .context(ListenSnafu { address })?;
+        let address = inner.local_addr().context(ListenSnafu { address })?;
+        Ok(Self { inner, address })
+    }
+}
+
+/// Serves until `shutdown` begins, then returns once the last connection has
+/// finished; `open` counts the connections.
+pub async fn serve(
+    listener: Listener,
+    router: Router,
+    limits: ServerLimits,
+    shutdown: Shutdown,
+    open: Rc<Cell<usize>>,
+) {
+    loop {
+        let accept = std::pin::pin!(listener.inner.accept());
+        let stop = std::pin::pin!(shutdown.wait());
+        let accepted = match select(accept, stop).await {
+            Either::Left((accepted, _)) => accepted,
+            Either::Right(_) => break,
+        };
+        shutdown.forget_gone();
+        match accepted {
+            Ok((stream, _)) if open.get() < limits.connections => {
+                let task = serve_connection(stream, router.clone(), limits, shutdown.clone());
+                let count = OpenCount::new(open.clone());
+                compio::runtime::spawn(async move {
+                    task.await;
+                    drop(count);
+                })
+                .detach();
+            }
+            Ok(_) => {}
+            Err(_) => compio::time::sleep(ACCEPT_RETRY.into()).await,
+        }
+    }
+    drop(listener);
+    while open.get() > 0 {
+        compio::time::sleep(ACCEPT_RETRY.into()).await;
+    }
+}
+
+struct OpenCount(Rc<Cell<usize>>);
+
+impl OpenCount {
+    fn new(count: Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    router: Router,
+    limits: ServerLimits,
+    shutdown: Shutdown,
+) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let mut builder = Builder::new(CompioExecutor);
+    builder
+        .http1()
+        .timer(CompioTimer)
+        .header_read_timeout(Some(limits.header_timeout.into()))
+        .max_buf_size(limits.header_bytes as usize);
+    builder
+        .http2()
+        .timer(CompioTimer)
+        .max_header_list_size(limits.header_bytes)
+        .max_concurrent_streams(limits.streams);
+    let service = hyper::service::service_fn(move |request: hyper::Request<Incoming>| {
+        let mut router = router.clone();
+        router.call(request.map(axum::body::Body::new))
+    });
+    let io = HyperStream::new_plain(stream);
+    let mut conn = std::pin::pin!(builder.serve_connection(io, service));
+    let stop = std::pin::pin!(shutdown.wait());
+    if let Either::Right(_) = select(conn.as_mut(), stop).await {
+        conn.as_mut().graceful_shutdown();
+        let _ = conn.await;
+    }
+}
--- /dev/null
+++ b/components/upstreams/src/attempt.rs
@@ -0,0 +1,151 @@
+//! One request to one upstream, in a slot.
+
+use bytes::Bytes;
+use clock::Millis;
+use telemetry::names;
+
+use crate::failure::{Failure, Ran, Reason, Result};
+use crate::pool::Pool;
+use crate::queue::Slot;
+use crate::search::Call;
+use crate::upstream::{LeaseError, Upstream};
+use crate::wire::{self, ANSWER_LIMIT_BYTES, Outgoing};
+
+// An attempt that takes this many times the usual latency, and longer than
+// the margin, counts against the upstream.
+const SLOW_FACTOR: f64 = 4.0;
+const SLOW_MARGIN_MS: f64 = 10.0;
+
+/// An attempt that is running; dropping it cancels the request and notes an
+/// upstream that was far too slow.
+struct Running<'a> {
+    pool: &'a Pool,
+    upstream: &'a Upstream,
+    started: Millis,
+    is_finished: bool,
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        let now = Millis::now();
+        let elapsed = now.since(self.started).0 as f64;
+        let usual = self.pool.latency.borrow().mean_ms();
+        let is_slow = elapsed > SLOW_FACTOR * usual + SLOW_MARGIN_MS;
+        if !self.is_finished && is_slow {
+            self.upstream.health.borrow_mut().note_slow(now);
+        }
+    }
+}
+
+/// Sends a call to the slot's upstream and checks the answer.
+pub(crate) async fn run(slot: &Slot, pool: &Pool, call: &Call, shard: &str) -> Result<Bytes> {
+    let upstream = &slot.upstream;
+    let mut lease = match upstream.lease().await {
+        Ok(lease) => lease,
+        Err(LeaseError::Limit) => return Err(Failure::not_run(Reason::Overloaded)),
+        Err(LeaseError::Refused) => {
+            upstream.health.borrow_mut().note_refused(Millis::now());
+            return Err(Failure::not_run(Reason::NoReplica));
+        }
+    };
+    let started = Millis::now();
+    let budget = call.deadline.since(started);
+    let outgoing = Outgoing {
+        call,
+        shard,
+        budget,
+    };
+    let request = outgoing
+        .to_request()
+        .ok_or_else(|| Failure::not_run(Reason::UpstreamError))?;
+    metrics::counter!(names::SENDS_TOTAL).increment(1);
+    let mut running = Running {
+        pool,
+        upstream,
+        started,
+        is_finished: false,
+    };
+    let sent = lease.conn.send(request, ANSWER_LIMIT_BYTES).await;
+    running.is_finished = true;
+    let response = match sent {
+        Ok(response) => response,
+        Err(e) if e.is_unsent() => {
+            // The idle connection had been closed by the upstream.
+            return Err(Failure::not_run(Reason::NoReplica));
+        }
+        Err(_) => return Err(note_death(pool, upstream, call)),
+    };
+    if !outgoing.is_echoed(response.headers()) {
+        metrics::counter!(names::MISMATCHES_TOTAL).increment(1);
+        upstream.health.borrow_mut().note_failure(Millis::now());
+        return Err(Failure::unknown(Reason::Mismatch));
+    }
+    upstream.keep(lease);
+    note_answer(pool, upstream, &response, started);
+    let result = wire::outcome(response);
+    note_outcome(pool, upstream, call, &result, started);
+    result
+}
+
+fn note_death(pool: &Pool, upstream: &Upstream, call: &Call) -> Failure {
+    let now = Millis::now();
+    upstream.health.borrow_mut().note_failure(now);
+    upstream.cool_down();
+    if pool
+        .shared
+        .suspects
+        .strike(call.fingerprint, &upstream.id, now)
+    {
+        slog::warn!(pool.shared.log, "request quarantined"; "fingerprint" => call.fingerprint, "upstream" => &upstream.id);
+    }
+    pool.shared.tell_news();
+    Failure::unknown(Reason::ConnectionDied)
+}
+
+fn note_answer(
+    pool: &Pool,
+    upstream: &Upstream,
+    response: &http::Response<Bytes>,
+    started: Millis,
+) {
+    let notes = wire::notes(response.headers());
+    let now = Millis::now();
+    if let Some(load) = notes.load {
+        upstream.health.borrow_mut().note_answered_load(load, now);
+    }
+    if notes.leaving && pool.shared.drains.mark(&upstream.id, &notes.boot) {
+        slog::info!(pool.shared.log, "upstream is leaving"; "upstream" => &upstream.id, "told_by" => "answer",
+            "after_ms" => now.since(started).0);
+        pool.shared.tell_news();
+    }
+}
+
+fn note_outcome(
+    pool: &Pool,
+    upstream: &Upstream,
+    call: &Call,
+    result: &Result<Bytes>,
+    started: Millis,
+) {
+    let now = Millis::now();
+    match result {
+        Ok(_) => {
+            let ms = now.since(started).0 as f64;
+            upstream.latency.borrow_mut().record(ms);
+            pool.latency.borrow_mut().record(ms);
+            upstream
+                .health
+                .borrow_mut()
+                .note_success(upstream.slots.get(), now);
+            pool.shared.suspects.clear(call.fingerprint, now);
+        }
+        Err(f) if f.reason == Reason::SnapshotNotHeld => {
+            upstream
+                .health
+                .borrow_mut()
+                .note_not_held(&call.partitioning, call.snapshot);
+        }
+        Err(f) if f.ran == Ran::Unknown => upstream.health.borrow_mut().note_failure(now),
+        Err(_) => {}
+    }
+}
--- /dev/null
+++ b/components/upstreams/src/batch.rs
@@ -0,0 +1,95 @@
+//! All sub-requests of one search that this daemon runs.
+
+use std::rc::Rc;
+
+use catalog::Topology;
+use clock::Millis;
+use futures_util::future::{Either, select};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+
+use crate::failure::{Failure, Reason, Result};
+use crate::pool::Pool;
+use crate::search::{Call, Rows, ShardSearch};
+use crate::suspects::Verdict;
+use crate::upstream::UpstreamKey;
+
+// Added to the expected wait, so that callers who were refused together
+// don't come back together.
+const RETRY_SPREAD: f64 = 1.0;
+const MIN_RETRY_AFTER_MS: f64 = 20.0;
+
+impl Pool {
+    /// Searches `shards`; the results are in their order.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the whole batch, before anything runs, if it can't be
+    /// answered in time.
+    pub async fn search(
+        self: &Rc<Self>,
+        topology: &Topology,
+        call: &Call,
+        shards: &[usize],
+    ) -> Result<Vec<Result<Rows>>> {
+        self.admit(topology, call, shards)?;
+        let mut results: Vec<Option<Result<Rows>>> = vec![None; shards.len()];
+        let mut running: FuturesUnordered<_> = shards
+            .iter()
+            .enumerate()
+            .map(|(i, &shard)| {
+                let search = ShardSearch::new(self, topology, call, shard);
+                async move { (i, search.run().await) }
+            })
+            .collect();
+        let mut quarantined = Box::pin(self.shared.suspects.watch(call.fingerprint));
+        while let Either::Left((Some((i, result)), rest)) =
+            select(running.next(), quarantined).await
+        {
+            results[i] = Some(result);
+            quarantined = rest;
+        }
+        // Dropping the rest cancels what a quarantined request still runs.
+        drop(running);
+        let cancelled = || Err(Failure::unknown(Reason::Quarantined));
+        Ok(results
+            .into_iter()
+            .map(|r| r.unwrap_or_else(cancelled))
+            .collect())
+    }
+
+    fn admit(&self, topology: &Topology, call: &Call, shards: &[usize]) -> Result<()> {
+        let now = Millis::now();
+        if let Verdict::Quarantined { expires_in } =
+            self.shared.suspects.verdict(call.fingerprint, now)
+        {
+            let retry_after = expires_in;
+            return Err(Failure {
+                retry_after,
+                ..Failure::not_run(Reason::Quarantined)
+            });
+        }
+        let mut candidates: Vec<UpstreamKey> = shards
+            .iter()
+            .flat_map(|&s| self.replicas(topology, s))
+            .collect();
+        candidates.sort_unstable();
+        candidates.dedup();
+        let wait = self.expected_wait(&candidates, shards.len());
+        let needed = wait + self.latency.borrow().mean_ms();
+        let is_full = self.queue.len() + shards.len() > self.queue_limit.get() + candidates.len();
+        if is_full || needed > call.deadline.since(now).0 as f64 {
+            return Err(Failure {
+                retry_after: spread(wait),
+                ..Failure::not_run(Reason::Overloaded)
+            });
+        }
+        Ok(())
+    }
+}
+
+/// Returns when to ask again: after the expected wait, spread at random.
+fn spread(wait_ms: f64) -> Millis {
+    let base = wait_ms.max(MIN_RETRY_AFTER_MS);
+    let factor = 1.0 + RETRY_SPREAD * rand::random::<f64>();
+    Millis((base * factor).ceil() as u64)
+}
--- /dev/null
+++ b/components/upstreams/src/budget.rs
@@ -0,0 +1,48 @@
+//! A token bucket that bounds extra load to a share of the needed load.
+
+use std::cell::Cell;
+
+const FULL: f64 = 20.0;
+const INITIAL: f64 = 4.0;
+
+/// Tokens for hedges or retries; each needed sub-request earns a fraction.
+#[derive(Debug)]
+pub struct Budget {
+    tokens: Cell<f64>,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self {
+            tokens: Cell::new(INITIAL),
+        }
+    }
+}
+
+impl Budget {
+    /// Earns `percent` of a token for one needed sub-request.
+    pub fn earn(&self, percent: u8) {
+        let tokens = self.tokens.get() + f64::from(percent) / 100.0;
+        self.tokens.set(tokens.min(FULL));
+    }
+
+    /// Spends one token; `false` if there is none.
+    pub fn spend(&self) -> bool {
+        let tokens = self.tokens.get();
+        let has_token = tokens >= 1.0;
+        if has_token {
+            self.tokens.set(tokens - 1.0);
+        }
+        has_token
+    }
+
+    /// Gives back a token that was spent for nothing.
+    pub fn refund(&self) {
+        self.tokens.set((self.tokens.get() + 1.0).min(FULL));
+    }
+
+    /// The tokens that are left.
+    pub fn tokens(&self) -> f64 {
+        self.tokens.get()
+    }
+}
--- /dev/null
+++ b/components/upstreams/src/dispatch.rs
@@ -0,0 +1,75 @@
+//! The single dispatch of a booking: another replica is tried only when the
+//! booking is known not to have run.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use catalog::Topology;
+use clock::Millis;
+
+use crate::attempt;
+use crate::failure::{Failure, Ran, Reason, Result};
+use crate::pool::Pool;
+use crate::queue::{Ask, Refusal};
+use crate::search::Call;
+use crate::suspects::Verdict;
+use crate::upstream::UpstreamKey;
+
+impl Pool {
+    /// Runs a booking on one replica of a shard.
+    ///
+    /// # Errors
+    ///
+    /// The failure tells whether the booking ran; it ran at most once.
+    pub async fn dispatch(
+        self: &Rc<Self>,
+        topology: &Topology,
+        call: &Call,
+        shard: usize,
+    ) -> Result<Bytes> {
+        let name = &topology.service.shards[shard].name;
+        let mut candidates = self.replicas(topology, shard);
+        let mut last = Failure::not_run(Reason::NoReplica);
+        while !candidates.is_empty() {
+            let slot = match self.acquire(self.booking_ask(&candidates, call)?).await {
+                Ok(slot) => slot,
+                Err(Refusal::NoReplica) => return Err(last),
+                Err(Refusal::Full | Refusal::Late) => {
+                    return Err(Failure::not_run(Reason::Overloaded));
+                }
+            };
+            let left = call.deadline.since(Millis::now());
+            let running = attempt::run(&slot, self, call, name);
+            match compio::time::timeout(left.into(), running).await {
+                Ok(Err(failure)) if failure.ran == Ran::No => last = failure,
+                Ok(result) => return result,
+                Err(_) => return Err(Failure::unknown(Reason::Timeout)),
+            }
+            candidates.retain(|k| *k != slot.key);
+        }
+        Err(last)
+    }
+
+    fn booking_ask(&self, candidates: &[UpstreamKey], call: &Call) -> Result<Ask> {
+        let verdict = self
+            .shared
+            .suspects
+            .verdict(call.fingerprint, Millis::now());
+        let suspect = match verdict {
+            Verdict::Clear => None,
+            Verdict::Suspect => Some(call.fingerprint),
+            Verdict::Quarantined { expires_in } => {
+                return Err(Failure {
+                    reason: Reason::Quarantined,
+                    ran: Ran::No,
+                    retry_after: expires_in,
+                });
+            }
+        };
+        Ok(Ask {
+            candidates: candidates.to_vec(),
+            deadline: call.deadline,
+            suspect,
+        })
+    }
+}
--- /dev/null
+++ b/components/upstreams/src/health.rs
@@ -0,0 +1,151 @@
+//! What is observed and what is reported of an upstream's health.
+//! Observed outcomes outrank reports.
+
+use clock::Millis;
+use serde::Serialize;
+
+use crate::wire::{Held, ReportedState};
+
+const SLOW_TO_EJECT: u32 = 3;
+const FIRST_EJECTION: Millis = Millis(500);
+const LONGEST_EJECTION: Millis = Millis(8_000);
+const REFUSED_PAUSE: Millis = Millis(200);
+// A report of bad health is ignored for this long after an answer.
+const SUCCESS_VALIDITY: Millis = Millis(2_000);
+const LOAD_VALIDITY: Millis = Millis(2_000);
+
+/// How much an upstream is preferred; lower tiers are used first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Tier {
+    /// Works as far as is known.
+    Good,
+    /// Reported unhealthy, or failing lately.
+    Poor,
+    /// Failed so often or so recently that it rests.
+    Ejected,
+}
+
+/// Observed and reported health.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct Health {
+    pub(crate) failures: u32,
+    pub(crate) slow: u32,
+    ejections: u32,
+    last_success: Millis,
+    pub(crate) ejected_until: Millis,
+    /// Requests that may run at a time while the upstream warms up.
+    pub(crate) ramp: usize,
+    pub(crate) reported: ReportedState,
+    pub(crate) boot: String,
+    pub(crate) holds: Option<Vec<Held>>,
+    load: f64,
+    load_at: Millis,
+    is_load_answered: bool,
+}
+
+impl Health {
+    pub(crate) fn new() -> Self {
+        Self {
+            ramp: 1,
+            ..Self::default()
+        }
+    }
+
+    pub(crate) fn tier(&self, now: Millis) -> Tier {
+        match () {
+            () if now < self.ejected_until => Tier::Ejected,
+            () if self.is_failing() || self.is_reported_bad(now) => Tier::Poor,
+            () => Tier::Good,
+        }
+    }
+
+    /// Whether the last requests failed.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.failures > 0 || self.ejections > 0
+    }
+
+    fn is_reported_bad(&self, now: Millis) -> bool {
+        let is_refuted =
+            now.since(self.last_success) < SUCCESS_VALIDITY && self.last_success > Millis::ZERO;
+        self.reported == ReportedState::Failing && !is_refuted
+    }
+
+    /// Notes an answer; the only way back from an ejection.
+    pub(crate) fn note_success(&mut self, slots: usize, now: Millis) {
+        self.last_success = now;
+        self.failures = 0;
+        self.slow = 0;
+        self.ejections = 0;
+        self.ejected_until = Millis::ZERO;
+        self.ramp = (self.ramp + 1).min(slots);
+    }
+
+    /// Notes a request that failed while it ran.
+    pub(crate) fn note_failure(&mut self, now: Millis) {
+        self.failures += 1;
+        self.eject(now);
+    }
+
+    /// Notes a request that was abandoned because it took far too long.
+    pub(crate) fn note_slow(&mut self, now: Millis) {
+        self.slow += 1;
+        if self.slow >= SLOW_TO_EJECT || self.ejections > 0 {
+            self.eject(now);
+        }
+    }
+
+    /// Notes that nothing listens at the address.
+    pub(crate) fn note_refused(&mut self, now: Millis) {
+        self.failures += 1;
+        self.ramp = 1;
+        self.ejected_until = self.ejected_until.max(now + REFUSED_PAUSE);
+    }
+
+    fn eject(&mut self, now: Millis) {
+        let doubled = FIRST_EJECTION.0.saturating_mul(1 << self.ejections.min(8));
+        let span = Millis(doubled.min(LONGEST_EJECTION.0));
+        self.ejections += 1;
+        self.ramp = 1;
+        self.ejected_until = now + span;
+    }
+
+    pub(crate) fn note_answered_load(&mut self, load: f64, now: Millis) {
+        self.load = load;
+        self.load_at = now;
+        self.is_load_answered = true;
+    }
+
+    /// Notes a polled load, unless an answer told a load lately.
+    pub(crate) fn note_polled_load(&mut self, load: f64, now: Millis) {
+        let is_recent = now.since(self.load_at) < LOAD_VALIDITY;
+        if !(self.is_load_answered && is_recent) {
+            self.load = load;
+            self.load_at = now;
+            self.is_load_answered = false;
+        }
+    }
+
+    /// The load from 0 to 1 as last told; 0 if that was long ago.
+    pub(crate) fn load(&self, now: Millis) -> f64 {
+        match now.since(self.load_at) < LOAD_VALIDITY {
+            true => self.load.clamp(0.0, 1.0),
+            false => 0.0,
+        }
+    }
+
+    /// Whether a snapshot is held; unknown counts as held.
+    pub(crate) fn is_held(&self, partitioning: &str, snapshot: u64) -> bool {
+        let matches = |h: &Held| h.snapshot == snapshot && h.partitioning == partitioning;
+        self.holds
+            .as_ref()
+            .is_none_or(|list| list.iter().any(matches))
+    }
+
+    /// Notes that an upstream answered that it does not hold a snapshot.
+    pub(crate) fn note_not_held(&mut self, partitioning: &str, snapshot: u64) {
+        if let Some(list) = &mut self.holds {
+            list.retain(|h| !(h.snapshot == snapshot && h.partitioning == partitioning));
+        }
+    }
+}
--- /dev/null
+++ b/components/upstreams/src/probe.rs
@@ -0,0 +1,95 @@
+//! The task of each upstream: polls health and load, keeps connections warm.
+
+use std::rc::{Rc, Weak};
+
+use bytes::Bytes;
+use clock::Millis;
+use http::{Request, header};
+use rand::RngExt;
+use serde::de::DeserializeOwned;
+use transport::{Client, Payload};
+
+use crate::pool::Pool;
+use crate::upstream::Upstream;
+use crate::wire::{HealthReport, LoadReport, ReportedState};
+
+const INTERVAL_MS: std::ops::Range<u64> = 800..1_200;
+const FIRST_PAUSE_MS: std::ops::Range<u64> = 0..50;
+const TIMEOUT: Millis = Millis(1_000);
+const REPORT_LIMIT_BYTES: usize = 64 * 1024;
+// An upstream that this daemon served for another owner stays watched.
+const USE_VALIDITY: Millis = Millis(5_000);
+
+/// Polls an upstream until its pool drops it.
+pub(crate) async fn run(pool: Weak<Pool>, upstream: Rc<Upstream>) {
+    let client = Client::new(upstream.address);
+    pause(FIRST_PAUSE_MS).await;
+    loop {
+        let Some(pool) = pool.upgrade() else { return };
+        let was_used = Millis::now().since(upstream.last_used.get()) < USE_VALIDITY
+            && upstream.last_used.get().0 > 0;
+        if pool.is_owned(&upstream) || was_used {
+            poll(&pool, &upstream, &client).await;
+        } else {
+            upstream.cool_down();
+        }
+        drop(pool);
+        pause(INTERVAL_MS).await;
+    }
+}
+
+async fn pause(range: std::ops::Range<u64>) {
+    let ms = rand::rng().random_range(range);
+    compio::time::sleep(Millis(ms).into()).await;
+}
+
+async fn poll(pool: &Rc<Pool>, upstream: &Upstream, client: &Client) {
+    if let Some(report) = fetch::<HealthReport>(client, "/health").await {
+        note_health(pool, upstream, report);
+        upstream.warm_up().await;
+    }
+    if let Some(report) = fetch::<LoadReport>(client, "/load").await {
+        upstream
+            .health
+            .borrow_mut()
+            .note_polled_load(report.load, Millis::now());
+    }
+    pool.clone().pump();
+}
+
+async fn fetch<T: DeserializeOwned>(client: &Client, path: &str) -> Option<T> {
+    let request = Request::get(path)
+        .header(header::HOST, "upstream")
+        .body(Payload::new(Bytes::new()))
+        .ok()?;
+    let response = client
+        .send(request, REPORT_LIMIT_BYTES, TIMEOUT)
+        .await
+        .ok()?;
+    serde_json::from_slice(response.body()).ok()
+}
+
+fn note_health(pool: &Pool, upstream: &Upstream, report: HealthReport) {
+    let drains = &pool.shared.drains;
+    let is_new_process = drains
+        .boot_of(&upstream.id)
+        .is_some_and(|boot| boot != report.boot);
+    let is_news = match report.state {
+        ReportedState::Leaving => drains.mark(&upstream.id, &report.boot),
+        _ if is_new_process => drains.clear(&upstream.id, &report.boot),
+        _ => false,
+    };
+    if is_news {
+        slog::info!(pool.shared.log, "upstream changed"; "upstream" => &upstream.id, "told_by" => "health",
+            "leaving" => report.state == ReportedState::Leaving);
+        pool.shared.tell_news();
+    }
+    let mut health = upstream.health.borrow_mut();
+    let is_restarted = !health.boot.is_empty() && health.boot != report.boot;
+    if is_restarted || report.state == ReportedState::Cold {
+        health.ramp = 1;
+    }
+    health.reported = report.state;
+    health.boot = report.boot;
+    health.holds = Some(report.holds);
+}
--- /dev/null
+++ b/components/upstreams/src/queue.rs
@@ -0,0 +1,202 @@
+//! The queue for slots of a service's upstreams, ordered by deadline.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::rc::Rc;
+
+use clock::Millis;
+use futures_channel::oneshot;
+use rand::RngExt;
+
+use crate::health::Tier;
+use crate::pool::Pool;
+use crate::upstream::{Upstream, UpstreamKey};
+
+/// Why no slot was granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The queue is full or the deadline would pass in it.
+    Full,
+    /// The deadline passed in the queue.
+    Late,
+    /// No candidate takes work.
+    NoReplica,
+}
+
+/// The right to run one request on an upstream, until it is dropped.
+pub struct Slot {
+    pool: Rc<Pool>,
+    pub(crate) key: UpstreamKey,
+    pub(crate) upstream: Rc<Upstream>,
+    suspect: Option<u64>,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.upstream.busy.set(self.upstream.busy.get() - 1);
+        if let Some(fingerprint) = self.suspect {
+            self.upstream.has_suspect.set(false);
+            self.pool
+                .queue
+                .state
+                .borrow_mut()
+                .suspects
+                .remove(&fingerprint);
+        }
+        self.pool.clone().pump();
+    }
+}
+
+/// What is asked of the queue.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    pub(crate) candidates: Vec<UpstreamKey>,
+    pub(crate) deadline: Millis,
+    /// Fingerprint of a request that may crash upstreams; it runs on one
+    /// upstream at a time, and not beside another such request.
+    pub(crate) suspect: Option<u64>,
+}
+
+struct Waiter {
+    ask: Ask,
+    grant: oneshot::Sender<Slot>,
+}
+
+#[derive(Default)]
+struct State {
+    // In the order of their deadlines.
+    waiters: Vec<Waiter>,
+    suspects: HashSet<u64>,
+}
+
+/// The waiting sub-requests of one service.
+#[derive(Default)]
+pub(crate) struct Queue {
+    state: RefCell<State>,
+}
+
+impl Queue {
+    pub(crate) fn len(&self) -> usize {
+        self.state.borrow().waiters.len()
+    }
+}
+
+impl Pool {
+    /// Waits for a slot on one of the candidates.
+    pub(crate) async fn acquire(self: &Rc<Self>, ask: Ask) -> Result<Slot, Refusal> {
+        let now = Millis::now();
+        if !ask.candidates.iter().any(|&k| self.takes_work(k)) {
+            return Err(Refusal::NoReplica);
+        }
+        if let Some(slot) = self.try_acquire(&ask, now) {
+            return Ok(slot);
+        }
+        if self.queue.len() >= self.queue_limit.get() {
+            return Err(Refusal::Full);
+        }
+        let deadline = ask.deadline;
+        let receiver = self.enqueue(ask);
+        let left = deadline.since(now);
+        match compio::time::timeout(left.into(), receiver).await {
+            Ok(Ok(slot)) => Ok(slot),
+            Ok(Err(_)) => Err(Refusal::NoReplica),
+            Err(_) => Err(Refusal::Late),
+        }
+    }
+
+    /// Takes a slot on the best candidate if one is free.
+    pub(crate) fn try_acquire(self: &Rc<Self>, ask: &Ask, now: Millis) -> Option<Slot> {
+        let key = self.best_free(ask, now)?;
+        let upstream = self.find(key)?;
+        upstream.busy.set(upstream.busy.get() + 1);
+        upstream.last_used.set(now);
+        if let Some(fingerprint) = ask.suspect {
+            upstream.has_suspect.set(true);
+            self.queue.state.borrow_mut().suspects.insert(fingerprint);
+        }
+        Some(Slot {
+            pool: self.clone(),
+            key,
+            upstream,
+            suspect: ask.suspect,
+        })
+    }
+
+    /// Finds the candidate of the best tier with the shortest expected wait
+    /// among those with a free slot. A worse tier is used only if no
+    /// candidate of a better one takes work at all.
+    fn best_free(&self, ask: &Ask, now: Millis) -> Option<UpstreamKey> {
+        if ask
+            .suspect
+            .is_some_and(|f| self.queue.state.borrow().suspects.contains(&f))
+        {
+            return None;
+        }
+        let candidates: Vec<(UpstreamKey, Rc<Upstream>, Tier)> = ask
+            .candidates
+            .iter()
+            .filter(|&&k| self.takes_work(k))
+            .filter_map(|&k| self.find(k).map(|u| (k, u)))
+            .map(|(k, u)| {
+                let tier = u.health.borrow().tier(now);
+                (k, u, tier)
+            })
+            .collect();
+        let best = candidates.iter().map(|(_, _, tier)| *tier).min()?;
+        let is_free =
+            |u: &Upstream| u.has_free_slot(now) && !(ask.suspect.is_some() && u.has_suspect.get());
+        let mut rng = rand::rng();
+        candidates
+            .iter()
+            .filter(|(_, u, tier)| is_allowed(*tier, best, u, now) && is_free(u))
+            .map(|(k, u, _)| (u.expected_ms(now), rng.random::<u32>(), *k))
+            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
+            .map(|(_, _, k)| k)
+    }
+
+    fn enqueue(&self, ask: Ask) -> oneshot::Receiver<Slot> {
+        let (grant, receiver) = oneshot::channel();
+        let mut state = self.queue.state.borrow_mut();
+        let at = state
+            .waiters
+            .partition_point(|w| w.ask.deadline <= ask.deadline);
+        state.waiters.insert(at, Waiter { ask, grant });
+        receiver
+    }
+
+    /// Grants free slots to waiters in the order of their deadlines.
+    pub(crate) fn pump(self: Rc<Self>) {
+        let now = Millis::now();
+        let mut at = 0;
+        loop {
+            let ask = match self.queue.state.borrow().waiters.get(at) {
+                Some(waiter) if !waiter.grant.is_canceled() => waiter.ask.clone(),
+                Some(_) => {
+                    drop(self.remove_waiter(at));
+                    continue;
+                }
+                None => return,
+            };
+            match self.try_acquire(&ask, now) {
+                Some(slot) => {
+                    // A receiver that is gone hands the slot back, which
+                    // pumps again.
+                    let waiter = self.remove_waiter(at);
+                    let _ = waiter.grant.send(slot);
+                }
+                None => at += 1,
+            }
+        }
+    }
+
+    fn remove_waiter(&self, at: usize) -> Waiter {
+        self.queue.state.borrow_mut().waiters.remove(at)
+    }
+}
+
+/// An upstream that is back from an ejection gets one trial request while
+/// others serve the rest.
+fn is_allowed(tier: Tier, best: Tier, upstream: &Upstream, now: Millis) -> bool {
+    let is_trial = tier == Tier::Poor && upstream.busy.get() == 0 && upstream.is_due_for_trial(now);
+    tier == best || is_trial
+}
--- /dev/null
+++ b/components/upstreams/src/search.rs
@@ -0,0 +1,297 @@
+//! One sub-request of a search: the choice of replica, hedges and retries.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use catalog::{Objective, Topology};
+use clock::Millis;
+use futures_util::future::{Either, LocalBoxFuture, select};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use telemetry::names;
+
+use crate::attempt;
+use crate::failure::{Failure, Ran, Reason, Result};
+use crate::pool::Pool;
+use crate::queue::{Ask, Refusal, Slot};
+use crate::suspects::Verdict;
+use crate::upstream::UpstreamKey;
+
+const LATENCY_HEDGE_QUANTILE: f64 = 0.95;
+const COVERAGE_HEDGE_QUANTILE: f64 = 0.98;
+const MIN_HEDGE_DELAY: Millis = Millis(3);
+const LATENCY_ATTEMPTS: usize = 3;
+const COVERAGE_ATTEMPTS: usize = 6;
+const RETRY_PAUSE: Millis = Millis(20);
+
+/// The rows of one shard, as the upstream encoded them.
+pub type Rows = Bytes;
+
+/// A request as it is sent to upstreams, the same for all shards.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Unique identifier that answers must repeat.
+    pub request_id: String,
+    /// Label of the shard map.
+    pub partitioning: String,
+    /// Number of the snapshot; not used by bookings.
+    pub snapshot: u64,
+    /// Idempotency key of a booking.
+    pub key: Option<String>,
+    /// Digest of what the caller sent.
+    pub fingerprint: u64,
+    /// Time by which the answer must be there.
+    pub deadline: Millis,
+    /// The caller's body.
+    pub body: Bytes,
+}
+
+type Attempt<'a> = LocalBoxFuture<'a, (UpstreamKey, Result<Rows>)>;
+
+/// Runs one sub-request on a shard.
+pub(crate) struct ShardSearch<'a> {
+    pool: &'a Rc<Pool>,
+    topology: &'a Topology,
+    call: &'a Call,
+    shard: usize,
+    tried: Vec<UpstreamKey>,
+    attempts: usize,
+    last: Failure,
+    ran: Ran,
+}
+
+impl<'a> ShardSearch<'a> {
+    pub(crate) fn new(
+        pool: &'a Rc<Pool>,
+        topology: &'a Topology,
+        call: &'a Call,
+        shard: usize,
+    ) -> Self {
+        let last = Failure::not_run(Reason::NoReplica);
+        Self {
+            pool,
+            topology,
+            call,
+            shard,
+            tried: Vec::new(),
+            attempts: 0,
+            last,
+            ran: Ran::No,
+        }
+    }
+
+    /// Runs until a replica answers, or none can in time.
+    pub(crate) async fn run(mut self) -> Result<Rows> {
+        self.pool.retries.earn(self.topology.service.retry_percent);
+        self.pool.hedges.earn(self.topology.service.hedge_percent);
+        metrics::counter!(names::SUBREQUESTS_TOTAL).increment(1);
+        loop {
+            if let Verdict::Quarantined { expires_in } = self.verdict() {
+                return Err(Failure {
+                    reason: Reason::Quarantined,
+                    ran: self.ran,
+                    retry_after: expires_in,
+                });
+            }
+            let failure = match self.first_slot().await {
+                Ok(slot) => match self.race(slot).await {
+                    Ok(rows) => return Ok(rows),
+                    Err(failure) => failure,
+                },
+                Err(failure) => failure,
+            };
+            self.note(&failure);
+            if !self.may_retry(&failure) {
+                return Err(Failure {
+                    ran: self.ran,
+                    ..self.last
+                });
+            }
+            if self.candidates().is_empty() {
+                self.pause().await;
+                self.tried.clear();
+            }
+        }
+    }
+
+    fn note(&mut self, failure: &Failure) {
+        self.ran = self.ran.max(failure.ran);
+        self.last = failure.clone();
+    }
+
+    fn verdict(&self) -> Verdict {
+        self.pool
+            .shared
+            .suspects
+            .verdict(self.call.fingerprint, Millis::now())
+    }
+
+    /// The replicas that hold the snapshot and were not tried yet.
+    fn candidates(&self) -> Vec<UpstreamKey> {
+        let all = self.pool.replicas(self.topology, self.shard);
+        let is_untried = |k: &UpstreamKey| !self.tried.contains(k);
+        all.into_iter()
+            .filter(|k| is_untried(k) && self.is_held(*k))
+            .collect()
+    }
+
+    fn is_held(&self, key: UpstreamKey) -> bool {
+        let upstream = self.pool.find(key);
+        upstream.is_some_and(|u| {
+            u.health
+                .borrow()
+                .is_held(&self.call.partitioning, self.call.snapshot)
+        })
+    }
+
+    fn ask(&self) -> Ask {
+        let suspect = (self.verdict() == Verdict::Suspect).then_some(self.call.fingerprint);
+        Ask {
+            candidates: self.candidates(),
+            deadline: self.call.deadline,
+            suspect,
+        }
+    }
+
+    async fn first_slot(&self) -> Result<Slot> {
+        let ask = self.ask();
+        if ask.candidates.is_empty() {
+            let replicas = self.pool.replicas(self.topology, self.shard);
+            let is_held = replicas.iter().any(|&k| self.is_held(k));
+            let reason = if is_held {
+                Reason::NoReplica
+            } else {
+                Reason::SnapshotNotHeld
+            };
+            return Err(Failure::not_run(reason));
+        }
+        self.pool
+            .acquire(ask)
+            .await
+            .map_err(|refusal| match refusal {
+                Refusal::Full => Failure::not_run(Reason::Overloaded),
+                Refusal::Late => Failure::not_run(Reason::Timeout),
+                Refusal::NoReplica => Failure::not_run(Reason::NoReplica),
+            })
+    }
+
+    /// Runs an attempt and, if it takes long, a hedge beside it.
+    async fn race(&mut self, slot: Slot) -> Result<Rows> {
+        let mut running: FuturesUnordered<Attempt<'a>> = FuturesUnordered::new();
+        running.push(self.start(slot));
+        let mut hedge_at = Some(Millis::now() + self.hedge_delay());
+        loop {
+            let now = Millis::now();
+            let wake = hedge_at
+                .unwrap_or(self.call.deadline)
+                .min(self.call.deadline);
+            let timer = std::pin::pin!(compio::time::sleep(wake.since(now).into()));
+            let finished = match select(running.next(), timer).await {
+                Either::Left((finished, _)) => finished,
+                Either::Right(_) if Millis::now() >= self.call.deadline => {
+                    return Err(Failure::unknown(Reason::Timeout));
+                }
+                Either::Right(_) => {
+                    hedge_at = None;
+                    running.extend(self.hedge());
+                    continue;
+                }
+            };
+            match finished {
+                Some((_, Ok(rows))) => return Ok(rows),
+                Some((key, Err(failure))) if running.is_empty() => {
+                    self.forgive(key, &failure);
+                    return Err(failure);
+                }
+                Some((_, Err(failure))) => self.note(&failure),
+                None => return Err(self.last.clone()),
+            }
+        }
+    }
+
+    /// A replica that did not see the request may be tried again.
+    fn forgive(&mut self, key: UpstreamKey, failure: &Failure) {
+        let is_stale_connection = failure.ran == Ran::No && failure.reason == Reason::NoReplica;
+        let is_up = self
+            .pool
+            .find(key)
+            .is_some_and(|u| !u.health.borrow().is_failing());
+        if is_stale_connection && is_up {
+            self.tried.retain(|k| *k != key);
+        }
+    }
+
+    fn start(&mut self, slot: Slot) -> Attempt<'a> {
+        let (pool, call) = (self.pool, self.call);
+        let shard = &self.topology.service.shards[self.shard].name;
+        self.tried.push(slot.key);
+        self.attempts += 1;
+        Box::pin(async move {
+            let result = attempt::run(&slot, pool, call, shard).await;
+            (slot.key, result)
+        })
+    }
+
+    /// Starts a hedge if the budget and a free slot allow it.
+    fn hedge(&mut self) -> Option<Attempt<'a>> {
+        if self.verdict() != Verdict::Clear || !self.pool.hedges.spend() {
+            return None;
+        }
+        match self.pool.try_acquire(&self.ask(), Millis::now()) {
+            Some(slot) => {
+                metrics::counter!(names::HEDGES_TOTAL).increment(1);
+                Some(self.start(slot))
+            }
+            None => {
+                self.pool.hedges.refund();
+                None
+            }
+        }
+    }
+
+    fn hedge_delay(&self) -> Millis {
+        let quantile = match self.topology.service.objective {
+            Objective::Latency => LATENCY_HEDGE_QUANTILE,
+            Objective::Coverage => COVERAGE_HEDGE_QUANTILE,
+        };
+        let learned = self.pool.latency.borrow().quantile(quantile);
+        let left = self.call.deadline.since(Millis::now());
+        let unlearned = Millis(left.0 / 4);
+        learned.unwrap_or(unlearned).max(MIN_HEDGE_DELAY)
+    }
+
+    /// Whether another attempt is worth it and paid for. What was never sent
+    /// to an upstream costs nothing.
+    fn may_retry(&mut self, failure: &Failure) -> bool {
+        let limit = match self.topology.service.objective {
+            Objective::Latency => LATENCY_ATTEMPTS,
+            Objective::Coverage => COVERAGE_ATTEMPTS,
+        };
+        let has_time = Millis::now() + RETRY_PAUSE < self.call.deadline;
+        let is_final =
+            matches!(failure.reason, Reason::SnapshotNotHeld if self.candidates().is_empty());
+        if is_final || !has_time || self.attempts >= limit {
+            return false;
+        }
+        match failure.reason {
+            Reason::NoReplica if failure.ran == Ran::No => self.waits_for_replicas(),
+            Reason::SnapshotNotHeld => true,
+            Reason::Overloaded if self.attempts == 0 => false,
+            _ => {
+                let is_paid = self.pool.retries.spend();
+                if is_paid {
+                    metrics::counter!(names::RETRIES_TOTAL).increment(1);
+                }
+                is_paid
+            }
+        }
+    }
+
+    /// With other replicas left, or where coverage goes before latency.
+    fn waits_for_replicas(&self) -> bool {
+        !self.candidates().is_empty() || self.topology.service.objective == Objective::Coverage
+    }
+
+    async fn pause(&self) {
+        compio::time::sleep(RETRY_PAUSE.into()).await;
+    }
+}
--- /dev/null
+++ b/components/upstreams/src/upstream.rs
@@ -0,0 +1,178 @@
+//! One upstream: its slots and connections.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use clock::Millis;
+use slotmap::new_key_type;
+use transport::Connection;
+
+use crate::health::{Health, Tier};
+use crate::latency::Latency;
+
+const TRIAL_INTERVAL: Millis = Millis(250);
+
+new_key_type! {
+    /// Key of an upstream in its pool.
+    pub struct UpstreamKey;
+}
+
+/// An upstream with what this daemon observed of it.
+pub struct Upstream {
+    /// `service/upstream`, as in the marks that daemons exchange.
+    pub id: String,
+    /// Name in the declaration.
+    pub name: String,
+    /// Address of its HTTP interface.
+    pub address: SocketAddr,
+    pub(crate) slots: Cell<usize>,
+    pub(crate) connections: Cell<usize>,
+    pub(crate) is_drained: Cell<bool>,
+    pub(crate) busy: Cell<usize>,
+    pub(crate) open: Rc<Cell<usize>>,
+    idle: RefCell<Vec<Lease>>,
+    pub(crate) health: RefCell<Health>,
+    pub(crate) latency: RefCell<Latency>,
+    /// Whether a request that may crash upstreams runs here.
+    pub(crate) has_suspect: Cell<bool>,
+    pub(crate) last_used: Cell<Millis>,
+}
+
+/// A connection that counts towards its upstream's limit while it is open.
+pub(crate) struct Lease {
+    pub(crate) conn: Connection,
+    open: Rc<Cell<usize>>,
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+/// Counts a connection that is being opened.
+struct Opening(Rc<Cell<usize>>);
+
+impl Opening {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for Opening {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Upstream {
+    pub(crate) fn new(service: &str, name: &str, address: SocketAddr) -> Self {
+        Self {
+            id: format!("{service}/{name}"),
+            name: name.to_owned(),
+            address,
+            slots: Cell::new(1),
+            connections: Cell::new(1),
+            is_drained: Cell::new(false),
+            busy: Cell::new(0),
+            open: Rc::default(),
+            idle: RefCell::default(),
+            health: RefCell::new(Health::new()),
+            latency: RefCell::default(),
+            has_suspect: Cell::new(false),
+            last_used: Cell::new(Millis::ZERO),
+        }
+    }
+
+    /// Requests that may run here at a time now.
+    pub(crate) fn limit(&self, now: Millis) -> usize {
+        let health = self.health.borrow();
+        let is_resting = health.is_failing() || health.tier(now) == Tier::Ejected;
+        match is_resting {
+            true => 1,
+            false => self.slots.get().min(health.ramp.max(1)),
+        }
+    }
+
+    /// Whether it is time to try again whether this upstream works.
+    pub(crate) fn is_due_for_trial(&self, now: Millis) -> bool {
+        now.since(self.last_used.get()) >= TRIAL_INTERVAL
+    }
+
+    pub(crate) fn has_free_slot(&self, now: Millis) -> bool {
+        self.busy.get() < self.limit(now)
+    }
+
+    /// The wait that a new request can expect here, in milliseconds.
+    pub(crate) fn expected_ms(&self, now: Millis) -> f64 {
+        let load = self.health.borrow().load(now);
+        let busy = self.busy.get() as f64;
+        let mean = self.latency.borrow().mean_ms();
+        mean * (1.0 + load) * (1.0 + busy / self.slots.get() as f64)
+    }
+
+    /// Takes an idle connection or opens one.
+    pub(crate) async fn lease(&self) -> Result<Lease, LeaseError> {
+        if let Some(lease) = self.take_idle() {
+            return Ok(lease);
+        }
+        self.open_lease().await
+    }
+
+    fn take_idle(&self) -> Option<Lease> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|lease| lease.conn.is_open());
+        idle.pop()
+    }
+
+    async fn open_lease(&self) -> Result<Lease, LeaseError> {
+        if self.open.get() >= self.connections.get() {
+            return Err(LeaseError::Limit);
+        }
+        let opening = Opening::new(&self.open);
+        let conn = Connection::open(self.address)
+            .await
+            .map_err(|_| LeaseError::Refused)?;
+        // The count passes from the opening to the lease.
+        self.open.set(self.open.get() + 1);
+        drop(opening);
+        Ok(Lease {
+            conn,
+            open: self.open.clone(),
+        })
+    }
+
+    /// Keeps a connection whose last request was answered whole.
+    pub(crate) fn keep(&self, lease: Lease) {
+        let mut idle = self.idle.borrow_mut();
+        if lease.conn.is_open() && idle.len() < self.slots.get() {
+            idle.push(lease);
+        }
+    }
+
+    /// Opens connections ahead of need, one for each slot.
+    pub(crate) async fn warm_up(&self) {
+        while self.open.get() < self.slots.get() {
+            match self.open_lease().await {
+                Ok(lease) => self.keep(lease),
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Closes the connections that no request uses.
+    pub(crate) fn cool_down(&self) {
+        self.idle.borrow_mut().clear();
+    }
+}
+
+/// Why there is no connection for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LeaseError {
+    /// All connections that this daemon may open are open.
+    Limit,
+    /// The upstream does not accept the connection.
+    Refused,
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,44 @@
+#!/usr/bin/env bash
+# Everything that must hold before a change lands. Installs what it needs;
+# gives the same verdict every time.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+step() { printf '\n== %s\n' "$1"; }
+
+step "tools"
+if ! command -v spin >/dev/null; then
+  apt-get update -qq
+  apt-get install -y -qq spin
+fi
+command -v gcc >/dev/null || apt-get install -y -qq gcc
+
+step "format"
+cargo fmt --all --check
+
+step "clippy"
+cargo clippy --workspace --all-targets --quiet -- -D warnings
+
+step "no io_uring in any built tree"
+if cargo tree --workspace --edges normal,build,dev --prefix none | grep -qiE '^(io-uring|tokio-uring|rustix-uring) '; then
+  echo "an io_uring crate is in the tree" >&2
+  exit 1
+fi
+
+step "generated code is current"
+generated=$(mktemp -d)
+trap 'rm -rf "$generated"' EXIT
+cargo run --quiet --package schemagen -- "$generated"
+diff -r "$generated" components/schema/src/generated
+
+step "examples"
+cargo build --quiet --bins
+for file in examples/brolga.yaml examples/siyahamba.yaml; do
+  target/debug/coltsfootgw check --file "$file"
+done
+
+step "models"
+spec/check.sh
+
+step "tests"
+scripts/run-tests.sh
--- /dev/null
+++ b/src/cmd/book.rs
@@ -0,0 +1,33 @@
+//! `book`: books as a caller would.
+
+use http::{HeaderMap, HeaderValue};
+use serde_json::json;
+use serde_json::value::RawValue;
+use uuid::Uuid;
+
+use crate::cli::BookArgs;
+use crate::cmd::call::{check_json, send};
+use crate::exit::{ArgumentSnafu, Code, Result};
+
+pub(crate) fn run(args: &BookArgs) -> Result<Code> {
+    check_json(&args.booking)?;
+    let booking = RawValue::from_string(args.booking.clone()).ok();
+    let mut body = json!({ "booking": booking });
+    if let Some(shard) = &args.shard {
+        body["shard"] = json!(shard);
+    }
+    let key = args
+        .key
+        .clone()
+        .unwrap_or_else(|| Uuid::now_v7().to_string());
+    let value = HeaderValue::from_str(&key);
+    let value = value.map_err(|_| {
+        ArgumentSnafu {
+            detail: "the key can't be sent as a header",
+        }
+        .build()
+    })?;
+    let headers = HeaderMap::from_iter([(http::HeaderName::from_static("idempotency-key"), value)]);
+    let path = format!("/v1/services/{}/book", args.service);
+    send(&args.caller, &path, body.to_string(), headers)
+}
--- /dev/null
+++ b/standins/src/main.rs
@@ -0,0 +1,158 @@
+//! Runs one stand-in: the store, the list of instances, upstreams, or a load.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+use serde::Deserialize;
+use serde_json::json;
+use standins::upstream::{Behaviour, Options};
+use standins::{demo, instances, load, store, upstream};
+use transport::{Listener, ServerLimits, Shutdown, serve};
+
+#[derive(Debug, Parser)]
+#[command(about = "Stand-ins for the platform and the upstreams of coltsfootgw")]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// The key-value store.
+    Store {
+        /// Address to listen on.
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+    },
+    /// The list of instances.
+    Instances {
+        /// Address to listen on.
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+    },
+    /// One or several upstreams.
+    Upstream {
+        /// The upstreams as a JSON list of name, address and behaviour.
+        #[arg(long)]
+        upstreams: String,
+        /// Seed of the service times.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// The whole system on loopback: a search, a booking, a lost upstream.
+    Demo {
+        /// The declarations (YAML); their addresses are replaced.
+        #[arg(long)]
+        file: std::path::PathBuf,
+        /// The service that is searched and booked.
+        #[arg(long)]
+        service: String,
+    },
+    /// An open-loop load of searches.
+    Load {
+        /// A daemon's interface for callers; may be repeated.
+        #[arg(long, required = true)]
+        callers: Vec<SocketAddr>,
+        /// A service; may be repeated.
+        #[arg(long, required = true)]
+        service: Vec<String>,
+        /// Requests a second.
+        #[arg(long)]
+        rate: f64,
+        /// How long requests are sent, in seconds.
+        #[arg(long)]
+        seconds: f64,
+        /// Deadline of each request, in milliseconds.
+        #[arg(long)]
+        deadline_ms: Option<u64>,
+        /// Seed of the arrival times.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+}
+
+#[derive(Deserialize)]
+struct Declared {
+    name: String,
+    address: SocketAddr,
+    #[serde(default)]
+    behaviour: Behaviour,
+}
+
+#[compio::main]
+async fn main() -> ExitCode {
+    match run(Cli::parse().command).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("error: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: Command) -> Result<(), Box<dyn std::error::Error>> {
+    match command {
+        Command::Store { listen } => serve_routes(listen, store::router()).await,
+        Command::Instances { listen } => serve_routes(listen, instances::router()).await,
+        Command::Upstream { upstreams, seed } => serve_upstreams(&upstreams, seed).await,
+        Command::Demo { file, service } => demo::run(&file, &service).await,
+        Command::Load {
+            callers,
+            service,
+            rate,
+            seconds,
+            deadline_ms,
+            seed,
+        } => {
+            let duration = Duration::from_secs_f64(seconds);
+            let load = load::Load {
+                callers,
+                services: service,
+                rate,
+                duration,
+                deadline_ms,
+                seed,
+            };
+            println!("{}", json!(load::run(&load).await));
+            Ok(())
+        }
+    }
+}
+
+async fn serve_routes(
+    listen: SocketAddr,
+    router: axum::Router,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let listener = Listener::bind(listen).await?;
+    println!("{}", json!({ "listening": listener.address }));
+    serve(
+        listener,
+        router,
+        ServerLimits::default(),
+        Shutdown::default(),
+        Rc::default(),
+    )
+    .await;
+    Ok(())
+}
+
+async fn serve_upstreams(upstreams: &str, seed: u64) -> Result<(), Box<dyn std::error::Error>> {
+    let declared: Vec<Declared> = serde_json::from_str(upstreams)?;
+    let mut bound = Vec::new();
+    for (i, d) in declared.into_iter().enumerate() {
+        let seed = seed.wrapping_mul(1_000).wrapping_add(i as u64);
+        let options = Options {
+            name: d.name,
+            address: d.address,
+            behaviour: d.behaviour,
+            seed,
+        };
+        bound.push(upstream::start(options).await?);
+    }
+    println!("{}", json!({ "listening": bound }));
+    std::future::pending::<()>().await;
+    Ok(())
+}
--- /dev/null
+++ b/standins/src/upstream/server.rs
@@ -0,0 +1,248 @@
+//! The HTTP interface of an upstream, and of its control.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use clock::Millis;
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::HyperStream;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use serde_json::{Value, json};
+
+use super::control::{Behaviour, Leaving, Mode};
+use super::work::{Execution, Work};
+
+const FOREVER: Duration = Duration::from_secs(600);
+const CRASH_MARK: &str = "crash-upstream";
+const CRASH_DELAY: Millis = Millis(3);
+
+type Answer = Response<Full<Bytes>>;
+
+/// How an upstream is started.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Name of the upstream.
+    pub name: String,
+    /// Address to listen on; port 0 takes a free one.
+    pub address: SocketAddr,
+    /// What it does at first.
+    pub behaviour: Behaviour,
+    /// Seed of its service times.
+    pub seed: u64,
+}
+
+/// Starts an upstream in a task and returns its address.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub async fn start(options: Options) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind(options.address).await?;
+    let address = listener.local_addr()?;
+    let work = Work::new(&options.name, options.behaviour, options.seed);
+    compio::runtime::spawn(accept(listener, work)).detach();
+    Ok(address)
+}
+
+async fn accept(listener: TcpListener, work: Rc<Work>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let limit = work.behaviour.borrow().connections;
+        let open = work.counts.borrow().open;
+        if open < limit {
+            compio::runtime::spawn(connection(stream, work.clone())).detach();
+        }
+    }
+}
+
+async fn connection(stream: TcpStream, work: Rc<Work>) {
+    {
+        let mut counts = work.counts.borrow_mut();
+        counts.open += 1;
+        counts.most_open = counts.most_open.max(counts.open);
+    }
+    let delay = work.behaviour.borrow().connect_ms;
+    compio::time::sleep(Millis(delay).into()).await;
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request| {
+        let work = work.clone();
+        async move { Ok::<_, std::convert::Infallible>(handle(work, request).await) }
+    });
+    let _ = http1::Builder::new()
+        .serve_connection(HyperStream::new_plain(stream), service)
+        .await;
+    work.counts.borrow_mut().open -= 1;
+}
+
+async fn handle(work: Rc<Work>, request: Request<Incoming>) -> Answer {
+    let (head, body) = request.into_parts();
+    let Ok(body) = body.collect().await else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let body = body.to_bytes();
+    match (&head.method, head.uri.path()) {
+        (&Method::GET, "/health") => health(&work),
+        (&Method::GET, "/load") => json_answer(&json!({ "load": work.load() })),
+        (&Method::GET, "/counts") => json_answer(&json!(*work.counts.borrow())),
+        (&Method::GET, "/executions") => json_answer(&json!(*work.executions.borrow())),
+        (&Method::POST, "/control") => control(&work, &body),
+        (&Method::POST, "/search" | "/book") => run(work, &head.headers, body).await,
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn health(work: &Work) -> Answer {
+    let behaviour = work.behaviour.borrow();
+    let state = match behaviour.leaving {
+        Leaving::Health => "leaving",
+        Leaving::No | Leaving::Header => &behaviour.health,
+    };
+    json_answer(&json!({ "state": state, "boot": work.boot, "holds": behaviour.holds }))
+}
+
+/// Changes the fields that the body names.
+fn control(work: &Work, body: &[u8]) -> Answer {
+    let Ok(Value::Object(change)) = serde_json::from_slice(body) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let mut behaviour = json!(*work.behaviour.borrow());
+    if let Value::Object(fields) = &mut behaviour {
+        fields.extend(change);
+    }
+    match serde_json::from_value(behaviour) {
+        Ok(changed) => {
+            *work.behaviour.borrow_mut() = changed;
+            status(StatusCode::OK)
+        }
+        Err(_) => status(StatusCode::BAD_REQUEST),
+    }
+}
+
+async fn run(work: Rc<Work>, headers: &HeaderMap, body: Bytes) -> Answer {
+    let text = |name: &str| {
+        headers
+            .get(name)
+            .and_then(|v| v.to_str().ok())
+            .map(str::to_owned)
+    };
+    let execution = Execution {
+        request_id: text("x-request-id").unwrap_or_default(),
+        shard: text("x-shard").unwrap_or_default(),
+        snapshot: text("x-snapshot"),
+        partitioning: text("x-partitioning").unwrap_or_default(),
+        key: text("idempotency-key"),
+        body: String::from_utf8_lossy(&body).into_owned(),
+        at_ms: Millis::wall().0,
+    };
+    let mode = work.behaviour.borrow().mode;
+    if mode == Mode::Shedding {
+        work.counts.borrow_mut().shed += 1;
+        return not_run(&work, &execution, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    if !is_held(&work, &execution) {
+        work.counts.borrow_mut().not_held += 1;
+        return not_run(&work, &execution, StatusCode::CONFLICT);
+    }
+    let Some(slot) = work.acquire().await else {
+        return not_run(&work, &execution, StatusCode::SERVICE_UNAVAILABLE);
+    };
+    work.record(execution.clone());
+    if execution.body.contains(CRASH_MARK) {
+        compio::time::sleep(CRASH_DELAY.into()).await;
+        std::process::abort();
+    }
+    if mode == Mode::Hanging {
+        compio::time::sleep(FOREVER).await;
+    }
+    compio::time::sleep(Duration::from_secs_f64(work.draw_ms() / 1_000.0)).await;
+    slot.finish();
+    drop(slot);
+    answer(&work, &execution, mode)
+}
+
+fn answer(work: &Work, execution: &Execution, mode: Mode) -> Answer {
+    let rows = format!(
+        "[{{\"upstream\":{},\"shard\":{},\"snapshot\":{},\"query\":{}}}]",
+        json!(work.name),
+        json!(execution.shard),
+        json!(execution.snapshot),
+        execution.body
+    );
+    let own = (execution.request_id.clone(), execution.shard.clone(), rows);
+    let previous = work.previous.replace(Some(own.clone()));
+    let (id, shard, rows) = match mode {
+        Mode::Crossed => previous.unwrap_or(own),
+        _ => own,
+    };
+    let code = if mode == Mode::Failing {
+        StatusCode::INTERNAL_SERVER_ERROR
+    } else {
+        StatusCode::OK
+    };
+    let mut builder = echo(work, &id, &shard, execution)
+        .status(code)
+        .header("x-ran", "yes");
+    if work.behaviour.borrow().leaving == Leaving::Header {
+        builder = builder.header("x-leaving", "1");
+    }
+    builder.body(Full::new(rows.into())).unwrap_or_default()
+}
+
+fn echo(work: &Work, id: &str, shard: &str, execution: &Execution) -> http::response::Builder {
+    let snapshot = execution.snapshot.clone().unwrap_or_default();
+    Response::builder()
+        .header("content-type", "application/json")
+        .header("x-request-id", id)
+        .header("x-shard", shard)
+        .header("x-partitioning", &execution.partitioning)
+        .header("x-snapshot", snapshot)
+        .header("x-boot", &work.boot)
+        .header("x-load", format!("{:.2}", work.load()))
+}
+
+fn not_run(work: &Work, execution: &Execution, code: StatusCode) -> Answer {
+    let builder = echo(work, &execution.request_id, &execution.shard, execution);
+    builder
+        .status(code)
+        .header("x-ran", "no")
+        .body(Full::default())
+        .unwrap_or_default()
+}
+
+/// Bookings are not pinned to a snapshot.
+fn is_held(work: &Work, execution: &Execution) -> bool {
+    let Some(snapshot) = &execution.snapshot else {
+        return true;
+    };
+    let behaviour = work.behaviour.borrow();
+    let is_same = |held: &Value| {
+        held["partitioning"] == execution.partitioning.as_str()
+            && held["snapshot"].as_u64() == snapshot.parse().ok()
+    };
+    behaviour
+        .holds
+        .as_array()
+        .is_some_and(|list| list.iter().any(is_same))
+}
+
+fn status(code: StatusCode) -> Answer {
+    Response::builder()
+        .status(code)
+        .body(Full::default())
+        .unwrap_or_default()
+}
+
+fn json_answer(value: &Value) -> Answer {
+    Response::builder()
+        .header("content-type", "application/json")
+        .body(Full::new(value.to_string().into()))
+        .unwrap_or_default()
+}
