--- a/components/ledger/src/committer.rs
+++ b/components/ledger/src/committer.rs
@@ -1,7 +1,7 @@
 //! Group commit: all claims that arrive while a bucket is being written go
 //! into its next write.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -18,6 +18,7 @@
 use crate::verdict::Verdict;
 
 const RETRY_PAUSE: Millis = Millis(50);
+const OUT_PAUSE: Millis = Millis(500);
 const RELEASE_LIFE: Millis = Millis(60_000);
 const PENDING_LIMIT: usize = 4_096;
 const CACHED_BUCKETS: usize = 1_024;
@@ -73,6 +74,8 @@
     queues: RefCell<HashMap<String, Queue>>,
     pace: Pace,
     daemons: Box<dyn Fn() -> usize>,
+    // Until then the store is taken to be out, and claims are refused at once.
+    out_until: Cell<Millis>,
     log: Logger,
 }
 
@@ -85,12 +88,16 @@
             queues,
             pace,
             daemons,
+            out_until: Cell::default(),
             log: log.clone(),
         })
     }
 
     /// Claims or releases a key; answers by the request's deadline.
     pub async fn submit(self: &Rc<Self>, request: Request) -> Verdict {
+        if !request.release && Millis::now() < self.out_until.get() {
+            return Verdict::Unavailable;
+        }
         let bucket = request.key.bucket(&request.service);
         let deadline = request.deadline;
         let (answer, receiver) = oneshot::channel();
@@ -182,6 +189,7 @@
                 return;
             }
             let Some((version, old)) = self.current(key).await else {
+                refuse_claims(&mut batch);
                 compio::time::sleep(RETRY_PAUSE.into()).await;
                 continue;
             };
@@ -203,6 +211,7 @@
         let entry = match self.store.get(key).await {
             Ok(entry) => entry,
             Err(e) => {
+                self.note_outage();
                 info!(self.log, "ledger not read"; "bucket" => key, "error" => %e);
                 return None;
             }
@@ -221,6 +230,11 @@
         Some(read)
     }
 
+    /// Starts a pause in which claims are refused at once.
+    fn note_outage(&self) {
+        self.out_until.set(Millis::now() + OUT_PAUSE);
+    }
+
     fn cache(&self, key: &str, value: Option<(u64, Bucket)>) {
         if let Some(queue) = self.queues.borrow_mut().get_mut(key) {
             queue.cached = value;
@@ -247,6 +261,7 @@
                 false
             }
             Err(e) => {
+                self.note_outage();
                 info!(self.log, "ledger write not confirmed"; "bucket" => key, "error" => %e);
                 self.cache(key, None);
                 compio::time::sleep(RETRY_PAUSE.into()).await;
@@ -256,6 +271,14 @@
     }
 }
 
+/// Answers the claims of a batch that can't be written now; releases stay.
+fn refuse_claims(batch: &mut Vec<Pending>) {
+    let (releases, claims) = batch.drain(..).partition(|p| p.request.release);
+    *batch = releases;
+    let verdicts = vec![Verdict::Unavailable; claims.len()];
+    answer(claims, verdicts);
+}
+
 fn decide(old: &Bucket, batch: &[Pending]) -> (Bucket, Vec<Verdict>) {
     let now = Millis::wall();
     let mut new = old.clone();
--- a/components/members/src/heartbeat.rs
+++ b/components/members/src/heartbeat.rs
@@ -113,7 +113,7 @@
         let me = self.me.borrow();
         let table = self.table.borrow();
         let mine = Some(&*me).filter(|m| m.state == State::Alive);
-        let all = table.in_state(State::Alive).chain(mine);
+        let all = table.responsive().chain(mine);
         rank(key, domain, all).into_iter().cloned().collect()
     }
 
@@ -148,12 +148,9 @@
         self.table.borrow().find(id).cloned()
     }
 
-    /// Whether a peer is known to be alive.
-    pub fn is_alive(&self, id: &str) -> bool {
-        self.table
-            .borrow()
-            .find(id)
-            .is_some_and(|m| m.state == State::Alive)
+    /// Whether a peer is alive and answered the last heartbeat.
+    pub fn is_responsive(&self, id: &str) -> bool {
+        self.table.borrow().responsive().any(|m| m.id == id)
     }
 
     /// Whether no other daemon was ever known.
@@ -274,8 +271,7 @@
         metrics::counter!(names::CONTROL_BYTES_TOTAL, "kind" => "heartbeat")
             .increment(message.encoded_len() as u64);
         let mut client = self.client(peer.address);
-        let timeout = self.interval + self.interval;
-        let call = compio::time::timeout(timeout.into(), client.heartbeat(message));
+        let call = compio::time::timeout(self.interval.into(), client.heartbeat(message));
         let answer = match call.await {
             Ok(Ok(answer)) => answer.into_inner(),
             Ok(Err(_)) => return self.note_miss(&peer.id, true),
--- a/components/members/src/table.rs
+++ b/components/members/src/table.rs
@@ -72,6 +72,14 @@
             .filter(move |m| m.state == state)
     }
 
+    /// Returns the members that are alive and answered the last heartbeat.
+    pub fn responsive(&self) -> impl Iterator<Item = &Member> {
+        let answered = self.records.values().filter(|r| r.misses == 0);
+        answered
+            .map(|r| &r.member)
+            .filter(|m| m.state == State::Alive)
+    }
+
     /// Returns all members that are worth a heartbeat.
     pub fn reachable(&self) -> impl Iterator<Item = &Member> {
         self.records
@@ -150,6 +158,7 @@
         let update = self.merge(news, now);
         if let Some(record) = self.records.get_mut(&id) {
             record.heard = record.heard.max(sent);
+            self.epoch += u64::from(record.misses > 0);
             record.misses = 0;
             record.member.revision = revision;
         }
@@ -174,6 +183,9 @@
             return Update::Unchanged;
         };
         record.misses += 1;
+        if record.misses == 1 {
+            self.epoch += 1;
+        }
         let is_late = refused || record.misses >= MISSES_TO_SUSPECT;
         if record.member.state != State::Alive || !is_late {
             return Update::Unchanged;
--- a/components/query/src/scatter.rs
+++ b/components/query/src/scatter.rs
@@ -137,7 +137,7 @@
         (batch, Err(failure))
     }
 
-    /// Calls an owner and gives it up once it is suspected.
+    /// Calls an owner and gives it up once it misses a heartbeat.
     async fn call(
         &self,
         member: &Member,
@@ -153,7 +153,7 @@
                 Either::Right((_, rest)) => calling = rest,
             }
             let is_me = member.id == self.root.members.me().id;
-            if !is_me && !self.root.members.is_alive(&member.id) {
+            if !is_me && !self.root.members.is_responsive(&member.id) {
                 return Err(PeerError::Lost);
             }
         }
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Measures a scenario: scripts/bench.sh SCENARIO [--seed N] [--rounds N] [--seconds S]
+# Prints one JSON line for each variant with median, least and greatest value.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cargo build --release --quiet --bins
+exec target/release/coltsfootgw-standins bench "$@"
--- a/src/cmd/call.rs
+++ b/src/cmd/call.rs
@@ -32,9 +32,13 @@
 
 /// Turns the status of a failed call into an error.
 pub(crate) fn failed(address: SocketAddr, status: &Status) -> Error {
+    let detail = match status.message() {
+        "" => format!("{:?}", status.code()),
+        message => message.to_owned(),
+    };
     Error::Call {
         address: address.to_string(),
-        detail: status.message().to_owned(),
+        detail,
     }
 }
 
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -61,7 +61,7 @@
         source: daemon::Error,
     },
     /// The daemon answered an operator's call with an error.
-    #[snafu(display("the daemon at {address} did not answer: {detail}"))]
+    #[snafu(display("the daemon at {address} answered: {detail}"))]
     Call {
         /// The daemon's address.
         address: String,
--- /dev/null
+++ b/standins/src/bench/scenario.rs
@@ -0,0 +1,191 @@
+//! The scenarios and their variants.
+
+use serde_json::{Value, json};
+
+use super::fault::Fault;
+
+/// The names of all scenarios.
+pub const SCENARIOS: [&str; 9] = [
+    "steady",
+    "overload",
+    "straggler",
+    "slow-replica",
+    "loss",
+    "owner-loss",
+    "repartition",
+    "store-outage",
+    "lying-health",
+];
+
+/// Variants that are measured in turn.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    /// The variants.
+    pub variants: Vec<Variant>,
+}
+
+/// One way to run the system.
+#[derive(Clone, Debug)]
+pub struct Variant {
+    /// Name in the results.
+    pub name: String,
+    /// Example deployment.
+    pub deployment: &'static str,
+    /// The service that is loaded.
+    pub service: &'static str,
+    /// Load as a share of the slots' capacity.
+    pub utilization: f64,
+    /// Changes to the daemons' settings.
+    pub settings: Value,
+    /// Changes to the service's declaration.
+    pub declaration: Value,
+    /// Changes to what the upstreams do.
+    pub behaviour: Value,
+    /// What fails while the load runs.
+    pub fault: Fault,
+}
+
+const BROLGA: (&str, &str) = ("brolga", "plumber-tablet");
+const SIYAHAMBA: (&str, &str) = ("siyahamba", "airline-counter");
+
+impl Variant {
+    fn new(
+        name: &str,
+        (deployment, service): (&'static str, &'static str),
+        utilization: f64,
+    ) -> Self {
+        let name = format!("{deployment}/{name}");
+        let empty = || json!({});
+        Self {
+            name,
+            deployment,
+            service,
+            utilization,
+            settings: empty(),
+            declaration: empty(),
+            behaviour: empty(),
+            fault: Fault::None,
+        }
+    }
+
+    fn settings(self, settings: Value) -> Self {
+        Self { settings, ..self }
+    }
+
+    fn declaration(self, declaration: Value) -> Self {
+        Self {
+            declaration,
+            ..self
+        }
+    }
+
+    fn behaviour(self, behaviour: Value) -> Self {
+        Self { behaviour, ..self }
+    }
+
+    fn fault(self, fault: Fault) -> Self {
+        Self { fault, ..self }
+    }
+}
+
+/// Finds a scenario by its name.
+pub fn find(name: &str) -> Option<Scenario> {
+    let variants = match name {
+        "steady" => ownership(0.7),
+        "overload" => [ownership(1.5), vec![without_bound()]].concat(),
+        "straggler" => stragglers(&json!({ "straggler_share": 0.02, "straggler_factor": 20.0 })),
+        "slow-replica" => slow_replica(),
+        "loss" => losses(),
+        "owner-loss" => owner_losses(),
+        "repartition" => {
+            both(|d| Variant::new("switched-every-second", d, 0.3).fault(Fault::Repartition))
+        }
+        "store-outage" => [
+            both(|d| Variant::new("store-up", d, 0.4)),
+            both(|d| Variant::new("store-down", d, 0.4).fault(Fault::StoreDown)),
+            both(|d| Variant::new("store-slow", d, 0.4).fault(Fault::StoreSlow)),
+        ]
+        .concat(),
+        "lying-health" => [
+            both(|d| Variant::new("honest", d, 0.4)),
+            both(|d| Variant::new("unhealthy-when-well", d, 0.4).fault(Fault::AllSayFailing)),
+            both(|d| Variant::new("healthy-when-failing", d, 0.4).fault(Fault::FailingSaysOk)),
+        ]
+        .concat(),
+        _ => return None,
+    };
+    Some(Scenario { variants })
+}
+
+fn both(make: impl Fn((&'static str, &'static str)) -> Variant) -> Vec<Variant> {
+    vec![make(BROLGA), make(SIYAHAMBA)]
+}
+
+fn ownership(utilization: f64) -> Vec<Variant> {
+    let local = json!({ "ownership": "local" });
+    [
+        both(|d| Variant::new("rendezvous", d, utilization)),
+        both(|d| Variant::new("local", d, utilization).settings(local.clone())),
+    ]
+    .concat()
+}
+
+fn without_bound() -> Variant {
+    let declaration = json!({ "queue": 100_000, "concurrency": 100_000, "deadline_ms": 30_000 });
+    Variant::new("no-bound", BROLGA, 1.5).declaration(declaration)
+}
+
+fn stragglers(behaviour: &Value) -> Vec<Variant> {
+    let off = json!({ "hedge_percent": 0 });
+    [
+        both(|d| Variant::new("no-stragglers", d, 0.4)),
+        both(|d| Variant::new("hedged", d, 0.4).behaviour(behaviour.clone())),
+        both(|d| {
+            Variant::new("unhedged", d, 0.4)
+                .behaviour(behaviour.clone())
+                .declaration(off.clone())
+        }),
+    ]
+    .concat()
+}
+
+fn slow_replica() -> Vec<Variant> {
+    let off = json!({ "hedge_percent": 0 });
+    [
+        both(|d| Variant::new("no-slow-replica", d, 0.4)),
+        both(|d| Variant::new("hedged", d, 0.4).fault(Fault::SlowReplica)),
+        both(|d| {
+            Variant::new("unhedged", d, 0.4)
+                .fault(Fault::SlowReplica)
+                .declaration(off.clone())
+        }),
+    ]
+    .concat()
+}
+
+fn losses() -> Vec<Variant> {
+    let latency = json!({ "objective": "latency" });
+    let coverage = json!({ "objective": "coverage" });
+    [
+        both(|d| Variant::new("killed", d, 0.4).fault(Fault::UpstreamKilled)),
+        both(|d| Variant::new("frozen", d, 0.4).fault(Fault::UpstreamFrozen)),
+        vec![
+            Variant::new("frozen-latency", SIYAHAMBA, 0.4)
+                .fault(Fault::UpstreamFrozen)
+                .declaration(latency),
+            Variant::new("frozen-coverage", BROLGA, 0.4)
+                .fault(Fault::UpstreamFrozen)
+                .declaration(coverage),
+        ],
+    ]
+    .concat()
+}
+
+fn owner_losses() -> Vec<Variant> {
+    [
+        both(|d| Variant::new("killed", d, 0.4).fault(Fault::OwnerKilled)),
+        both(|d| Variant::new("frozen", d, 0.4).fault(Fault::OwnerFrozen)),
+        both(|d| Variant::new("left", d, 0.4).fault(Fault::OwnerLeft)),
+    ]
+    .concat()
+}
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -45,6 +45,23 @@
         self.send("GET", path, &[], Bytes::new()).await
     }
 
+    /// Sends a GET request and returns the body as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer.
+    pub async fn text(&self, path: &str) -> Result<String> {
+        let request = Request::get(path)
+            .header(header::HOST, "test")
+            .body(Payload::default());
+        let request = request.expect("paths of tests are well formed");
+        let response = self
+            .client
+            .send(request, ANSWER_LIMIT_BYTES, TIMEOUT)
+            .await?;
+        Ok(String::from_utf8_lossy(response.body()).into_owned())
+    }
+
     /// Sends a POST request with a JSON body.
     ///
     /// # Errors
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -64,6 +64,9 @@
     pub max: f64,
     /// Quantiles for a graph: share and latency in milliseconds.
     pub curve: Vec<(f64, f64)>,
+    /// Requests that were due in each 100 ms, and how many of them were
+    /// answered completely.
+    pub timeline: Vec<(u64, u64)>,
     /// 99th percentile of the time to a refusal, in milliseconds.
     pub refusal_p99: f64,
 }
@@ -88,8 +91,10 @@
     p999: 0.0,
     max: 0.0,
     curve: Vec::new(),
+    timeline: Vec::new(),
     refusal_p99: 0.0,
 };
+const TIMELINE_INTERVAL_MS: u128 = 100;
 const FAST_REFUSAL_MICROS: u64 = 5_000;
 const CURVE_QUANTILES: [f64; 16] = [
     0.0, 0.1, 0.25, 0.5, 0.6, 0.7, 0.8, 0.9, 0.95, 0.97, 0.98, 0.99, 0.995, 0.999, 0.9999, 1.0,
@@ -128,7 +133,7 @@
         let at = start + due;
         tasks.push(compio::runtime::spawn(async move {
             let answer = search(&client, &path, number, deadline).await;
-            tally.borrow_mut().note(answer, at.elapsed());
+            tally.borrow_mut().note(answer, at - start, at.elapsed());
         }));
         number += 1;
         let gap = -(1.0 - rng.random::<f64>()).ln() / load.rate;
@@ -150,7 +155,19 @@
 }
 
 impl Tally {
-    fn note(&mut self, answer: Option<Answer>, elapsed: Duration) {
+    fn note_time(&mut self, due: Duration, is_complete: bool) {
+        let at = (due.as_millis() / TIMELINE_INTERVAL_MS) as usize;
+        let timeline = &mut self.report.timeline;
+        if timeline.len() <= at {
+            timeline.resize(at + 1, (0, 0));
+        }
+        timeline[at].0 += 1;
+        timeline[at].1 += u64::from(is_complete);
+    }
+
+    fn note(&mut self, answer: Option<Answer>, due: Duration, elapsed: Duration) {
+        let is_complete = answer.as_ref().is_some_and(|a| a.body["complete"] == true);
+        self.note_time(due, is_complete);
         let micros = elapsed.as_micros() as u64;
         let report = &mut self.report;
         match answer {
@@ -192,11 +209,12 @@
 }
 
 impl Report {
-    /// The report as JSON, without the curve.
+    /// The report as JSON, without curve and timeline.
     pub fn summary(&self) -> Value {
         let mut value = json!(self);
         if let Value::Object(fields) = &mut value {
             fields.remove("curve");
+            fields.remove("timeline");
         }
         value
     }
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use serde_json::json;
 use standins::upstream::{Behaviour, Options};
-use standins::{demo, instances, load, store, upstream};
+use standins::{bench, demo, instances, load, store, upstream};
 use transport::{Listener, ServerLimits, Shutdown, serve};
 
 #[derive(Debug, Parser)]
@@ -51,6 +51,23 @@
         #[arg(long)]
         service: String,
     },
+    /// Paired measurements of a scenario.
+    Bench {
+        /// Name of the scenario.
+        scenario: String,
+        /// Seed of service times and arrivals.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Rounds of each variant.
+        #[arg(long, default_value_t = 3)]
+        rounds: u64,
+        /// Length of the load in each round, in seconds.
+        #[arg(long, default_value_t = 6.0)]
+        seconds: f64,
+        /// Directory of the example deployments.
+        #[arg(long, default_value = "examples")]
+        examples: std::path::PathBuf,
+    },
     /// An open-loop load of searches.
     Load {
         /// A daemon's interface for callers; may be repeated.
@@ -99,6 +116,21 @@
         Command::Instances { listen } => serve_routes(listen, instances::router()).await,
         Command::Upstream { upstreams, seed } => serve_upstreams(&upstreams, seed).await,
         Command::Demo { file, service } => demo::run(&file, &service).await,
+        Command::Bench {
+            scenario,
+            seed,
+            rounds,
+            seconds,
+            examples,
+        } => {
+            let options = bench::Options {
+                scenario,
+                seed,
+                rounds,
+                seconds,
+            };
+            bench::run(&options, &examples).await.map(|_| ())
+        }
         Command::Load {
             callers,
             service,
--- a/tests/booking.rs
+++ b/tests/booking.rs
@@ -88,6 +88,45 @@
     assert_eq!(runs_by_key(&fleet).await[&key], 1);
 }
 
+/// A request that is given up on is answered at once: a caller with time to
+/// wait is not held until its deadline.
+#[rstest]
+#[case::down(json!({ "down": true }))]
+#[case::silent(json!({ "hang": true }))]
+fn without_the_store_bookings_are_refused_at_once(#[case] faults: Value) {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let fleet = fleet_with(5.0, RETENTION).await;
+        fleet.set_store_faults(faults).await;
+        let path = "/v1/services/jobs/book";
+        let mut fastest = Duration::MAX;
+        for _ in 0..6 {
+            let key = new_key();
+            let headers = [
+                ("idempotency-key", key.as_str()),
+                ("x-deadline-ms", "20000"),
+            ];
+            let started = std::time::Instant::now();
+            let client = fleet.client(0);
+            let answer = client
+                .send("POST", path, &headers, r#"{"booking":1}"#.into())
+                .await
+                .unwrap();
+            assert_eq!(answer.body["ran"], "no", "{answer:?}");
+            assert!(answer.retry_after.is_some(), "{answer:?}");
+            assert!(
+                started.elapsed() < Duration::from_secs(10),
+                "held for {:?}",
+                started.elapsed()
+            );
+            fastest = fastest.min(started.elapsed());
+        }
+        assert!(
+            fastest < Duration::from_secs(1),
+            "the fastest refusal took {fastest:?}"
+        );
+    });
+}
+
 #[compio::test]
 async fn without_the_store_bookings_are_refused_and_searches_go_on() {
     let fleet = fleet_with(5.0, RETENTION).await;
--- a/tests/coverage.rs
+++ b/tests/coverage.rs
@@ -141,6 +141,15 @@
         answers
             .iter()
             .for_each(|(query, answer)| check(query, answer, &recorded, gone));
+        if matches!(
+            fault,
+            Fault::UpstreamKilled | Fault::OwnerKilled | Fault::OwnerFrozen
+        ) {
+            // With a replica or a daemon left, a search fails over well before
+            // its deadline.
+            let incomplete = answers.iter().find(|(_, a)| a["complete"] != true);
+            assert!(incomplete.is_none(), "{incomplete:?}");
+        }
         let last = answers.iter().rev().take(20);
         let best = last
             .map(|(_, a)| a["covered"].as_array().map_or(0, Vec::len))
