Refuse overload at the root, hedge again when no slot is free

A hedge whose moment found no free slot was given up for good, and the 98th percentile as the delay of coverage services lay among the stragglers themselves. pump() walked the whole queue after every released slot.

Ruled out: hedges not paid for (tokens at the bound), a wrong learned delay (15 to 16 ms in the dump), connections not closed on cancellation.

Change: owners tell the wait for their slots with each reply; a root refuses at once when 60% of a search's time would be spent waiting. Waiters that can't be answered in time are dropped. Hedges are tried again every 3 ms. pump() ends when no slot is free. The queue's default bound is 2048; time bounds it first.

--- a/components/catalog/src/declaration.rs
+++ b/components/catalog/src/declaration.rs
@@ -128,7 +128,7 @@
     }
 
     pub(super) fn queue() -> usize {
-        256
+        2_048
     }
 
     pub(super) fn hedge_percent() -> u8 {
--- a/components/query/src/lib.rs
+++ b/components/query/src/lib.rs
@@ -12,6 +12,7 @@
 mod scatter;
 mod serve;
 mod views;
+mod waits;
 
 pub use answer::{BookingAnswer, MissingShard, SearchAnswer};
 pub use booking::BookRequest;
--- a/components/query/src/root.rs
+++ b/components/query/src/root.rs
@@ -11,7 +11,7 @@
 use ledger::Ledger;
 use members::{Member, Members};
 use telemetry::names;
-use upstreams::{Failure, Pools, Reason, Verdict};
+use upstreams::{Failure, Pools, Reason, Verdict, spread};
 use uuid::Uuid;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -24,6 +24,7 @@
 use crate::scatter::{Scatter, view_key};
 use crate::serve::Server;
 use crate::views::Views;
+use crate::waits::{Waits, is_too_long};
 
 const CONCURRENCY_RETRY: Millis = Millis(50);
 const NO_SNAPSHOT_RETRY: Millis = Millis(500);
@@ -63,6 +64,7 @@
     pub(crate) catalog: RefCell<Rc<Catalog>>,
     pub(crate) gate: Rc<dyn Gate>,
     pub(crate) views: Rc<Views>,
+    pub(crate) waits: Waits,
     pub(crate) is_local: bool,
     ranks: RefCell<RankCache>,
     in_flight: RefCell<HashMap<String, Rc<Cell<usize>>>>,
@@ -101,6 +103,7 @@
             catalog: RefCell::default(),
             gate,
             views: Rc::default(),
+            waits: Waits::default(),
             is_local,
             ranks: RefCell::default(),
             in_flight: RefCell::default(),
@@ -174,6 +177,7 @@
         self.gate.pass().await?;
         let request_id = Uuid::new_v4().simple().to_string();
         let groups = asked_groups(&topology, &asked);
+        self.check_wait(&topology, &groups, deadline - started)?;
         self.refresh_views(&topology, &groups, deadline).await;
         let mut tried: Vec<u64> = Vec::new();
         let mut best: Option<(Version, Merge)> = None;
@@ -276,6 +280,23 @@
         Ok(InFlight(count))
     }
 
+    /// Refuses a search whose owners told a wait that is too long.
+    fn check_wait(&self, topology: &Topology, groups: &[usize], budget: Millis) -> Result<()> {
+        let keys: Vec<String> = groups.iter().map(|&g| view_key(topology, g)).collect();
+        let wait = self.waits.longest(&keys, Millis::now());
+        match is_too_long(wait, budget) {
+            false => Ok(()),
+            true => {
+                let detail = format!("sub-requests wait {wait} for a slot");
+                Err(Refusal::not_run(
+                    Kind::Overloaded,
+                    detail,
+                    spread(wait.0 as f64),
+                ))
+            }
+        }
+    }
+
     pub(crate) fn check_quarantine(&self, fingerprint: u64) -> Result<()> {
         match self
             .pools
--- a/components/query/src/scatter.rs
+++ b/components/query/src/scatter.rs
@@ -164,6 +164,12 @@
             Ok(reply) => reply,
             Err(failure) => return merge.fail_rest(&batch.shards, &failure),
         };
+        let (now, wait) = (Millis::now(), Millis(reply.wait_ms));
+        for &group in &batch.groups {
+            self.root
+                .waits
+                .set(&view_key(self.topology, group), wait, now);
+        }
         if reply.refused {
             let reason = Reason::find(&reply.reason).unwrap_or(Reason::Overloaded);
             let retry_after = Millis(reply.retry_after_ms);
--- a/components/query/src/serve.rs
+++ b/components/query/src/serve.rs
@@ -69,7 +69,13 @@
         };
         let results = match pool.search(&topology, &call, &shards).await {
             Ok(results) => results,
-            Err(failure) => return refuse(&failure),
+            Err(failure) => {
+                let wait_ms = pool.shard_wait(&topology, &shards).0;
+                return ScatterReply {
+                    wait_ms,
+                    ..refuse(&failure)
+                };
+            }
         };
         let parts = shards
             .iter()
@@ -78,6 +84,7 @@
         ScatterReply {
             parts: parts.collect(),
             holdings: holdings(&pool, &topology, &shards),
+            wait_ms: pool.shard_wait(&topology, &shards).0,
             revision: topology.revision,
             ..ScatterReply::default()
         }
--- a/components/upstreams/src/batch.rs
+++ b/components/upstreams/src/batch.rs
@@ -68,12 +68,7 @@
                 ..Failure::not_run(Reason::Quarantined)
             });
         }
-        let mut candidates: Vec<UpstreamKey> = shards
-            .iter()
-            .flat_map(|&s| self.replicas(topology, s))
-            .collect();
-        candidates.sort_unstable();
-        candidates.dedup();
+        let candidates = self.shard_replicas(topology, shards);
         let wait = self.expected_wait(&candidates, shards.len());
         let needed = wait + self.latency.borrow().mean_ms();
         let is_full = self.queue.len() + shards.len() > self.queue_limit.get() + candidates.len();
@@ -87,8 +82,27 @@
     }
 }
 
+impl Pool {
+    /// Returns the replicas of some shards, each once.
+    fn shard_replicas(&self, topology: &Topology, shards: &[usize]) -> Vec<UpstreamKey> {
+        let mut keys: Vec<UpstreamKey> = shards
+            .iter()
+            .flat_map(|&s| self.replicas(topology, s))
+            .collect();
+        keys.sort_unstable();
+        keys.dedup();
+        keys
+    }
+
+    /// The time that a sub-request to one of the shards would wait now.
+    pub fn shard_wait(&self, topology: &Topology, shards: &[usize]) -> Millis {
+        let candidates = self.shard_replicas(topology, shards);
+        Millis(self.expected_wait(&candidates, 1) as u64)
+    }
+}
+
 /// Returns when to ask again: after the expected wait, spread at random.
-fn spread(wait_ms: f64) -> Millis {
+pub fn spread(wait_ms: f64) -> Millis {
     let base = wait_ms.max(MIN_RETRY_AFTER_MS);
     let factor = 1.0 + RETRY_SPREAD * rand::random::<f64>();
     Millis((base * factor).ceil() as u64)
--- a/components/upstreams/src/lib.rs
+++ b/components/upstreams/src/lib.rs
@@ -18,6 +18,7 @@
 mod view;
 mod wire;
 
+pub use batch::spread;
 pub use budget::Budget;
 pub use drains::Drains;
 pub use failure::{Failure, Ran, Reason, Result};
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -79,7 +79,7 @@
     pub(crate) shared: Rc<Shared>,
     topology: RefCell<Rc<Topology>>,
     retired: RefCell<Vec<(Millis, Rc<Topology>)>>,
-    upstreams: RefCell<SlotMap<UpstreamKey, Rc<Upstream>>>,
+    pub(crate) upstreams: RefCell<SlotMap<UpstreamKey, Rc<Upstream>>>,
     probes: RefCell<HashMap<UpstreamKey, JoinHandle<()>>>,
     names: RefCell<HashMap<String, UpstreamKey>>,
     pub(crate) queue: Queue,
--- a/components/upstreams/src/queue.rs
+++ b/components/upstreams/src/queue.rs
@@ -63,9 +63,11 @@
 }
 
 impl Waiter {
-    /// What is asked, or `None` if the asker is gone.
-    fn asked(&self) -> Option<Ask> {
-        (!self.grant.is_canceled()).then(|| self.ask.clone())
+    /// What is asked, or `None` if the asker is gone or could not be answered
+    /// by its deadline if it began now and ended at `end`.
+    fn asked(&self, end: Millis) -> Option<Ask> {
+        let is_of_use = !self.grant.is_canceled() && end <= self.ask.deadline;
+        is_of_use.then(|| self.ask.clone())
     }
 }
 
@@ -106,7 +108,7 @@
         let left = deadline.since(now);
         match compio::time::timeout(left.into(), receiver).await {
             Ok(Ok(slot)) => Ok(slot),
-            Ok(Err(_)) => Err(Refusal::NoReplica),
+            Ok(Err(_)) => Err(Refusal::Late),
             Err(_) => Err(Refusal::Late),
         }
     }
@@ -174,9 +176,16 @@
     /// Grants free slots to waiters in the order of their deadlines.
     pub(crate) fn pump(self: Rc<Self>) {
         let now = Millis::now();
+        let needed = Millis(self.latency.borrow().mean_ms() as u64);
         let mut at = 0;
-        loop {
-            let next = self.queue.state.borrow().waiters.get(at).map(Waiter::asked);
+        while self.has_free_slot(now) {
+            let next = self
+                .queue
+                .state
+                .borrow()
+                .waiters
+                .get(at)
+                .map(|w| w.asked(now + needed));
             let ask = match next {
                 Some(Some(ask)) => ask,
                 Some(None) => {
@@ -197,6 +206,14 @@
         }
     }
 
+    /// Whether any upstream could take a request now.
+    fn has_free_slot(&self, now: Millis) -> bool {
+        self.upstreams
+            .borrow()
+            .values()
+            .any(|u| u.has_free_slot(now))
+    }
+
     fn remove_waiter(&self, at: usize) -> Waiter {
         self.queue.state.borrow_mut().waiters.remove(at)
     }
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -16,9 +16,10 @@
 use crate::suspects::Verdict;
 use crate::upstream::UpstreamKey;
 
-const LATENCY_HEDGE_QUANTILE: f64 = 0.95;
-const COVERAGE_HEDGE_QUANTILE: f64 = 0.98;
+/// Sub-requests that take longer than this share of them are hedged.
+pub(crate) const HEDGE_QUANTILE: f64 = 0.95;
 const MIN_HEDGE_DELAY: Millis = Millis(3);
+const HEDGE_RETRY: Millis = Millis(3);
 const LATENCY_ATTEMPTS: usize = 3;
 const COVERAGE_ATTEMPTS: usize = 6;
 const RETRY_PAUSE: Millis = Millis(20);
@@ -191,8 +192,10 @@
                     return Err(Failure::unknown(Reason::Timeout));
                 }
                 Either::Right(_) => {
-                    hedge_at = None;
-                    running.extend(self.hedge());
+                    let hedge = self.hedge();
+                    // Without a free slot or a token it is tried again soon.
+                    hedge_at = hedge.is_none().then(|| Millis::now() + HEDGE_RETRY);
+                    running.extend(hedge);
                     continue;
                 }
             };
@@ -249,11 +252,7 @@
     }
 
     fn hedge_delay(&self) -> Millis {
-        let quantile = match self.topology.service.objective {
-            Objective::Latency => LATENCY_HEDGE_QUANTILE,
-            Objective::Coverage => COVERAGE_HEDGE_QUANTILE,
-        };
-        let learned = self.pool.latency.borrow().quantile(quantile);
+        let learned = self.pool.latency.borrow().quantile(HEDGE_QUANTILE);
         let left = self.call.deadline.since(Millis::now());
         let unlearned = Millis(left.0 / 4);
         learned.unwrap_or(unlearned).max(MIN_HEDGE_DELAY)
--- a/components/upstreams/src/view.rs
+++ b/components/upstreams/src/view.rs
@@ -5,6 +5,7 @@
 
 use crate::health::{Health, Tier};
 use crate::pool::Pool;
+use crate::search::HEDGE_QUANTILE;
 
 /// The state of one service's pool.
 #[derive(Debug, Serialize)]
@@ -15,6 +16,8 @@
     pub queue: usize,
     /// Moving average of the latency of sub-requests, in milliseconds.
     pub mean_ms: f64,
+    /// Time after which a sub-request is hedged, once it is learned.
+    pub hedge_ms: Option<Millis>,
     /// Hedges that may be sent now.
     pub hedge_tokens: f64,
     /// Retries that may be sent now.
@@ -67,6 +70,7 @@
             service: self.topology().service.name.clone(),
             queue: self.queue.len(),
             mean_ms: self.latency.borrow().mean_ms(),
+            hedge_ms: self.latency.borrow().quantile(HEDGE_QUANTILE),
             hedge_tokens: self.hedges.tokens(),
             retry_tokens: self.retries.tokens(),
             upstreams: upstreams.collect(),
--- a/standins/src/bench.rs
+++ b/standins/src/bench.rs
@@ -3,6 +3,7 @@
 
 mod fault;
 mod measure;
+pub mod scale;
 mod scenario;
 
 use std::error::Error;
@@ -21,6 +22,8 @@
     pub scenario: String,
     /// Seed of service times and arrivals; each round adds one.
     pub seed: u64,
+    /// Only variants whose names contain this.
+    pub only: String,
     /// Rounds of each variant.
     pub rounds: u64,
     /// Length of the load in each round, in seconds.
@@ -33,13 +36,14 @@
 ///
 /// Fails if the scenario is not known or the examples can't be read.
 pub async fn run(options: &Options, examples: &Path) -> Result<Vec<Value>, Box<dyn Error>> {
-    let scenario = find(&options.scenario).ok_or_else(|| {
+    let mut scenario = find(&options.scenario).ok_or_else(|| {
         format!(
             "no scenario `{}`; there are: {}",
             options.scenario,
             SCENARIOS.join(", ")
         )
     })?;
+    scenario.variants.retain(|v| v.name.contains(&options.only));
     let binaries = Binaries::find();
     let mut rounds: Vec<Vec<Value>> = vec![Vec::new(); scenario.variants.len()];
     for round in 0..options.rounds {
@@ -47,6 +51,10 @@
             let seed = options.seed + round;
             let measured =
                 measure::run(&binaries, variant, examples, seed, options.seconds).await?;
+            eprintln!(
+                "round {round} of {}: p99 {} ms",
+                variant.name, measured["p99"]
+            );
             rounds[i].push(measured);
         }
     }
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -58,6 +58,9 @@
         /// Seed of service times and arrivals.
         #[arg(long, default_value_t = 1)]
         seed: u64,
+        /// Only variants whose names contain this.
+        #[arg(long, default_value = "")]
+        only: String,
         /// Rounds of each variant.
         #[arg(long, default_value_t = 3)]
         rounds: u64,
@@ -68,6 +71,8 @@
         #[arg(long, default_value = "examples")]
         examples: std::path::PathBuf,
     },
+    /// What control costs as daemons and upstreams grow.
+    Scale,
     /// An open-loop load of searches.
     Load {
         /// A daemon's interface for callers; may be repeated.
@@ -119,6 +124,7 @@
         Command::Bench {
             scenario,
             seed,
+            only,
             rounds,
             seconds,
             examples,
@@ -126,11 +132,16 @@
             let options = bench::Options {
                 scenario,
                 seed,
+                only,
                 rounds,
                 seconds,
             };
             bench::run(&options, &examples).await.map(|_| ())
         }
+        Command::Scale => {
+            bench::scale::run().await;
+            Ok(())
+        }
         Command::Load {
             callers,
             service,
