Say truly what ran beside the parts, and plan on the confirmed revision

Ruled out: marking every part of such a batch as unknown, which would hide that later answers cover it.

Change: Merge counts what ran beside its parts; the revision is confirmed first, the search is planned on it, and its answer names the planned revision. The flow of one search moved from root.rs to search.rs. catalog::merge serves plan and apply, which had it twice. Verdicts of claims are an enum in the schema; fields that nothing used are gone. News of members is bounded to 16 records in a message.

--- a/components/catalog/src/commit.rs
+++ b/components/catalog/src/commit.rs
@@ -142,7 +142,7 @@
         }
         let catalog = self.load(head, &Catalog::default()).await?;
         let old = catalog.declarations();
-        let new = merge(&old, proposal);
+        let new = merge(&old, proposal.declarations, proposal.prune);
         if let Err(report) = new.validate_with(&settings::Pass::Errors) {
             let lines = report.iter().map(|(path, e)| format!("{path}: {e}"));
             return Ok(Outcome::Invalid(lines.collect()));
@@ -258,11 +258,13 @@
     }
 }
 
-fn merge(old: &Declarations, proposal: &Proposal<'_>) -> Declarations {
-    let new = &proposal.declarations.services;
-    let is_kept = |s: &&Service| !proposal.prune && !new.iter().any(|n| n.name == s.name);
+/// Returns what the declarations are once `new` is applied to `old`.
+///
+/// Services that `new` does not name stay, unless `prune` is set.
+pub fn merge(old: &Declarations, new: &Declarations, prune: bool) -> Declarations {
+    let is_kept = |s: &&Service| !prune && !new.services.iter().any(|n| n.name == s.name);
     let mut services: Vec<Service> = old.services.iter().filter(is_kept).cloned().collect();
-    services.extend(new.iter().cloned());
+    services.extend(new.services.iter().cloned());
     services.sort_by(|a, b| a.name.cmp(&b.name));
     Declarations { services }
 }
--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -12,7 +12,7 @@
 mod topology;
 
 pub use change::{MAX_COMMIT_LINES, changes_between};
-pub use commit::{Outcome, Proposal, Repository};
+pub use commit::{Outcome, Proposal, Repository, merge};
 pub use declaration::{Declarations, Objective, Service, Shard, Upstream, parse, render};
 pub use error::{Error, Result};
 pub use group::{GROUP_UPSTREAMS, Group};
--- a/components/daemon/src/operator.rs
+++ b/components/daemon/src/operator.rs
@@ -129,7 +129,7 @@
         .await
         .map_err(unavailable)?;
     let old = current.declarations();
-    let new = merged(&old, declarations, request.prune);
+    let new = catalog::merge(&old, &declarations, request.prune);
     Ok(PlanReply {
         base_revision: current.revision(),
         changes: changes_between(&old, &new),
@@ -137,14 +137,6 @@
     })
 }
 
-/// Returns what the declarations would be after an apply.
-fn merged(old: &Declarations, new: Declarations, prune: bool) -> Declarations {
-    let is_kept = |s: &&catalog::Service| !prune && !new.services.iter().any(|n| n.name == s.name);
-    let mut services: Vec<_> = old.services.iter().filter(is_kept).cloned().collect();
-    services.extend(new.services);
-    Declarations { services }
-}
-
 fn unavailable(error: catalog::Error) -> Status {
     Status::unavailable(error.to_string())
 }
--- a/components/daemon/src/peers.rs
+++ b/components/daemon/src/peers.rs
@@ -38,10 +38,7 @@
             .catalog()
             .bundle_above(request.get_ref().above_revision);
         let catalog = serde_json::to_vec(&bundle).map_err(|e| Status::internal(e.to_string()))?;
-        Ok(Response::new(FetchCatalogReply {
-            found: true,
-            catalog,
-        }))
+        Ok(Response::new(FetchCatalogReply { catalog }))
     }
 
     async fn survey(&self, request: Request<SurveyRequest>) -> Reply<SurveyReply> {
--- a/components/members/src/table.rs
+++ b/components/members/src/table.rs
@@ -12,7 +12,7 @@
 const DEAD_TO_FORGOTTEN: Millis = Millis(30_000);
 // News is repeated for this long, so that it reaches every daemon.
 const NEWS_AGE: Millis = Millis(10_000);
-const NEWS_LENGTH: usize = 64;
+const NEWS_LENGTH: usize = 16;
 const MEMBER_LIMIT: usize = 4_096;
 
 /// What a merge changed.
--- a/components/query/src/booking.rs
+++ b/components/query/src/booking.rs
@@ -68,7 +68,7 @@
     }
 
     async fn book_until(&self, request: &BookRequest, started: Millis) -> Result<BookingAnswer> {
-        let topology = self.find_service(&request.service)?;
+        let (_, topology) = self.find_service(&request.service).await?;
         let service = &topology.service;
         if !service.bookings {
             let detail = format!("service `{}` takes no bookings", request.service);
@@ -79,7 +79,6 @@
         let _in_flight = self.admit(&topology)?;
         let fingerprint = fingerprint(&request.service, &request.body);
         self.check_quarantine(fingerprint)?;
-        self.gate.pass().await?;
         let booking = Booking {
             root: self,
             request,
@@ -148,7 +147,6 @@
             nonce: claim.nonce.clone(),
             claimer: me,
             budget_ms: left.0,
-            release: false,
         };
         let mut client = root.members.client(writer.address);
         // Half of the time is left for the direct claim.
--- a/components/query/src/lib.rs
+++ b/components/query/src/lib.rs
@@ -10,6 +10,7 @@
 mod refusal;
 mod root;
 mod scatter;
+mod search;
 mod serve;
 mod views;
 mod waits;
--- a/components/query/src/merge.rs
+++ b/components/query/src/merge.rs
@@ -17,6 +17,8 @@
     version: Version,
     parts: BTreeMap<String, Option<Box<RawValue>>>,
     failures: BTreeMap<String, Failure>,
+    // What ran beside the parts: calls that were given up, earlier rounds.
+    beside: Ran,
 }
 
 impl Merge {
@@ -29,6 +31,7 @@
             version: version.clone(),
             parts,
             failures: BTreeMap::new(),
+            beside: Ran::No,
         }
     }
 
@@ -95,6 +98,11 @@
             .any(|f| f.reason == Reason::SnapshotNotHeld)
     }
 
+    /// Notes what may have run without leaving a part here.
+    pub fn note_beside(&mut self, ran: Ran) {
+        self.beside = self.beside.max(ran);
+    }
+
     /// Whether any part of the search was executed, as far as is known.
     pub fn ran(&self) -> Ran {
         let failed = self
@@ -104,7 +112,7 @@
             .max()
             .unwrap_or(Ran::No);
         match self.covered_count() {
-            0 => failed,
+            0 => failed.max(self.beside),
             _ => Ran::Yes,
         }
     }
--- a/components/query/src/root.rs
+++ b/components/query/src/root.rs
@@ -11,26 +11,19 @@
 use ledger::Ledger;
 use members::{Member, Members};
 use telemetry::names;
-use upstreams::{Failure, Pools, Reason, Verdict, spread};
-use uuid::Uuid;
+use upstreams::{Failure, Pools, Reason, Verdict};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::answer::SearchAnswer;
-use crate::merge::Merge;
 use crate::outcomes::Outcomes;
 use crate::owner::{LocalOwner, Owner, RemoteOwner};
-use crate::plan::{Version, choose_version};
 use crate::refusal::{Kind, Refusal, Result};
-use crate::scatter::{Scatter, view_key};
 use crate::serve::Server;
 use crate::views::Views;
-use crate::waits::{Waits, is_too_long};
+use crate::waits::Waits;
 
 const CONCURRENCY_RETRY: Millis = Millis(50);
-const NO_SNAPSHOT_RETRY: Millis = Millis(500);
-// A search that lacks its snapshot starts again only with this much time.
-const MIN_TIME_FOR_ROUND: Millis = Millis(10);
-const ROUNDS: usize = 2;
+const UNREADY_RETRY: Millis = Millis(500);
 
 /// Decides whether this daemon may take new work.
 #[async_trait(?Send)]
@@ -145,7 +138,7 @@
     /// The refusal tells whether any part of the search ran.
     pub async fn search(&self, request: &SearchRequest) -> Result<SearchAnswer> {
         let started = Millis::now();
-        let result = self.search_until(request, started).await;
+        let result = self.run_search(request, started).await;
         let service = request.service.clone();
         match &result {
             Ok(answer) => {
@@ -166,93 +159,20 @@
         result
     }
 
-    async fn search_until(&self, request: &SearchRequest, started: Millis) -> Result<SearchAnswer> {
-        let topology = self.find_service(&request.service)?;
-        let service = &topology.service;
-        let deadline = started + request.budget.unwrap_or(service.deadline_ms);
-        let asked = asked_shards(&topology, request)?;
-        let _in_flight = self.admit(&topology)?;
-        let fingerprint = fingerprint(&request.service, &request.body);
-        self.check_quarantine(fingerprint)?;
-        self.gate.pass().await?;
-        let request_id = Uuid::new_v4().simple().to_string();
-        let groups = asked_groups(&topology, &asked);
-        self.check_wait(&topology, &groups, deadline - started)?;
-        self.refresh_views(&topology, &groups, deadline).await;
-        let mut tried: Vec<u64> = Vec::new();
-        let mut best: Option<(Version, Merge)> = None;
-        while let Some(version) = self.choose(&topology, &groups, &asked, &tried) {
-            let body = request.body.clone();
-            let search = Scatter {
-                root: self,
-                topology: &topology,
-                request_id: &request_id,
-                version: &version,
-            };
-            let merge = search.run(&asked, body, fingerprint, deadline).await;
-            let is_last = tried.len() + 1 >= ROUNDS || !merge.lacks_snapshot();
-            tried.push(version.snapshot);
-            let is_better = best
-                .as_ref()
-                .is_none_or(|(_, old)| merge.covered_count() > old.covered_count());
-            if is_better {
-                best = Some((version, merge));
-            }
-            if is_last || Millis::now() + MIN_TIME_FOR_ROUND >= deadline {
-                break;
-            }
+    /// Finds a service in the revision in force once that is confirmed; also
+    /// returns the revision.
+    pub(crate) async fn find_service(&self, name: &str) -> Result<(u64, Rc<Topology>)> {
+        if self.catalog().revision() > 0 {
+            self.gate.pass().await?;
         }
-        let Some((version, merge)) = best else {
-            return Err(no_snapshot(&request.service));
-        };
-        self.answer(request, &topology, version, merge, asked.len())
-    }
-
-    fn answer(
-        &self,
-        request: &SearchRequest,
-        topology: &Topology,
-        version: Version,
-        merge: Merge,
-        asked: usize,
-    ) -> Result<SearchAnswer> {
-        let needed = (asked * usize::from(topology.service.coverage_percent))
-            .div_ceil(100)
-            .max(1);
-        let covered_count = merge.covered_count();
-        let main = merge.main_failure();
-        if covered_count < needed || (covered_count < asked && main.reason == Reason::Quarantined) {
-            let mut refusal = Refusal::from_failure(&main, Kind::CoverageTooLow);
-            if refusal.kind == Kind::CoverageTooLow {
-                refusal.detail = format!(
-                    "{covered_count} of {asked} shards covered, {needed} needed; {}",
-                    refusal.detail
-                );
-            }
-            return Err(refusal);
-        }
-        let (covered, missing, rows) = merge.finish();
-        Ok(SearchAnswer {
-            request_id: request.request_id.clone(),
-            service: request.service.clone(),
-            revision: self.catalog().revision(),
-            partitioning: version.partitioning,
-            snapshot: version.snapshot,
-            complete: missing.is_empty(),
-            covered,
-            missing,
-            rows,
-        })
-    }
-
-    pub(crate) fn find_service(&self, name: &str) -> Result<Rc<Topology>> {
         let catalog = self.catalog();
         if catalog.revision() == 0 {
             let detail = "no configuration is in force on this daemon yet";
-            return Err(Refusal::not_run(Kind::Unready, detail, NO_SNAPSHOT_RETRY));
+            return Err(Refusal::not_run(Kind::Unready, detail, UNREADY_RETRY));
         }
         let found = catalog.services.get(name).cloned();
-        found.ok_or_else(|| {
+        let revision = catalog.revision();
+        found.map(|topology| (revision, topology)).ok_or_else(|| {
             Refusal::invalid(
                 Kind::UnknownService,
                 format!("service `{name}` is not declared"),
@@ -280,23 +200,6 @@
         Ok(InFlight(count))
     }
 
-    /// Refuses a search whose owners told a wait that is too long.
-    fn check_wait(&self, topology: &Topology, groups: &[usize], budget: Millis) -> Result<()> {
-        let keys: Vec<String> = groups.iter().map(|&g| view_key(topology, g)).collect();
-        let wait = self.waits.longest(&keys, Millis::now());
-        match is_too_long(wait, budget) {
-            false => Ok(()),
-            true => {
-                let detail = format!("sub-requests wait {wait} for a slot");
-                Err(Refusal::not_run(
-                    Kind::Overloaded,
-                    detail,
-                    spread(wait.0 as f64),
-                ))
-            }
-        }
-    }
-
     pub(crate) fn check_quarantine(&self, fingerprint: u64) -> Result<()> {
         match self
             .pools
@@ -358,52 +261,6 @@
             }),
         }
     }
-
-    fn choose(
-        &self,
-        topology: &Topology,
-        groups: &[usize],
-        asked: &[String],
-        tried: &[u64],
-    ) -> Option<Version> {
-        let keys: Vec<String> = groups.iter().map(|&g| view_key(topology, g)).collect();
-        let holdings = self.views.holdings(&keys, Millis::now());
-        choose_version(&topology.service.partitioning, asked, &holdings, tried)
-    }
-}
-
-/// Returns the groups of the asked shards, each once.
-fn asked_groups(topology: &Topology, asked: &[String]) -> Vec<usize> {
-    let shards = asked.iter().filter_map(|s| topology.find_shard(s));
-    let mut groups: Vec<usize> = shards.map(|s| topology.group_of[s]).collect();
-    groups.sort_unstable();
-    groups.dedup();
-    groups
-}
-
-/// Returns the asked shards, each once and in the order of the shard map.
-fn asked_shards(topology: &Topology, request: &SearchRequest) -> Result<Vec<String>> {
-    let all = topology.service.shards.iter().map(|s| s.name.clone());
-    let Some(asked) = &request.shards else {
-        return Ok(all.collect());
-    };
-    if let Some(unknown) = asked.iter().find(|s| topology.find_shard(s).is_none()) {
-        let detail = format!("service `{}` has no shard `{unknown}`", request.service);
-        return Err(Refusal::invalid(Kind::BadRequest, detail));
-    }
-    let list: Vec<String> = all.filter(|s| asked.contains(s)).collect();
-    match list.is_empty() {
-        true => Err(Refusal::invalid(
-            Kind::BadRequest,
-            "`shards` names no shard",
-        )),
-        false => Ok(list),
-    }
-}
-
-fn no_snapshot(service: &str) -> Refusal {
-    let detail = format!("no snapshot of service `{service}` is known to be held");
-    Refusal::not_run(Kind::CoverageTooLow, detail, NO_SNAPSHOT_RETRY)
 }
 
 /// Digest of what a caller sent, the same for a request that is sent again.
--- a/components/query/src/scatter.rs
+++ b/components/query/src/scatter.rs
@@ -59,7 +59,8 @@
         let mut timer = Box::pin(compio::time::sleep(left.into()));
         loop {
             match select(running.next(), timer).await {
-                Either::Left((Some((batch, reply)), rest)) => {
+                Either::Left((Some((batch, ran, reply)), rest)) => {
+                    merge.note_beside(ran);
                     self.take(&mut merge, &batch, reply);
                     timer = rest;
                 }
@@ -99,14 +100,15 @@
         by_owner.into_values().collect()
     }
 
-    /// Sends a batch to its owner, or to the next one if it is gone.
+    /// Sends a batch to its owner, or to the next one if it is gone; tells
+    /// whether an owner that was given up may have run it.
     async fn send(
         &self,
         batch: Batch,
         body: Bytes,
         fingerprint: u64,
         deadline: Millis,
-    ) -> (Batch, Result<ScatterReply, Failure>) {
+    ) -> (Batch, Ran, Result<ScatterReply, Failure>) {
         let mut ran = Ran::No;
         for member in batch.owners.iter() {
             let budget = deadline.since(Millis::now() + HOP_MARGIN);
@@ -125,7 +127,7 @@
                 fingerprint,
             };
             match self.call(member, request, budget + HOP_MARGIN).await {
-                Ok(reply) => return (batch, Ok(reply)),
+                Ok(reply) => return (batch, ran, Ok(reply)),
                 Err(PeerError::Unsent) => {}
                 Err(PeerError::Lost) => ran = Ran::Unknown,
             }
@@ -134,7 +136,7 @@
             ran,
             ..Failure::not_run(Reason::OwnerUnreachable)
         };
-        (batch, Err(failure))
+        (batch, ran, Err(failure))
     }
 
     /// Calls an owner and gives it up once it misses a heartbeat.
--- /dev/null
+++ b/components/query/src/search.rs
@@ -0,0 +1,208 @@
+//! One search at the root: planned on one revision, run at one snapshot, and
+//! answered.
+
+use std::rc::Rc;
+
+use catalog::Topology;
+use clock::Millis;
+use upstreams::{Reason, spread};
+use uuid::Uuid;
+
+use crate::answer::SearchAnswer;
+use crate::merge::Merge;
+use crate::plan::{Version, choose_version};
+use crate::refusal::{Kind, Refusal, Result};
+use crate::root::{Root, SearchRequest, fingerprint};
+use crate::scatter::{Scatter, view_key};
+use crate::waits::is_too_long;
+
+const NO_SNAPSHOT_RETRY: Millis = Millis(500);
+// A search that lacks its snapshot starts again only with this much time.
+const MIN_TIME_FOR_ROUND: Millis = Millis(10);
+const ROUNDS: usize = 2;
+
+/// A search with its plan.
+struct Search<'a> {
+    root: &'a Root,
+    request: &'a SearchRequest,
+    revision: u64,
+    topology: Rc<Topology>,
+    asked: Vec<String>,
+    groups: Vec<usize>,
+    deadline: Millis,
+}
+
+impl Root {
+    /// Plans and runs a search that arrived at `started`.
+    pub(crate) async fn run_search(
+        &self,
+        request: &SearchRequest,
+        started: Millis,
+    ) -> Result<SearchAnswer> {
+        let (revision, topology) = self.find_service(&request.service).await?;
+        let deadline = started + request.budget.unwrap_or(topology.service.deadline_ms);
+        let asked = asked_shards(&topology, request)?;
+        let groups = asked_groups(&topology, &asked);
+        let _in_flight = self.admit(&topology)?;
+        let search = Search {
+            root: self,
+            request,
+            revision,
+            topology,
+            asked,
+            groups,
+            deadline,
+        };
+        search.run(deadline - started).await
+    }
+}
+
+impl Search<'_> {
+    async fn run(&self, budget: Millis) -> Result<SearchAnswer> {
+        let fingerprint = fingerprint(&self.request.service, &self.request.body);
+        self.root.check_quarantine(fingerprint)?;
+        self.check_wait(budget)?;
+        self.root
+            .refresh_views(&self.topology, &self.groups, self.deadline)
+            .await;
+        let (version, merge) = self.run_rounds(fingerprint).await?;
+        self.answer(version, merge)
+    }
+
+    /// Refuses a search whose owners told a wait that is too long.
+    fn check_wait(&self, budget: Millis) -> Result<()> {
+        let wait = self.root.waits.longest(&self.keys(), Millis::now());
+        if !is_too_long(wait, budget) {
+            return Ok(());
+        }
+        let detail = format!("sub-requests wait {wait} for a slot");
+        Err(Refusal::not_run(
+            Kind::Overloaded,
+            detail,
+            spread(wait.0 as f64),
+        ))
+    }
+
+    fn keys(&self) -> Vec<String> {
+        self.groups
+            .iter()
+            .map(|&g| view_key(&self.topology, g))
+            .collect()
+    }
+
+    /// Runs the search, and once more at another snapshot if shards lack the
+    /// first one. Parts of two rounds are never merged.
+    async fn run_rounds(&self, fingerprint: u64) -> Result<(Version, Merge)> {
+        let request_id = Uuid::new_v4().simple().to_string();
+        let mut tried: Vec<u64> = Vec::new();
+        let mut best: Option<(Version, Merge)> = None;
+        while let Some(version) = self.choose(&tried) {
+            let scatter = Scatter {
+                root: self.root,
+                topology: &self.topology,
+                request_id: &request_id,
+                version: &version,
+            };
+            let body = self.request.body.clone();
+            let merge = scatter
+                .run(&self.asked, body, fingerprint, self.deadline)
+                .await;
+            tried.push(version.snapshot);
+            let is_last = tried.len() >= ROUNDS || !merge.lacks_snapshot();
+            best = Some(better(best, version, merge));
+            if is_last || Millis::now() + MIN_TIME_FOR_ROUND >= self.deadline {
+                break;
+            }
+        }
+        best.ok_or_else(|| no_snapshot(&self.request.service))
+    }
+
+    fn choose(&self, tried: &[u64]) -> Option<Version> {
+        let holdings = self.root.views.holdings(&self.keys(), Millis::now());
+        choose_version(
+            &self.topology.service.partitioning,
+            &self.asked,
+            &holdings,
+            tried,
+        )
+    }
+
+    /// Answers with what is covered, or refuses if that is too little.
+    fn answer(&self, version: Version, merge: Merge) -> Result<SearchAnswer> {
+        let asked = self.asked.len();
+        let percent = usize::from(self.topology.service.coverage_percent);
+        let needed = (asked * percent).div_ceil(100).max(1);
+        let covered_count = merge.covered_count();
+        let main = merge.main_failure();
+        if covered_count < needed || (covered_count < asked && main.reason == Reason::Quarantined) {
+            let mut refusal = Refusal::from_failure(&main, Kind::CoverageTooLow);
+            if refusal.kind == Kind::CoverageTooLow {
+                let counts = format!("{covered_count} of {asked} shards covered, {needed} needed");
+                refusal.detail = format!("{counts}; {}", refusal.detail);
+            }
+            return Err(refusal);
+        }
+        let (covered, missing, rows) = merge.finish();
+        Ok(SearchAnswer {
+            request_id: self.request.request_id.clone(),
+            service: self.request.service.clone(),
+            revision: self.revision,
+            partitioning: version.partitioning,
+            snapshot: version.snapshot,
+            complete: missing.is_empty(),
+            covered,
+            missing,
+            rows,
+        })
+    }
+}
+
+/// Keeps the round that covers more, and that anything ran in either.
+fn better(old: Option<(Version, Merge)>, version: Version, merge: Merge) -> (Version, Merge) {
+    let Some(old) = old else {
+        return (version, merge);
+    };
+    let new = (version, merge);
+    let is_new_better = new.1.covered_count() > old.1.covered_count();
+    let (mut kept, other) = if is_new_better {
+        (new, old)
+    } else {
+        (old, new)
+    };
+    kept.1.note_beside(other.1.ran());
+    kept
+}
+
+/// Returns the groups of the asked shards, each once.
+fn asked_groups(topology: &Topology, asked: &[String]) -> Vec<usize> {
+    let shards = asked.iter().filter_map(|s| topology.find_shard(s));
+    let mut groups: Vec<usize> = shards.map(|s| topology.group_of[s]).collect();
+    groups.sort_unstable();
+    groups.dedup();
+    groups
+}
+
+/// Returns the asked shards, each once and in the order of the shard map.
+fn asked_shards(topology: &Topology, request: &SearchRequest) -> Result<Vec<String>> {
+    let all = topology.service.shards.iter().map(|s| s.name.clone());
+    let Some(asked) = &request.shards else {
+        return Ok(all.collect());
+    };
+    if let Some(unknown) = asked.iter().find(|s| topology.find_shard(s).is_none()) {
+        let detail = format!("service `{}` has no shard `{unknown}`", request.service);
+        return Err(Refusal::invalid(Kind::BadRequest, detail));
+    }
+    let list: Vec<String> = all.filter(|s| asked.contains(s)).collect();
+    match list.is_empty() {
+        true => Err(Refusal::invalid(
+            Kind::BadRequest,
+            "`shards` names no shard",
+        )),
+        false => Ok(list),
+    }
+}
+
+fn no_snapshot(service: &str) -> Refusal {
+    let detail = format!("no snapshot of service `{service}` is known to be held");
+    Refusal::not_run(Kind::CoverageTooLow, detail, NO_SNAPSHOT_RETRY)
+}
--- a/components/query/src/serve.rs
+++ b/components/query/src/serve.rs
@@ -6,6 +6,7 @@
 use catalog::Topology;
 use clock::Millis;
 use ledger::{Key, Ledger, Request, Verdict};
+use schema::claim_reply::Verdict as Code;
 use schema::{
     ClaimReply, ClaimRequest, DispatchReply, DispatchRequest, OutcomeReply, OutcomeRequest, Part,
     ScatterReply, ScatterRequest, SurveyReply, SurveyRequest,
@@ -128,7 +129,7 @@
             claimer: request.claimer,
             retention,
             deadline: Millis::now() + Millis(request.budget_ms),
-            release: request.release,
+            release: false,
         };
         claim_reply(self.ledger.submit(request).await)
     }
@@ -211,33 +212,36 @@
 }
 
 fn claim_reply(verdict: Verdict) -> ClaimReply {
-    let (code, claimer) = match verdict {
-        Verdict::Claimed => (1, String::new()),
-        Verdict::Duplicate { claimer } => (2, claimer),
-        Verdict::TooOld => (3, String::new()),
-        Verdict::Future => (4, String::new()),
-        Verdict::Full => (5, String::new()),
-        Verdict::Released => (6, String::new()),
-        Verdict::Unavailable => (0, String::new()),
+    let code = match &verdict {
+        Verdict::Claimed => Code::Claimed,
+        Verdict::Duplicate { .. } => Code::Duplicate,
+        Verdict::TooOld => Code::TooOld,
+        Verdict::Future => Code::Future,
+        Verdict::Full => Code::Full,
+        Verdict::Released => Code::Released,
+        Verdict::Unavailable => Code::Unavailable,
+    };
+    let claimer = match verdict {
+        Verdict::Duplicate { claimer } => claimer,
+        _ => String::new(),
     };
     ClaimReply {
-        verdict: code,
+        verdict: code.into(),
         claimer,
-        detail: String::new(),
     }
 }
 
 /// Reads the verdict of a peer's reply.
 pub(crate) fn verdict(reply: ClaimReply) -> Verdict {
-    match reply.verdict {
-        1 => Verdict::Claimed,
-        2 => Verdict::Duplicate {
+    match reply.verdict() {
+        Code::Claimed => Verdict::Claimed,
+        Code::Duplicate => Verdict::Duplicate {
             claimer: reply.claimer,
         },
-        3 => Verdict::TooOld,
-        4 => Verdict::Future,
-        5 => Verdict::Full,
-        6 => Verdict::Released,
-        _ => Verdict::Unavailable,
+        Code::TooOld => Verdict::TooOld,
+        Code::Future => Verdict::Future,
+        Code::Full => Verdict::Full,
+        Code::Released => Verdict::Released,
+        Code::Unavailable => Verdict::Unavailable,
     }
 }
--- a/components/query/tests/plan.rs
+++ b/components/query/tests/plan.rs
@@ -67,3 +67,26 @@
     assert_eq!(missing.len(), 2 - covered);
     assert_eq!(rows.len(), covered);
 }
+
+/// A search that was given up at one owner, or in one round, may have run
+/// there, whatever its parts say.
+#[rstest]
+#[case::nothing_ran(Ran::No, Ran::No)]
+#[case::a_lost_call(Ran::Unknown, Ran::Unknown)]
+#[case::an_earlier_round(Ran::Yes, Ran::Yes)]
+fn what_ran_beside_the_parts_counts(#[case] beside: Ran, #[case] expected: Ran) {
+    let version = Version {
+        partitioning: "p".to_owned(),
+        snapshot: 1,
+    };
+    let mut merge = Merge::new("r", &version, &names(&["a"]));
+    merge.add(Part {
+        covered: false,
+        reason: "overloaded".to_owned(),
+        ran: Ran::No.into(),
+        ..part("a")
+    });
+    merge.note_beside(beside);
+    assert_eq!(merge.ran(), expected);
+    assert_eq!(merge.main_failure().ran, expected);
+}
