--- a/components/daemon/src/operator.rs
+++ b/components/daemon/src/operator.rs
@@ -240,7 +240,7 @@
     if let Ok((_, head)) = daemon.sync.repository.read_head().await {
         let _ = daemon.sync.install_head(head).await;
     }
-    daemon.members.nudge();
+    daemon.members.beat_now();
 }
 
 async fn status(daemon: &Daemon) -> StatusReply {
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -147,8 +147,8 @@
         sync: sync.clone(),
         shared: shared.clone(),
     }));
-    let nudged = members.clone();
-    *shared.news.borrow_mut() = Some(Rc::new(move || nudged.nudge()));
+    let sender = members.clone();
+    *shared.news.borrow_mut() = Some(Rc::new(move || sender.beat_now()));
     let owner = root.clone();
     *shared.owns.borrow_mut() = Some(Rc::new(move |topology, group| {
         owner.is_owner(topology, group)
--- a/components/daemon/src/sync.rs
+++ b/components/daemon/src/sync.rs
@@ -86,7 +86,7 @@
             listener(&catalog);
         }
         metrics::gauge!(names::REVISION).set(catalog.revision() as f64);
-        self.members.nudge();
+        self.members.beat_now();
         info!(self.log, "revision in force"; "revision" => catalog.revision(), "services" => catalog.services.len());
     }
 
--- a/components/members/src/heartbeat.rs
+++ b/components/members/src/heartbeat.rs
@@ -257,7 +257,7 @@
     }
 
     /// Sends heartbeats now, because there is news that can't wait.
-    pub fn nudge(self: &Rc<Self>) {
+    pub fn beat_now(self: &Rc<Self>) {
         for peer in self.targets() {
             let members = self.clone();
             compio::runtime::spawn(async move { members.exchange(&peer).await }).detach();
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -147,7 +147,7 @@
                 .health
                 .borrow_mut()
                 .note_not_held(&call.partitioning, call.snapshot);
-            upstream.kick_probe();
+            upstream.request_poll();
         }
         Err(f) if f.ran == Ran::Unknown => upstream.health.borrow_mut().note_failure(now),
         Err(_) => {}
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -142,7 +142,7 @@
         self.upstreams
             .borrow()
             .values()
-            .for_each(|u| u.kick_probe());
+            .for_each(|u| u.request_poll());
     }
 
     /// Brings the upstreams in line with a topology; those that stay keep
--- a/components/upstreams/src/probe.rs
+++ b/components/upstreams/src/probe.rs
@@ -16,7 +16,7 @@
 
 const INTERVAL_MS: std::ops::Range<u64> = 800..1_200;
 // Polls that are asked for are at least this far apart.
-const KICKED_PAUSE_MS: std::ops::Range<u64> = 20..40;
+const POLL_GAP_MS: std::ops::Range<u64> = 20..40;
 const FIRST_PAUSE_MS: std::ops::Range<u64> = 0..50;
 const TIMEOUT: Millis = Millis(1_000);
 const REPORT_LIMIT_BYTES: usize = 64 * 1024;
@@ -37,10 +37,10 @@
             upstream.cool_down();
         }
         drop(pool);
-        pause(KICKED_PAUSE_MS).await;
-        let kicked = std::pin::pin!(upstream.kicked());
+        pause(POLL_GAP_MS).await;
+        let requested = std::pin::pin!(upstream.poll_requested());
         let due = std::pin::pin!(pause(INTERVAL_MS));
-        select(kicked, due).await;
+        select(requested, due).await;
     }
 }
 
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -38,7 +38,7 @@
     /// Whether a request that may crash upstreams runs here.
     pub(crate) has_suspect: Cell<bool>,
     pub(crate) last_used: Cell<Millis>,
-    kick: RefCell<Option<oneshot::Sender<()>>>,
+    poll_request: RefCell<Option<oneshot::Sender<()>>>,
 }
 
 /// A connection that counts towards its upstream's limit while it is open.
@@ -85,7 +85,7 @@
             latency: RefCell::default(),
             has_suspect: Cell::new(false),
             last_used: Cell::new(Millis::ZERO),
-            kick: RefCell::default(),
+            poll_request: RefCell::default(),
         }
     }
 
@@ -156,16 +156,16 @@
     }
 
     /// Asks for a poll of health now.
-    pub(crate) fn kick_probe(&self) {
-        if let Some(kick) = self.kick.borrow_mut().take() {
-            let _ = kick.send(());
+    pub(crate) fn request_poll(&self) {
+        if let Some(request) = self.poll_request.borrow_mut().take() {
+            let _ = request.send(());
         }
     }
 
     /// Completes when a poll is asked for.
-    pub(crate) fn kicked(&self) -> oneshot::Receiver<()> {
+    pub(crate) fn poll_requested(&self) -> oneshot::Receiver<()> {
         let (sender, receiver) = oneshot::channel();
-        *self.kick.borrow_mut() = Some(sender);
+        *self.poll_request.borrow_mut() = Some(sender);
         receiver
     }
 
