Start test fleets of one service in one way

Change: Plan::of in the stand-ins' fleet; fast_fleet in tests/crossing.rs. No assertion, bound or fault changed.

Ruled out: merging the tests themselves, since each causes another fault.

Left as seen: the service between daemons names a verdict RELEASED that it no longer sends, and an owner works out its wait a second time for each reply.

--- a/standins/src/fleet/plan.rs
+++ b/standins/src/fleet/plan.rs
@@ -126,6 +126,14 @@
 }
 
 impl Plan {
+    /// The default sizes with one service.
+    pub fn of(service: ServicePlan) -> Self {
+        Self {
+            services: vec![service],
+            ..Self::default()
+        }
+    }
+
     pub(crate) fn upstream_names(&self) -> Vec<(String, String)> {
         let names = |s: &ServicePlan| {
             (0..s.upstreams)
--- a/tests/booking.rs
+++ b/tests/booking.rs
@@ -16,14 +16,7 @@
     service.behaviour.service_ms = service_ms;
     service.service.retention_ms = retention;
     service.service.deadline_ms = Millis(3_000);
-    Fleet::ready(
-        &Binaries::find(),
-        Plan {
-            services: vec![service],
-            ..Plan::default()
-        },
-    )
-    .await
+    Fleet::ready(&Binaries::find(), Plan::of(service)).await
 }
 
 const RETENTION: Millis = Millis(300_000);
@@ -320,14 +313,7 @@
     service.behaviour.slots = 50;
     service.service.slots = 50;
     service.service.connections = 200;
-    let fleet = Fleet::ready(
-        &Binaries::find(),
-        Plan {
-            services: vec![service],
-            ..Plan::default()
-        },
-    )
-    .await;
+    let fleet = Fleet::ready(&Binaries::find(), Plan::of(service)).await;
     let clients: Vec<_> = (0..3).map(|d| fleet.client(d)).collect();
     let before = fleet.store_stats().await["swaps"].as_u64().unwrap();
     let started = Millis::now();
--- a/tests/coverage.rs
+++ b/tests/coverage.rs
@@ -106,10 +106,7 @@
 #[case(Fault::OwnerFrozen, &[], SHARDS)]
 fn coverage_is_true_under_faults(#[case] fault: Fault, #[case] gone: &[&str], #[case] left: usize) {
     compio::runtime::Runtime::new().unwrap().block_on(async {
-        let plan = Plan {
-            services: vec![ServicePlan::new("jobs", SHARDS)],
-            ..Plan::default()
-        };
+        let plan = Plan::of(ServicePlan::new("jobs", SHARDS));
         let mut fleet = Fleet::ready(&Binaries::find(), plan).await;
         let is_over = Rc::new(Cell::new(false));
         let answers = Answers::default();
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -33,14 +33,7 @@
 async fn a_request_to_one_shard_crashes_two_upstreams_at_most() {
     let mut service = ServicePlan::new("jobs", 6);
     service.replicas = 3;
-    let mut fleet = Fleet::ready(
-        &Binaries::find(),
-        Plan {
-            services: vec![service],
-            ..Plan::default()
-        },
-    )
-    .await;
+    let mut fleet = Fleet::ready(&Binaries::find(), Plan::of(service)).await;
     let is_over = Rc::new(Cell::new(false));
     let refused = Rc::new(RefCell::new(Vec::new()));
     let innocents: Vec<_> = (0..INNOCENTS)
@@ -93,10 +86,7 @@
 /// again crashes nothing more.
 #[compio::test]
 async fn a_wide_request_crashes_nothing_when_it_is_sent_again() {
-    let plan = Plan {
-        services: vec![ServicePlan::new("jobs", 12)],
-        ..Plan::default()
-    };
+    let plan = Plan::of(ServicePlan::new("jobs", 12));
     let mut fleet = Fleet::ready(&Binaries::find(), plan).await;
     let first = send_marked(&fleet, 0, &Value::Null).await;
     let wave = crashed(&mut fleet);
--- a/tests/crossing.rs
+++ b/tests/crossing.rs
@@ -20,6 +20,14 @@
     }
 }
 
+/// Six fast upstreams with room for the whole flood in their queue.
+async fn fast_fleet() -> Fleet {
+    let mut service = ServicePlan::new("jobs", 6);
+    service.behaviour.service_ms = 1.0;
+    service.service.queue = 4_096;
+    Fleet::ready(&Binaries::find(), Plan::of(service)).await
+}
+
 /// Sends many searches at a time and checks each answer against its own
 /// question; returns how many had rows.
 async fn flood(fleet: &Fleet) -> usize {
@@ -41,17 +49,7 @@
 
 #[compio::test]
 async fn crossed_answers_reach_nobody() {
-    let mut service = ServicePlan::new("jobs", 6);
-    service.behaviour.service_ms = 1.0;
-    service.service.queue = 4_096;
-    let fleet = Fleet::ready(
-        &Binaries::find(),
-        Plan {
-            services: vec![service],
-            ..Plan::default()
-        },
-    )
-    .await;
+    let fleet = fast_fleet().await;
     fleet.control("jobs-1", json!({ "mode": "crossed" })).await;
     let answered = flood(&fleet).await;
     println!("{answered} of {REQUESTS} answered");
@@ -128,17 +126,7 @@
 
 #[compio::test]
 async fn answers_that_come_twice_reach_nobody() {
-    let mut service = ServicePlan::new("jobs", 6);
-    service.behaviour.service_ms = 1.0;
-    service.service.queue = 4_096;
-    let fleet = Fleet::ready(
-        &Binaries::find(),
-        Plan {
-            services: vec![service],
-            ..Plan::default()
-        },
-    )
-    .await;
+    let fleet = fast_fleet().await;
     let mut declared = fleet.declarations.clone();
     declared.services[0].upstreams[0].address = start_twice().await;
     let reply = fleet.apply(0, &declared, "twice").await;
--- a/tests/golden.rs
+++ b/tests/golden.rs
@@ -64,14 +64,7 @@
 async fn refusal() {
     let mut service = ServicePlan::new("jobs", 3);
     service.service.coverage_percent = 100;
-    let mut fleet = Fleet::ready(
-        &Binaries::find(),
-        Plan {
-            services: vec![service],
-            ..Plan::default()
-        },
-    )
-    .await;
+    let mut fleet = Fleet::ready(&Binaries::find(), Plan::of(service)).await;
     for name in ["jobs-1", "jobs-2", "jobs-3"] {
         fleet.upstream_process(name).kill();
     }
--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -77,14 +77,7 @@
         let mut service = ServicePlan::new("jobs", 3);
         service.behaviour.service_ms = 10.0;
         service.service.coverage_percent = 100;
-        let mut fleet = Fleet::ready(
-            &Binaries::find(),
-            Plan {
-                services: vec![service],
-                ..Plan::default()
-            },
-        )
-        .await;
+        let mut fleet = Fleet::ready(&Binaries::find(), Plan::of(service)).await;
         cause(&mut fleet, trouble).await;
         let all = (0..REQUESTS).map(|n| send(&fleet, n, n % 4 == 0));
         let answers = join_all(all).await;
--- a/tests/snapshot.rs
+++ b/tests/snapshot.rs
@@ -43,10 +43,7 @@
 
 #[compio::test]
 async fn answers_never_mix_snapshots_or_shard_maps() {
-    let plan = Plan {
-        services: vec![ServicePlan::new("jobs", 6)],
-        ..Plan::default()
-    };
+    let plan = Plan::of(ServicePlan::new("jobs", 6));
     let fleet = Fleet::ready(&Binaries::find(), plan).await;
     let is_over = Rc::new(Cell::new(false));
     let answers = Rc::new(RefCell::new(Vec::new()));
