Count crashes per request, and quarantine no innocent request

The answer comes at once when the second crash convicts the request, while the rest of its first wave is still running; the test took the difference for crashes of the resends. Ruled out: a resend that reached an upstream.

A trace showed the search running on jobs-3 and jobs-2 when the crashing request, first on jobs-3, was retried on jobs-2 beside it: two strikes. Ruled out: hedges (attempt 0 on both). A request is now a suspect as soon as an upstream dies under it, also if its own connection is seen dead later, and no suspect starts beside a running one; a suspect is cleared only by a run that began as one; peers hear of the clearing; and deaths in one failure domain, with other suspects running there, convict nobody, so that the loss of a rack does not quarantine the searches that ran in it.

--- a/components/query/src/merge.rs
+++ b/components/query/src/merge.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
+use clock::Millis;
 use schema::Part;
 use serde_json::value::RawValue;
 use telemetry::names;
@@ -19,6 +20,7 @@
     failures: BTreeMap<String, Failure>,
     // What ran beside the parts: calls that were given up, earlier rounds.
     beside: Ran,
+    retry_after: Millis,
 }
 
 impl Merge {
@@ -32,6 +34,7 @@
             parts,
             failures: BTreeMap::new(),
             beside: Ran::No,
+            retry_after: Millis::ZERO,
         }
     }
 
@@ -103,6 +106,11 @@
         self.beside = self.beside.max(ran);
     }
 
+    /// Notes when an owner says that failed sub-requests may come back.
+    pub fn note_retry_after(&mut self, retry_after: Millis) {
+        self.retry_after = self.retry_after.max(retry_after);
+    }
+
     /// Whether any part of the search was executed, as far as is known.
     pub fn ran(&self) -> Ran {
         let failed = self
@@ -130,7 +138,8 @@
             .values()
             .map(|f| f.retry_after)
             .max()
-            .unwrap_or_default();
+            .unwrap_or_default()
+            .max(self.retry_after);
         let main = main.unwrap_or_else(|| Failure::unknown(Reason::Timeout));
         Failure {
             ran: self.ran(),
--- a/components/query/src/scatter.rs
+++ b/components/query/src/scatter.rs
@@ -183,6 +183,7 @@
         }
         self.learn(&batch.groups, reply.holdings);
         reply.parts.into_iter().for_each(|part| merge.add(part));
+        merge.note_retry_after(Millis(reply.retry_after_ms));
         merge.fail_rest(&batch.shards, &Failure::unknown(Reason::Mismatch));
     }
 
--- a/components/query/src/serve.rs
+++ b/components/query/src/serve.rs
@@ -78,6 +78,7 @@
                 };
             }
         };
+        let retry_after = longest_retry(&results);
         let parts = shards
             .iter()
             .zip(results)
@@ -87,6 +88,7 @@
             holdings: holdings(&pool, &topology, &shards),
             wait_ms: pool.shard_wait(&topology, &shards).0,
             revision: topology.revision,
+            retry_after_ms: retry_after.0,
             ..ScatterReply::default()
         }
     }
@@ -162,6 +164,12 @@
     held.map(message).collect()
 }
 
+/// The latest time to come back of the failed sub-requests.
+fn longest_retry(results: &[upstreams::Result<Bytes>]) -> Millis {
+    let failed = results.iter().filter_map(|r| r.as_ref().err());
+    failed.map(|f| f.retry_after).max().unwrap_or_default()
+}
+
 fn refuse(failure: &Failure) -> ScatterReply {
     ScatterReply {
         refused: true,
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -8,6 +8,7 @@
 use crate::pool::Pool;
 use crate::queue::Slot;
 use crate::search::Call;
+use crate::suspects::Death;
 use crate::upstream::{LeaseError, Upstream};
 use crate::wire::{self, ANSWER_LIMIT_BYTES, Outgoing};
 
@@ -73,7 +74,7 @@
             // The idle connection had been closed by the upstream.
             return Err(Failure::not_run(Reason::NoReplica));
         }
-        Err(_) => return Err(note_death(pool, upstream, call)),
+        Err(_) => return Err(note_death(pool, upstream)),
     };
     if !outgoing.is_echoed(response.headers()) {
         metrics::counter!(names::MISMATCHES_TOTAL).increment(1);
@@ -83,20 +84,27 @@
     upstream.keep(lease);
     note_answer(pool, upstream, &response, started);
     let result = wire::outcome(response);
-    note_outcome(pool, upstream, call, &result, started);
+    note_outcome(pool, slot, call, &result, started);
     result
 }
 
-fn note_death(pool: &Pool, upstream: &Upstream, call: &Call) -> Failure {
+/// Strikes all that ran on the upstream, not only the request whose
+/// connection is the first to be seen dead: what is retried first must not run
+/// beside another suspect of the same crash.
+fn note_death(pool: &Pool, upstream: &Upstream) -> Failure {
     let now = Millis::now();
     upstream.health.borrow_mut().note_failure(now);
     upstream.cool_down();
-    if pool
-        .shared
-        .suspects
-        .strike(call.fingerprint, &upstream.id, now)
-    {
-        slog::warn!(pool.shared.log, "request quarantined"; "fingerprint" => call.fingerprint, "upstream" => &upstream.id);
+    for running in upstream.running.borrow().iter() {
+        let death = Death {
+            upstream: upstream.id.clone(),
+            domain: upstream.domain.clone(),
+            alone: running.is_suspect,
+            at: now,
+        };
+        if pool.shared.suspects.strike(running.fingerprint, death) {
+            slog::warn!(pool.shared.log, "request quarantined"; "fingerprint" => running.fingerprint, "upstream" => &upstream.id);
+        }
     }
     pool.shared.tell_news();
     Failure::unknown(Reason::ConnectionDied)
@@ -123,14 +131,9 @@
     }
 }
 
-fn note_outcome(
-    pool: &Pool,
-    upstream: &Upstream,
-    call: &Call,
-    result: &Result<Bytes>,
-    started: Millis,
-) {
+fn note_outcome(pool: &Pool, slot: &Slot, call: &Call, result: &Result<Bytes>, started: Millis) {
     let now = Millis::now();
+    let upstream = &slot.upstream;
     match result {
         Ok(_) => {
             let ms = now.since(started).0 as f64;
@@ -140,7 +143,9 @@
                 .health
                 .borrow_mut()
                 .note_success(upstream.slots.get(), now);
-            pool.shared.suspects.clear(call.fingerprint, now);
+            if slot.running.is_suspect {
+                pool.shared.suspects.clear(call.fingerprint, now);
+            }
         }
         Err(f) if f.reason == Reason::SnapshotNotHeld => {
             upstream
--- a/components/upstreams/src/batch.rs
+++ b/components/upstreams/src/batch.rs
@@ -50,13 +50,29 @@
         }
         // Dropping the rest cancels what a quarantined request still runs.
         drop(running);
-        let cancelled = || Err(Failure::unknown(Reason::Quarantined));
+        let cancelled = || Err(self.cancelled(call));
         Ok(results
             .into_iter()
             .map(|r| r.unwrap_or_else(cancelled))
             .collect())
     }
 
+    /// Why a sub-request of a quarantined request was cut off.
+    fn cancelled(&self, call: &Call) -> Failure {
+        let verdict = self
+            .shared
+            .suspects
+            .verdict(call.fingerprint, Millis::now());
+        let retry_after = match verdict {
+            Verdict::Quarantined { expires_in } => expires_in,
+            Verdict::Clear | Verdict::Suspect => Millis::ZERO,
+        };
+        Failure {
+            retry_after,
+            ..Failure::unknown(Reason::Quarantined)
+        }
+    }
+
     fn admit(&self, topology: &Topology, call: &Call, shards: &[usize]) -> Result<()> {
         let now = Millis::now();
         if let Verdict::Quarantined { expires_in } =
--- a/components/upstreams/src/dispatch.rs
+++ b/components/upstreams/src/dispatch.rs
@@ -55,21 +55,17 @@
             .shared
             .suspects
             .verdict(call.fingerprint, Millis::now());
-        let suspect = match verdict {
-            Verdict::Clear => None,
-            Verdict::Suspect => Some(call.fingerprint),
-            Verdict::Quarantined { expires_in } => {
-                return Err(Failure {
-                    reason: Reason::Quarantined,
-                    ran: Ran::No,
-                    retry_after: expires_in,
-                });
-            }
-        };
-        Ok(Ask {
-            candidates: candidates.to_vec(),
-            deadline: call.deadline,
-            suspect,
-        })
+        match verdict {
+            Verdict::Quarantined { expires_in } => Err(Failure {
+                reason: Reason::Quarantined,
+                ran: Ran::No,
+                retry_after: expires_in,
+            }),
+            Verdict::Clear | Verdict::Suspect => Ok(Ask {
+                candidates: candidates.to_vec(),
+                deadline: call.deadline,
+                fingerprint: call.fingerprint,
+            }),
+        }
     }
 }
--- a/components/upstreams/src/lib.rs
+++ b/components/upstreams/src/lib.rs
@@ -27,6 +27,6 @@
 pub use pool::{Holding, OwnsGroup, Pool, Pools, Shared};
 pub use queue::{Refusal, Slot};
 pub use search::{Call, Rows};
-pub use suspects::{Suspects, Verdict};
+pub use suspects::{Death, Suspects, Verdict};
 pub use upstream::{Upstream, UpstreamKey};
 pub use view::{PoolView, UpstreamView};
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -158,7 +158,7 @@
         let is_kept = |u: &Upstream| {
             declared
                 .get(u.name.as_str())
-                .is_some_and(|d| d.address == u.address)
+                .is_some_and(|d| d.address == u.address && d.domain == u.domain)
         };
         let gone: Vec<(UpstreamKey, String)> = {
             let upstreams = self.upstreams.borrow();
@@ -189,7 +189,7 @@
         if let Some(&key) = self.names.borrow().get(&declared.name) {
             return key;
         }
-        let upstream = Rc::new(Upstream::new(service, &declared.name, declared.address));
+        let upstream = Rc::new(Upstream::new(service, declared));
         let key = self.upstreams.borrow_mut().insert(upstream.clone());
         self.names.borrow_mut().insert(declared.name.clone(), key);
         let probe = compio::runtime::spawn(probe::run(Rc::downgrade(self), upstream));
--- a/components/upstreams/src/queue.rs
+++ b/components/upstreams/src/queue.rs
@@ -10,7 +10,8 @@
 
 use crate::health::Tier;
 use crate::pool::Pool;
-use crate::upstream::{Upstream, UpstreamKey};
+use crate::suspects::Verdict;
+use crate::upstream::{Running, Upstream, UpstreamKey};
 
 /// Why no slot was granted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,20 +29,25 @@
     pool: Rc<Pool>,
     pub(crate) key: UpstreamKey,
     pub(crate) upstream: Rc<Upstream>,
-    suspect: Option<u64>,
+    pub(crate) running: Running,
+}
+
+impl Slot {
+    fn remove_running(&self) {
+        let mut all = self.upstream.running.borrow_mut();
+        if let Some(at) = all.iter().position(|r| *r == self.running) {
+            all.swap_remove(at);
+        }
+    }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         self.upstream.busy.set(self.upstream.busy.get() - 1);
-        if let Some(fingerprint) = self.suspect {
-            self.upstream.has_suspect.set(false);
-            self.pool
-                .queue
-                .state
-                .borrow_mut()
-                .suspects
-                .remove(&fingerprint);
+        self.remove_running();
+        if self.running.is_suspect {
+            let mut state = self.pool.queue.state.borrow_mut();
+            state.suspects.remove(&self.running.fingerprint);
         }
         self.pool.clone().pump();
     }
@@ -52,9 +58,8 @@
 pub(crate) struct Ask {
     pub(crate) candidates: Vec<UpstreamKey>,
     pub(crate) deadline: Millis,
-    /// Fingerprint of a request that may crash upstreams; it runs on one
-    /// upstream at a time, and not beside another such request.
-    pub(crate) suspect: Option<u64>,
+    /// Fingerprint of the request.
+    pub(crate) fingerprint: u64,
 }
 
 struct Waiter {
@@ -115,30 +120,36 @@
 
     /// Takes a slot on the best candidate if one is free.
     pub(crate) fn try_acquire(self: &Rc<Self>, ask: &Ask, now: Millis) -> Option<Slot> {
-        let key = self.best_free(ask, now)?;
+        // It may have become a suspect while it waited.
+        let running = Running {
+            fingerprint: ask.fingerprint,
+            is_suspect: self.is_suspect(ask.fingerprint, now),
+        };
+        let key = self.best_free(ask, running, now)?;
         let upstream = self.find(key)?;
         upstream.busy.set(upstream.busy.get() + 1);
         upstream.last_used.set(now);
-        if let Some(fingerprint) = ask.suspect {
-            upstream.has_suspect.set(true);
-            self.queue.state.borrow_mut().suspects.insert(fingerprint);
+        upstream.running.borrow_mut().push(running);
+        if running.is_suspect {
+            let mut state = self.queue.state.borrow_mut();
+            state.suspects.insert(running.fingerprint);
         }
         Some(Slot {
             pool: self.clone(),
             key,
             upstream,
-            suspect: ask.suspect,
+            running,
         })
     }
 
     /// Finds the candidate of the best tier with the shortest expected wait
     /// among those with a free slot. A worse tier is used only if no
-    /// candidate of a better one takes work at all.
-    fn best_free(&self, ask: &Ask, now: Millis) -> Option<UpstreamKey> {
-        if ask
-            .suspect
-            .is_some_and(|f| self.queue.state.borrow().suspects.contains(&f))
-        {
+    /// candidate of a better one takes work at all. A suspect runs on one
+    /// upstream at a time, and not beside another one.
+    fn best_free(&self, ask: &Ask, asker: Running, now: Millis) -> Option<UpstreamKey> {
+        let is_suspect = asker.is_suspect;
+        let suspects = &self.queue.state.borrow().suspects;
+        if is_suspect && suspects.contains(&asker.fingerprint) {
             return None;
         }
         let candidates: Vec<(UpstreamKey, Rc<Upstream>, Tier)> = ask
@@ -153,7 +164,7 @@
             .collect();
         let best = candidates.iter().map(|(_, _, tier)| *tier).min()?;
         let is_free =
-            |u: &Upstream| u.has_free_slot(now) && !(ask.suspect.is_some() && u.has_suspect.get());
+            |u: &Upstream| u.has_free_slot(now) && !(is_suspect && self.runs_suspect(u, now));
         let mut rng = rand::rng();
         candidates
             .iter()
@@ -163,6 +174,16 @@
             .map(|(_, _, k)| k)
     }
 
+    /// Whether a request that is a suspect by now runs on an upstream.
+    fn runs_suspect(&self, upstream: &Upstream, now: Millis) -> bool {
+        let running = upstream.running.borrow();
+        running.iter().any(|r| self.is_suspect(r.fingerprint, now))
+    }
+
+    fn is_suspect(&self, fingerprint: u64, now: Millis) -> bool {
+        self.shared.suspects.verdict(fingerprint, now) != Verdict::Clear
+    }
+
     fn enqueue(&self, ask: Ask) -> oneshot::Receiver<Slot> {
         let (grant, receiver) = oneshot::channel();
         let mut state = self.queue.state.borrow_mut();
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -145,11 +145,10 @@
     }
 
     fn ask(&self) -> Ask {
-        let suspect = (self.verdict() == Verdict::Suspect).then_some(self.call.fingerprint);
         Ask {
             candidates: self.candidates(),
             deadline: self.call.deadline,
-            suspect,
+            fingerprint: self.call.fingerprint,
         }
     }
 
--- a/components/upstreams/src/suspects.rs
+++ b/components/upstreams/src/suspects.rs
@@ -21,7 +21,7 @@
 pub enum Verdict {
     /// No upstream crashed while it ran.
     Clear,
-    /// One upstream crashed while it ran.
+    /// Upstreams crashed while it ran, perhaps for another reason.
     Suspect,
     /// Several upstreams crashed while it ran; it is refused.
     Quarantined {
@@ -30,12 +30,64 @@
     },
 }
 
+/// The death of a connection to an upstream while a request ran there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Death {
+    /// `service/upstream`.
+    pub upstream: String,
+    /// Failure domain of the upstream.
+    pub domain: String,
+    /// Whether no other suspect ran there.
+    pub alone: bool,
+    /// When it was noticed.
+    pub at: Millis,
+}
+
 #[derive(Debug, Default)]
 struct Entry {
-    strikes: Vec<(String, Millis)>,
+    deaths: Vec<Death>,
     cleared: Option<Millis>,
 }
 
+impl Entry {
+    fn valid(&self, now: Millis) -> impl Iterator<Item = &Death> {
+        self.deaths
+            .iter()
+            .filter(move |d| now.since(d.at) < STRIKE_LIFE)
+    }
+
+    fn messages(&self, fingerprint: u64, now: Millis) -> Vec<Strike> {
+        let cleared = self
+            .cleared
+            .filter(|at| now.since(*at) < STRIKE_LIFE)
+            .map(|at| Strike {
+                fingerprint,
+                age_ms: now.since(at).0,
+                cleared: true,
+                ..Strike::default()
+            });
+        let deaths = self.valid(now).map(|death| Strike {
+            fingerprint,
+            upstream: death.upstream.clone(),
+            age_ms: now.since(death.at).0,
+            domain: death.domain.clone(),
+            alone: death.alone,
+            cleared: false,
+        });
+        cleared.into_iter().chain(deaths).collect()
+    }
+
+    /// Whether the request, and not the loss of one failure domain, explains
+    /// the deaths.
+    fn is_convicted(&self, now: Millis) -> bool {
+        let Some(first) = self.valid(now).next() else {
+            return false;
+        };
+        let is_telling = |d: &Death| d.alone || d.domain != first.domain;
+        self.valid(now).count() >= STRIKES_TO_QUARANTINE && self.valid(now).any(is_telling)
+    }
+}
+
 /// A bounded table of strikes by request fingerprint.
 #[derive(Debug, Default)]
 pub struct Suspects {
@@ -44,34 +96,39 @@
 }
 
 impl Suspects {
-    /// Notes that `upstream` crashed while the request ran there.
+    /// Notes that an upstream crashed while the request ran there.
     ///
     /// Returns `true` if that quarantines the request.
-    pub fn strike(&self, fingerprint: u64, upstream: &str, now: Millis) -> bool {
+    pub fn strike(&self, fingerprint: u64, death: Death) -> bool {
+        let now = death.at;
         let was = self.verdict(fingerprint, now);
-        self.add(fingerprint, upstream, now, now);
+        self.add(fingerprint, death, now);
         let is = self.verdict(fingerprint, now);
         was != is && matches!(is, Verdict::Quarantined { .. })
     }
 
-    fn add(&self, fingerprint: u64, upstream: &str, at: Millis, now: Millis) {
+    fn add(&self, fingerprint: u64, death: Death, now: Millis) {
         let mut entries = self.entries.borrow_mut();
         if entries.len() >= ENTRY_LIMIT {
-            entries.retain(|_, e| e.strikes.iter().any(|(_, at)| now.since(*at) < STRIKE_LIFE));
+            entries.retain(|_, e| e.valid(now).next().is_some());
         }
         if entries.len() >= ENTRY_LIMIT && !entries.contains_key(&fingerprint) {
             return;
         }
         let entry = entries.entry(fingerprint).or_default();
-        let is_cleared = entry.cleared.is_some_and(|cleared| at <= cleared);
-        if is_cleared || entry.strikes.len() >= STRIKES_KEPT {
+        let is_cleared = entry.cleared.is_some_and(|cleared| death.at <= cleared);
+        if is_cleared || entry.deaths.len() >= STRIKES_KEPT {
             return;
         }
-        match entry.strikes.iter_mut().find(|(name, _)| name == upstream) {
-            Some(strike) => strike.1 = strike.1.max(at),
-            None => entry.strikes.push((upstream.to_owned(), at)),
+        let mut known = entry.deaths.iter_mut();
+        match known.find(|d| d.upstream == death.upstream) {
+            Some(known) => {
+                known.at = known.at.max(death.at);
+                known.alone |= death.alone;
+            }
+            None => entry.deaths.push(death),
         }
-        if entry.strikes.len() >= STRIKES_TO_QUARANTINE {
+        if entry.is_convicted(now) {
             // Dropping the senders wakes the watchers.
             self.watchers.borrow_mut().remove(&fingerprint);
         }
@@ -83,28 +140,26 @@
         let Some(entry) = entries.get(&fingerprint) else {
             return Verdict::Clear;
         };
-        let valid = entry
-            .strikes
-            .iter()
-            .map(|(_, at)| now.since(*at))
-            .filter(|age| *age < STRIKE_LIFE);
-        let ages: Vec<Millis> = valid.collect();
-        match ages.iter().max() {
+        match entry.valid(now).map(|d| now.since(d.at)).max() {
             None => Verdict::Clear,
-            Some(oldest) if ages.len() >= STRIKES_TO_QUARANTINE => Verdict::Quarantined {
-                expires_in: STRIKE_LIFE - *oldest,
+            Some(oldest) if entry.is_convicted(now) => Verdict::Quarantined {
+                expires_in: STRIKE_LIFE - oldest,
             },
             Some(_) => Verdict::Suspect,
         }
     }
 
-    /// Notes that a suspect ran without a crash; a quarantine stays.
+    /// Notes that a suspect ran alone without a crash; a quarantine stays.
     pub fn clear(&self, fingerprint: u64, now: Millis) {
-        let is_suspect = self.verdict(fingerprint, now) == Verdict::Suspect;
+        self.clear_until(fingerprint, now, now);
+    }
+
+    fn clear_until(&self, fingerprint: u64, at: Millis, now: Millis) {
         let mut entries = self.entries.borrow_mut();
-        if let Some(entry) = entries.get_mut(&fingerprint).filter(|_| is_suspect) {
-            entry.strikes.clear();
-            entry.cleared = Some(now);
+        let entry = entries.get_mut(&fingerprint);
+        if let Some(entry) = entry.filter(|e| !e.is_convicted(now)) {
+            entry.deaths.retain(|d| d.at > at);
+            entry.cleared = entry.cleared.max(Some(at));
         }
     }
 
@@ -131,9 +186,20 @@
 
     /// Takes in a peer's strikes.
     pub fn absorb(&self, strikes: &[Strike], now: Millis) {
-        for strike in strikes {
-            let at = now.since(Millis(strike.age_ms));
-            self.add(strike.fingerprint, &strike.upstream, at, now);
+        let (clears, deaths): (Vec<&Strike>, Vec<&Strike>) =
+            strikes.iter().partition(|s| s.cleared);
+        for clear in clears {
+            let at = now.since(Millis(clear.age_ms));
+            self.clear_until(clear.fingerprint, at, now);
+        }
+        for strike in deaths {
+            let death = Death {
+                upstream: strike.upstream.clone(),
+                domain: strike.domain.clone(),
+                alone: strike.alone,
+                at: now.since(Millis(strike.age_ms)),
+            };
+            self.add(strike.fingerprint, death, now);
         }
     }
 
@@ -142,14 +208,7 @@
         let entries = self.entries.borrow();
         let mut list: Vec<Strike> = entries
             .iter()
-            .flat_map(|(fingerprint, e)| {
-                e.strikes.iter().map(|(upstream, at)| Strike {
-                    fingerprint: *fingerprint,
-                    upstream: upstream.clone(),
-                    age_ms: now.since(*at).0,
-                })
-            })
-            .filter(|s| s.age_ms < STRIKE_LIFE.0)
+            .flat_map(|(fingerprint, e)| e.messages(*fingerprint, now))
             .collect();
         list.sort_by_key(|s| s.age_ms);
         list.truncate(SENT_LIMIT);
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -27,6 +27,8 @@
     pub name: String,
     /// Address of its HTTP interface.
     pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
     pub(crate) slots: Cell<usize>,
     pub(crate) connections: Cell<usize>,
     pub(crate) is_drained: Cell<bool>,
@@ -35,12 +37,20 @@
     idle: RefCell<Vec<Lease>>,
     pub(crate) health: RefCell<Health>,
     pub(crate) latency: RefCell<Latency>,
-    /// Whether a request that may crash upstreams runs here.
-    pub(crate) has_suspect: Cell<bool>,
+    /// What runs here now.
+    pub(crate) running: RefCell<Vec<Running>>,
     pub(crate) last_used: Cell<Millis>,
     poll_request: RefCell<Option<oneshot::Sender<()>>>,
 }
 
+/// A request that holds a slot of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Running {
+    pub(crate) fingerprint: u64,
+    /// Whether it was suspected of crashing upstreams when it started.
+    pub(crate) is_suspect: bool,
+}
+
 /// A connection that counts towards its upstream's limit while it is open.
 pub(crate) struct Lease {
     pub(crate) conn: Connection,
@@ -70,11 +80,12 @@
 }
 
 impl Upstream {
-    pub(crate) fn new(service: &str, name: &str, address: SocketAddr) -> Self {
+    pub(crate) fn new(service: &str, declared: &catalog::Upstream) -> Self {
         Self {
-            id: format!("{service}/{name}"),
-            name: name.to_owned(),
-            address,
+            id: format!("{service}/{}", declared.name),
+            name: declared.name.clone(),
+            address: declared.address,
+            domain: declared.domain.clone(),
             slots: Cell::new(1),
             connections: Cell::new(1),
             is_drained: Cell::new(false),
@@ -83,7 +94,7 @@
             idle: RefCell::default(),
             health: RefCell::new(Health::new()),
             latency: RefCell::default(),
-            has_suspect: Cell::new(false),
+            running: RefCell::default(),
             last_used: Cell::new(Millis::ZERO),
             poll_request: RefCell::default(),
         }
--- a/standins/src/upstream/server.rs
+++ b/standins/src/upstream/server.rs
@@ -161,6 +161,8 @@
     work.record(execution.clone());
     if execution.body.contains(CRASH_MARK) {
         compio::time::sleep(CRASH_DELAY.into()).await;
+        // The record of executions is lost with the process; its log is not.
+        println!("{}", json!({ "crashed_by": execution.request_id }));
         std::process::abort();
     }
     if mode == Mode::Hanging {
