Let the sleeps of connections be polled after their end, and log panics

Cause: with more than 8 daemons and RUST_BACKTRACE=1 each daemon grew to 122 MB about 2 s after its start. A breakpoint on the unwinder showed a panic in the task of an HTTP/2 connection: hyper polls the sleep of its keep-alive again when a connection was idle at the end of the ping interval, and the timer that comes with the runtime's glue panics then (an async fn polled after its end). The task died with its connection, the peer opened another one, and the next interval did the same. The backtrace's symbols were the memory. Ruled out: a leak of connections or of errors that keep a backtrace.

Change: a timer of our own whose sleeps stay ended; a panic hook that logs a JSON line with place and text and counts coltsfootgw_panics_total; the test fleet fails any test in whose daemons' logs a task panicked.

Before: 122 MB a daemon at 14 daemons with RUST_BACKTRACE=1. Connections between daemons that were idle at a ping's time no longer die under the next call.

--- a/components/telemetry/src/log.rs
+++ b/components/telemetry/src/log.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use slog::{Drain, FnValue, Logger, PushFnValue, Record, o};
 
+use crate::metric::names;
+
 /// The least severe level that is written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -62,3 +64,14 @@
         o!("instance" => instance.to_owned()),
     )
 }
+
+/// Logs and counts panics from now on; the runtime goes on with other tasks.
+pub fn log_panics(log: &Logger) {
+    let log = log.clone();
+    std::panic::set_hook(Box::new(move |info| {
+        let place = info.location().map(ToString::to_string);
+        let detail = info.payload_as_str().unwrap_or_default();
+        metrics::counter!(names::PANICS_TOTAL).increment(1);
+        slog::error!(log, "task panicked"; "place" => place, "detail" => detail);
+    }));
+}
--- a/components/telemetry/src/metric.rs
+++ b/components/telemetry/src/metric.rs
@@ -38,6 +38,8 @@
     pub const QUEUE_LENGTH: &str = "coltsfootgw_queue_length";
     /// Requests that are quarantined because they crash upstreams.
     pub const QUARANTINED: &str = "coltsfootgw_quarantined";
+    /// Tasks that panicked.
+    pub const PANICS_TOTAL: &str = "coltsfootgw_panics_total";
     /// Bytes of control messages sent to peers.
     pub const CONTROL_BYTES_TOTAL: &str = "coltsfootgw_control_bytes_total";
 }
--- a/components/transport/src/channel.rs
+++ b/components/transport/src/channel.rs
@@ -9,7 +9,7 @@
 
 use clock::Millis;
 use compio::net::TcpStream;
-use cyper_core::{CompioExecutor, CompioTimer, HyperStream};
+use cyper_core::{CompioExecutor, HyperStream};
 use futures_util::lock::Mutex;
 use http::{Request, Response, Uri};
 use hyper::body::Incoming;
@@ -21,6 +21,7 @@
 
 use crate::error::{ConnectSnafu, Error, HandshakeSnafu, Result};
 use crate::local::Local;
+use crate::timer::RuntimeTimer;
 
 /// A client of the service between daemons.
 pub type PeerClient = schema::peer_client::PeerClient<Channel>;
@@ -90,7 +91,7 @@
     };
     stream.set_nodelay(true).context(ConnectSnafu { address })?;
     let (sender, conn) = Builder::new(CompioExecutor)
-        .timer(CompioTimer)
+        .timer(RuntimeTimer)
         .keep_alive_interval(Some(PING_INTERVAL.into()))
         .keep_alive_timeout(PING_TIMEOUT.into())
         .handshake(HyperStream::new_plain(stream))
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod local;
 mod server;
+mod timer;
 
 pub use channel::{Channel, PeerClient, operator_client, peer_client};
 pub use client::Client;
@@ -14,3 +15,4 @@
 pub use error::{Error, Result};
 pub use local::{Local, detached, local};
 pub use server::{Listener, ServerLimits, Shutdown, serve};
+pub use timer::RuntimeTimer;
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -8,7 +8,7 @@
 use axum::Router;
 use clock::Millis;
 use compio::net::{TcpListener, TcpSocket, TcpStream};
-use cyper_core::{CompioExecutor, CompioTimer, HyperStream};
+use cyper_core::{CompioExecutor, HyperStream};
 use futures_channel::oneshot;
 use futures_util::future::{Either, select};
 use hyper::body::Incoming;
@@ -17,6 +17,7 @@
 use tower_service::Service;
 
 use crate::error::{ListenSnafu, Result};
+use crate::timer::RuntimeTimer;
 
 // Connections that wait to be accepted; further ones are delayed by the kernel.
 const BACKLOG: i32 = 1_024;
@@ -177,12 +178,12 @@
     let mut builder = Builder::new(CompioExecutor);
     builder
         .http1()
-        .timer(CompioTimer)
+        .timer(RuntimeTimer)
         .header_read_timeout(Some(limits.header_timeout.into()))
         .max_buf_size(limits.header_bytes as usize);
     builder
         .http2()
-        .timer(CompioTimer)
+        .timer(RuntimeTimer)
         .max_header_list_size(limits.header_bytes)
         .max_concurrent_streams(limits.streams);
     let service = hyper::service::service_fn(move |request: hyper::Request<Incoming>| {
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -474,9 +474,18 @@
     dir
 }
 
+/// No task of a daemon may have panicked, whatever the test was about.
 impl Drop for Fleet {
     fn drop(&mut self) {
-        if !std::thread::panicking() && std::env::var_os("COLTSFOOTGW_KEEP_LOGS").is_none() {
+        if std::thread::panicking() {
+            return;
+        }
+        for daemon in &self.daemons {
+            let log = daemon.process.read_log();
+            let panicked = log.lines().find(|l| l.contains("task panicked"));
+            assert!(panicked.is_none(), "{}: {panicked:?}", daemon.name);
+        }
+        if std::env::var_os("COLTSFOOTGW_KEEP_LOGS").is_none() {
             let _ = std::fs::remove_dir_all(&self.dir);
         }
     }
