Let hedges wait in the queue, and give each stand-in its own stragglers

A trace of the slow sub-requests showed two things. - The stand-ins of one run all drew service times from the same seed, since the number added to it counts within a process and each process has one upstream. Replicas drew their stragglers at nearly the same time, and the hedge of a straggler was a straggler. - With 2 slots an upstream, a hedge that found no free slot asked again every 3 ms (2,668 times in one run of 4 s) and lost each freed slot to a waiter of the queue, although the straggler was the older request. Ruled out: the budget of hedges (no denial for want of tokens before the change) and ejections (none).

Change: the stand-in's seed takes its name in; a hedge that is due waits in the queue in deadline order, and spends its token when it gets the slot. Also new: coltsfootgw-standins graph draws the distributions as SVG.

--- a/components/upstreams/src/queue.rs
+++ b/components/upstreams/src/queue.rs
@@ -127,6 +127,14 @@
         }
     }
 
+    /// Whether more sub-requests wait than can run at a time; extra load
+    /// would then only delay what is needed.
+    pub(crate) fn is_overloaded(&self) -> bool {
+        let upstreams = self.upstreams.borrow();
+        let slots: usize = upstreams.values().map(|u| u.slots.get()).sum();
+        self.queue.len() > slots
+    }
+
     /// Takes a slot on the best candidate if one is free.
     pub(crate) fn try_acquire(self: &Rc<Self>, ask: &Ask, now: Millis) -> Option<Slot> {
         // It may have become a suspect while it waited.
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use catalog::{Objective, Topology};
 use clock::Millis;
-use futures_util::future::{Either, LocalBoxFuture, select};
+use futures_util::future::LocalBoxFuture;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use telemetry::names;
 
@@ -46,7 +46,15 @@
     pub body: Bytes,
 }
 
-type Attempt<'a> = LocalBoxFuture<'a, (UpstreamKey, Result<Rows>)>;
+/// What a race between attempts waits for.
+enum Step {
+    /// An attempt ended.
+    Finished(UpstreamKey, Result<Rows>),
+    /// There is a slot for a hedge.
+    Granted(Slot),
+    /// The deadline passed.
+    Late,
+}
 
 /// Runs one sub-request on a shard.
 pub(crate) struct ShardSearch<'a> {
@@ -176,38 +184,68 @@
 
     /// Runs an attempt and, if it takes long, a hedge beside it.
     async fn race(&mut self, slot: Slot) -> Result<Rows> {
-        let mut running: FuturesUnordered<Attempt<'a>> = FuturesUnordered::new();
-        running.push(self.start(slot));
-        let mut hedge_at = Some(Millis::now() + self.hedge_delay());
-        loop {
-            let now = Millis::now();
-            let wake = hedge_at
-                .unwrap_or(self.call.deadline)
-                .min(self.call.deadline);
-            let timer = std::pin::pin!(compio::time::sleep(wake.since(now).into()));
-            let finished = match select(running.next(), timer).await {
-                Either::Left((finished, _)) => finished,
-                Either::Right(_) if Millis::now() >= self.call.deadline => {
-                    return Err(Failure::unknown(Reason::Timeout));
-                }
-                Either::Right(_) => {
-                    let hedge = self.hedge();
-                    // Without a free slot or a token it is tried again soon.
-                    hedge_at = hedge.is_none().then(|| Millis::now() + HEDGE_RETRY);
-                    running.extend(hedge);
-                    continue;
-                }
-            };
-            match finished {
-                Some((_, Ok(rows))) => return Ok(rows),
-                Some((key, Err(failure))) if running.is_empty() => {
+        let mut steps: FuturesUnordered<LocalBoxFuture<'a, Step>> = FuturesUnordered::new();
+        let mut running = 1;
+        steps.push(self.start(slot));
+        steps.push(self.expire());
+        steps.extend(self.wait_to_hedge());
+        while let Some(step) = steps.next().await {
+            match step {
+                Step::Finished(_, Ok(rows)) => return Ok(rows),
+                Step::Finished(key, Err(failure)) if running == 1 => {
                     self.forgive(key, &failure);
                     return Err(failure);
                 }
-                Some((_, Err(failure))) => self.note(&failure),
-                None => return Err(self.last.clone()),
+                Step::Finished(_, Err(failure)) => {
+                    running -= 1;
+                    self.note(&failure);
+                }
+                Step::Granted(slot) if self.may_hedge() => {
+                    running += 1;
+                    metrics::counter!(names::HEDGES_TOTAL).increment(1);
+                    steps.push(self.start(slot));
+                }
+                Step::Granted(_) => {}
+                Step::Late => return Err(Failure::unknown(Reason::Timeout)),
             }
         }
+        Err(self.last.clone())
+    }
+
+    fn expire(&self) -> LocalBoxFuture<'a, Step> {
+        let left = self.call.deadline.since(Millis::now());
+        Box::pin(async move {
+            compio::time::sleep(left.into()).await;
+            Step::Late
+        })
+    }
+
+    /// Waits until a hedge is due, and then in the queue for a slot: the
+    /// oldest request gets the first free one, so that stragglers on all
+    /// slots don't keep each other from being hedged.
+    fn wait_to_hedge(&self) -> Option<LocalBoxFuture<'a, Step>> {
+        let ask = self.ask();
+        if ask.candidates.is_empty() {
+            return None;
+        }
+        let (pool, delay) = (self.pool, self.hedge_delay());
+        Some(Box::pin(async move {
+            compio::time::sleep(delay.into()).await;
+            loop {
+                let granted = match pool.is_overloaded() {
+                    true => None,
+                    false => pool.acquire(ask.clone()).await.ok(),
+                };
+                match granted {
+                    Some(slot) => return Step::Granted(slot),
+                    None => compio::time::sleep(HEDGE_RETRY.into()).await,
+                }
+            }
+        }))
+    }
+
+    fn may_hedge(&self) -> bool {
+        self.verdict() == Verdict::Clear && self.pool.hedges.spend()
     }
 
     /// A replica that did not see the request may be tried again.
@@ -222,34 +260,17 @@
         }
     }
 
-    fn start(&mut self, slot: Slot) -> Attempt<'a> {
+    fn start(&mut self, slot: Slot) -> LocalBoxFuture<'a, Step> {
         let (pool, call) = (self.pool, self.call);
         let shard = &self.topology.service.shards[self.shard].name;
         self.tried.push(slot.key);
         self.attempts += 1;
         Box::pin(async move {
             let result = attempt::run(&slot, pool, call, shard).await;
-            (slot.key, result)
+            Step::Finished(slot.key, result)
         })
     }
 
-    /// Starts a hedge if the budget and a free slot allow it.
-    fn hedge(&mut self) -> Option<Attempt<'a>> {
-        if self.verdict() != Verdict::Clear || !self.pool.hedges.spend() {
-            return None;
-        }
-        match self.pool.try_acquire(&self.ask(), Millis::now()) {
-            Some(slot) => {
-                metrics::counter!(names::HEDGES_TOTAL).increment(1);
-                Some(self.start(slot))
-            }
-            None => {
-                self.pool.hedges.refund();
-                None
-            }
-        }
-    }
-
     fn hedge_delay(&self) -> Millis {
         let learned = self.pool.latency.borrow().quantile(HEDGE_QUANTILE);
         let left = self.call.deadline.since(Millis::now());
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod demo;
 pub mod fleet;
+pub mod graph;
 pub mod instances;
 pub mod load;
 pub mod store;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use serde_json::json;
 use standins::upstream::{Behaviour, Options};
-use standins::{bench, demo, instances, load, store, upstream};
+use standins::{bench, demo, graph, instances, load, store, upstream};
 use transport::{Listener, ServerLimits, Shutdown, serve};
 
 #[derive(Debug, Parser)]
@@ -71,6 +71,15 @@
         #[arg(long, default_value = "examples")]
         examples: std::path::PathBuf,
     },
+    /// Draws the latency distributions of a bench.
+    Graph {
+        /// File with the lines that a bench printed.
+        #[arg(long)]
+        from: std::path::PathBuf,
+        /// SVG file to write.
+        #[arg(long)]
+        to: std::path::PathBuf,
+    },
     /// What control costs as daemons and upstreams grow.
     Scale,
     /// An open-loop load of searches.
@@ -138,6 +147,7 @@
             };
             bench::run(&options, &examples).await.map(|_| ())
         }
+        Command::Graph { from, to } => graph::draw(&from, &to),
         Command::Scale => {
             bench::scale::run().await;
             Ok(())
@@ -185,8 +195,7 @@
 async fn serve_upstreams(upstreams: &str, seed: u64) -> Result<(), Box<dyn std::error::Error>> {
     let declared: Vec<Declared> = serde_json::from_str(upstreams)?;
     let mut bound = Vec::new();
-    for (i, d) in declared.into_iter().enumerate() {
-        let seed = seed.wrapping_mul(1_000).wrapping_add(i as u64);
+    for d in declared {
         let options = Options {
             name: d.name,
             address: d.address,
--- a/standins/src/upstream/server.rs
+++ b/standins/src/upstream/server.rs
@@ -34,7 +34,7 @@
     pub address: SocketAddr,
     /// What it does at first.
     pub behaviour: Behaviour,
-    /// Seed of its service times.
+    /// Seed of its service times, together with its name.
     pub seed: u64,
 }
 
--- a/standins/src/upstream/work.rs
+++ b/standins/src/upstream/work.rs
@@ -8,6 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::control::Behaviour;
 
@@ -84,7 +85,11 @@
             previous: RefCell::default(),
             busy: Cell::new(0),
             waiting: RefCell::default(),
-            rng: RefCell::new(StdRng::seed_from_u64(seed)),
+            // Replicas must not draw the same stragglers at the same time.
+            rng: RefCell::new(StdRng::seed_from_u64(xxh3_64_with_seed(
+                name.as_bytes(),
+                seed,
+            ))),
         })
     }
 
