Eject a replica that loses to its hedges, and keep its slots

Cause: with one replica always 20 times slower the p99 was 3.8 times that without it (88 and 96 ms). The replica's attempts were cancelled when their hedges won after about 26 ms, below the 50 ms from which a cancelled attempt counted as slow; its late answers counted as good ones and ended its ejections. So it went on getting half of its shard's sub-requests. Ruled out: the budget of hedges (extra load stayed at 0.01).

Change: an attempt is slow beyond 1.4 times the 95th percentile and 5 ms, whether it was cancelled or answered; a slow answer is no way back from an ejection. Ejection for slowness keeps the slots, since the replica may be the last one; only failures reduce them.

--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -7,18 +7,18 @@
 use crate::failure::{Failure, Ran, Reason, Result};
 use crate::pool::Pool;
 use crate::queue::Slot;
-use crate::search::Call;
+use crate::search::{Call, HEDGE_QUANTILE};
 use crate::suspects::Death;
 use crate::upstream::{LeaseError, Upstream};
 use crate::wire::{self, ANSWER_LIMIT_BYTES, Outgoing};
 
-// An attempt that takes this many times the usual latency, and longer than
-// the margin, counts against the upstream.
-const SLOW_FACTOR: f64 = 4.0;
-const SLOW_MARGIN_MS: f64 = 10.0;
+// An attempt that takes this many times as long as nearly all others, and
+// longer than the margin, counts against the upstream.
+const SLOW_FACTOR: f64 = 1.4;
+const SLOW_MARGIN: Millis = Millis(5);
 
-/// An attempt that is running; dropping it cancels the request and notes an
-/// upstream that was far too slow.
+/// An attempt that is running; dropping it cancels the request, mostly since
+/// its hedge won, and notes an upstream that was far too slow.
 struct Running<'a> {
     pool: &'a Pool,
     upstream: &'a Upstream,
@@ -29,15 +29,21 @@
 impl Drop for Running<'_> {
     fn drop(&mut self) {
         let now = Millis::now();
-        let elapsed = now.since(self.started).0 as f64;
-        let usual = self.pool.latency.borrow().mean_ms();
-        let is_slow = elapsed > SLOW_FACTOR * usual + SLOW_MARGIN_MS;
-        if !self.is_finished && is_slow {
+        if !self.is_finished && is_slow(self.pool, now.since(self.started)) {
             self.upstream.health.borrow_mut().note_slow(now);
         }
     }
 }
 
+/// Whether an attempt took far longer than nearly all do; nothing is slow
+/// until enough answers are known.
+fn is_slow(pool: &Pool, elapsed: Millis) -> bool {
+    let usual = pool.latency.borrow().quantile(HEDGE_QUANTILE);
+    usual.is_some_and(|usual| {
+        elapsed > usual + SLOW_MARGIN && elapsed.0 as f64 > usual.0 as f64 * SLOW_FACTOR
+    })
+}
+
 /// Sends a call to the slot's upstream and checks the answer.
 pub(crate) async fn run(slot: &Slot, pool: &Pool, call: &Call, shard: &str) -> Result<Bytes> {
     let upstream = &slot.upstream;
@@ -136,13 +142,11 @@
     let upstream = &slot.upstream;
     match result {
         Ok(_) => {
-            let ms = now.since(started).0 as f64;
-            upstream.latency.borrow_mut().record(ms);
-            pool.latency.borrow_mut().record(ms);
-            upstream
-                .health
-                .borrow_mut()
-                .note_success(upstream.slots.get(), now);
+            let elapsed = now.since(started);
+            let mut health = upstream.health.borrow_mut();
+            health.note_success(upstream.slots.get(), is_slow(pool, elapsed), now);
+            upstream.latency.borrow_mut().record(elapsed.0 as f64);
+            pool.latency.borrow_mut().record(elapsed.0 as f64);
             if slot.running.is_suspect {
                 pool.shared.suspects.clear(call.fingerprint, now);
             }
--- a/components/upstreams/src/health.rs
+++ b/components/upstreams/src/health.rs
@@ -55,14 +55,15 @@
     pub(crate) fn tier(&self, now: Millis) -> Tier {
         match () {
             () if now < self.ejected_until => Tier::Ejected,
-            () if self.is_failing() || self.is_reported_bad(now) => Tier::Poor,
+            () if self.is_failing() || self.ejections > 0 => Tier::Poor,
+            () if self.is_reported_bad(now) => Tier::Poor,
             () => Tier::Good,
         }
     }
 
     /// Whether the last requests failed.
     pub(crate) fn is_failing(&self) -> bool {
-        self.failures > 0 || self.ejections > 0
+        self.failures > 0
     }
 
     fn is_reported_bad(&self, now: Millis) -> bool {
@@ -71,23 +72,29 @@
         self.reported == ReportedState::Failing && !is_refuted
     }
 
-    /// Notes an answer; the only way back from an ejection.
-    pub(crate) fn note_success(&mut self, slots: usize, now: Millis) {
+    /// Notes an answer; one that was not slow is the only way back from an
+    /// ejection.
+    pub(crate) fn note_success(&mut self, slots: usize, is_slow: bool, now: Millis) {
         self.last_success = now;
         self.failures = 0;
+        self.ramp = (self.ramp + 1).min(slots);
+        if is_slow {
+            return self.note_slow(now);
+        }
         self.slow = 0;
         self.ejections = 0;
         self.ejected_until = Millis::ZERO;
-        self.ramp = (self.ramp + 1).min(slots);
     }
 
     /// Notes a request that failed while it ran.
     pub(crate) fn note_failure(&mut self, now: Millis) {
         self.failures += 1;
+        self.ramp = 1;
         self.eject(now);
     }
 
-    /// Notes a request that was abandoned because it took far too long.
+    /// Notes a request that took far too long, or lost to its hedge. The
+    /// upstream keeps its slots: it may be the last replica.
     pub(crate) fn note_slow(&mut self, now: Millis) {
         self.slow += 1;
         if self.slow >= SLOW_TO_EJECT || self.ejections > 0 {
@@ -106,7 +113,6 @@
         let doubled = FIRST_EJECTION.0.saturating_mul(1 << self.ejections.min(8));
         let span = Millis(doubled.min(LONGEST_EJECTION.0));
         self.ejections += 1;
-        self.ramp = 1;
         self.ejected_until = now + span;
     }
 
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -283,10 +283,9 @@
     /// The time that new sub-requests would wait for a slot, in
     /// milliseconds, if `more` of them came now.
     pub fn expected_wait(&self, candidates: &[UpstreamKey], more: usize) -> f64 {
-        let now = Millis::now();
         let upstreams: Vec<Rc<Upstream>> =
             candidates.iter().filter_map(|&k| self.find(k)).collect();
-        let slots: usize = upstreams.iter().map(|u| u.limit(now)).sum();
+        let slots: usize = upstreams.iter().map(|u| u.limit()).sum();
         let busy: usize = upstreams.iter().map(|u| u.busy.get()).sum();
         let ahead = (busy + self.queue.len() + more).saturating_sub(slots);
         match slots {
--- a/components/upstreams/src/queue.rs
+++ b/components/upstreams/src/queue.rs
@@ -181,7 +181,7 @@
             .collect();
         let best = candidates.iter().map(|(_, _, tier)| *tier).min()?;
         let is_free =
-            |u: &Upstream| u.has_free_slot(now) && !(is_suspect && self.runs_suspect(u, now));
+            |u: &Upstream| u.has_free_slot() && !(is_suspect && self.runs_suspect(u, now));
         let mut rng = rand::rng();
         candidates
             .iter()
@@ -215,7 +215,7 @@
     pub(crate) fn pump(self: Rc<Self>) {
         let now = Millis::now();
         let end = now + Millis(self.latency.borrow().mean_ms() as u64);
-        let mut free = self.free_upstreams(now);
+        let mut free = self.free_upstreams();
         let mut at = 0;
         while let Some(next) = self.next_waiter(at, &free, end) {
             at = next.at;
@@ -229,7 +229,7 @@
                     // A receiver that is gone hands the slot back, which
                     // pumps again.
                     let _ = waiter.grant.send(slot);
-                    free = self.free_upstreams(now);
+                    free = self.free_upstreams();
                 }
                 None => at += 1,
             }
@@ -250,9 +250,9 @@
     }
 
     /// The upstreams that could take a request now.
-    fn free_upstreams(&self, now: Millis) -> Vec<UpstreamKey> {
+    fn free_upstreams(&self) -> Vec<UpstreamKey> {
         let upstreams = self.upstreams.borrow();
-        let free = upstreams.iter().filter(|(_, u)| u.has_free_slot(now));
+        let free = upstreams.iter().filter(|(_, u)| u.has_free_slot());
         free.map(|(key, _)| key).collect()
     }
 
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -9,7 +9,7 @@
 use slotmap::new_key_type;
 use transport::Connection;
 
-use crate::health::{Health, Tier};
+use crate::health::Health;
 use crate::latency::Latency;
 
 const TRIAL_INTERVAL: Millis = Millis(250);
@@ -101,10 +101,9 @@
     }
 
     /// Requests that may run here at a time now.
-    pub(crate) fn limit(&self, now: Millis) -> usize {
+    pub(crate) fn limit(&self) -> usize {
         let health = self.health.borrow();
-        let is_resting = health.is_failing() || health.tier(now) == Tier::Ejected;
-        match is_resting {
+        match health.is_failing() {
             true => 1,
             false => self.slots.get().min(health.ramp.max(1)),
         }
@@ -115,8 +114,8 @@
         now.since(self.last_used.get()) >= TRIAL_INTERVAL
     }
 
-    pub(crate) fn has_free_slot(&self, now: Millis) -> bool {
-        self.busy.get() < self.limit(now)
+    pub(crate) fn has_free_slot(&self) -> bool {
+        self.busy.get() < self.limit()
     }
 
     /// The wait that a new request can expect here, in milliseconds.
--- a/components/upstreams/src/view.rs
+++ b/components/upstreams/src/view.rs
@@ -60,7 +60,7 @@
             leaving: u.is_drained.get() || self.shared.drains.is_leaving(&u.id),
             tier: u.health.borrow().tier(now),
             busy: u.busy.get(),
-            limit: u.limit(now),
+            limit: u.limit(),
             open: u.open.get(),
             connections: u.connections.get(),
             mean_ms: u.latency.borrow().mean_ms(),
