Probe an owner that answers nothing, and pass over it while it is silent

Cause: a frozen owner was noticed by the heartbeats only. Ruled out: slow failover itself (a killed owner costs under 10 ms).

Change: a root whose call is unanswered for 40 ms, while the peer answered no other call since, sends it a heartbeat; one that is not answered within 50 ms makes the peer silent for this daemon: it owns nothing until it answers anything. That it is gone is still for the heartbeats to tell, so a hiccup changes no membership. Test: a_silent_member_owns_nothing_until_it_answers.

--- a/components/members/src/heartbeat.rs
+++ b/components/members/src/heartbeat.rs
@@ -25,6 +25,8 @@
 const FULL_MESH: usize = 8;
 /// Peers that hear a heartbeat in a larger system.
 const FAN_OUT: usize = 3;
+/// A peer that is there answers a probe within this time.
+const PROBE_TIMEOUT: Millis = Millis(50);
 const LIST_INTERVAL: Millis = Millis(5_000);
 // A daemon that knows nobody reads the list this often.
 const ALONE_LIST_INTERVAL: Millis = Millis(500);
@@ -264,6 +266,28 @@
         }
     }
 
+    /// Notes that a peer answered a call.
+    pub fn note_reply(&self, id: &str) {
+        self.table.borrow_mut().note_reply(id, Millis::now());
+    }
+
+    /// Asks a peer that answered nothing since `since` whether it is there.
+    /// If it does not say so soon it is not responsive until it answers.
+    pub fn probe(self: &Rc<Self>, id: &str, since: Millis) {
+        let Some(peer) = self.table.borrow_mut().begin_probe(id, since) else {
+            return;
+        };
+        let members = self.clone();
+        compio::runtime::spawn(async move {
+            let exchange = members.exchange(&peer);
+            match compio::time::timeout(PROBE_TIMEOUT.into(), exchange).await {
+                Ok(true) => {}
+                Ok(false) | Err(_) => members.table.borrow_mut().fail_probe(&peer.id),
+            }
+        })
+        .detach();
+    }
+
     /// Exchanges one heartbeat with a peer; `true` if it answered.
     pub async fn exchange(&self, peer: &Member) -> bool {
         let sent = Millis::now();
--- a/components/members/src/table.rs
+++ b/components/members/src/table.rs
@@ -35,10 +35,26 @@
     /// When the member last answered this daemon; the send time counts.
     pub(crate) heard: Millis,
     pub(crate) misses: u32,
+    /// When the member last answered any call.
+    pub(crate) replied: Millis,
+    pub(crate) silence: Silence,
     /// The highest revision that the member told, before restarts as well.
     pub(crate) highest: u64,
 }
 
+/// What is known of a member that left calls unanswered for a while.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum Silence {
+    /// It answers.
+    #[default]
+    None,
+    /// It is being asked whether it is there.
+    Probed,
+    /// It did not answer that either.
+    Certain,
+}
+
 /// The members that this daemon knows, itself not included.
 #[derive(Debug)]
 pub struct Table {
@@ -72,9 +88,11 @@
             .filter(move |m| m.state == state)
     }
 
-    /// Returns the members that are alive and answered the last heartbeat.
+    /// Returns the members that are alive, answered the last heartbeat and
+    /// are not silent.
     pub fn responsive(&self) -> impl Iterator<Item = &Member> {
-        let answered = self.records.values().filter(|r| r.misses == 0);
+        let is_answering = |r: &&Record| r.misses == 0 && r.silence != Silence::Certain;
+        let answered = self.records.values().filter(is_answering);
         answered
             .map(|r| &r.member)
             .filter(|m| m.state == State::Alive)
@@ -162,9 +180,40 @@
             record.misses = 0;
             record.member.revision = revision;
         }
+        self.note_reply(&id, now);
         update
     }
 
+    /// Notes that a member answered a call.
+    pub fn note_reply(&mut self, id: &str, now: Millis) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.replied = now;
+            self.epoch += u64::from(record.silence == Silence::Certain);
+            record.silence = Silence::None;
+        }
+    }
+
+    /// Returns a member that must be asked whether it is there: it answered
+    /// no call since `since` and is not being asked.
+    pub fn begin_probe(&mut self, id: &str, since: Millis) -> Option<Member> {
+        let record = self.records.get_mut(id)?;
+        let is_due = record.replied < since && record.silence == Silence::None;
+        is_due.then(|| {
+            record.silence = Silence::Probed;
+            record.member.clone()
+        })
+    }
+
+    /// Notes that a member left the probe unanswered. It owns nothing until
+    /// it answers; that it is gone is for heartbeats to tell.
+    pub fn fail_probe(&mut self, id: &str) {
+        let record = self.records.get_mut(id);
+        if let Some(record) = record.filter(|r| r.silence == Silence::Probed) {
+            record.silence = Silence::Certain;
+            self.epoch += 1;
+        }
+    }
+
     /// Notes the revision that a member itself told.
     pub fn note_revision(&mut self, id: &str, revision: u64) {
         if let Some(record) = self.records.get_mut(id) {
@@ -240,6 +289,8 @@
             changed: now,
             heard: Millis::ZERO,
             misses: 0,
+            replied: Millis::ZERO,
+            silence: Silence::None,
             highest: member.revision,
             member,
         };
--- a/components/members/tests/table.rs
+++ b/components/members/tests/table.rs
@@ -99,3 +99,24 @@
     let ranked = rank("k", "d2", members.iter());
     assert_eq!(ranked.last().unwrap().id, "a");
 }
+
+#[test]
+fn a_silent_member_owns_nothing_until_it_answers() {
+    let mut table = Table::new("me");
+    table.merge(member("a", 1, State::Alive), Millis(1));
+    table.note_reply("a", Millis(10));
+    assert!(table.begin_probe("a", Millis(9)).is_none(), "it answered");
+    assert!(table.begin_probe("a", Millis(11)).is_some());
+    assert!(
+        table.begin_probe("a", Millis(11)).is_none(),
+        "one at a time"
+    );
+    assert_eq!(table.responsive().count(), 1);
+    let epoch = table.epoch();
+    table.fail_probe("a");
+    assert_eq!(table.responsive().count(), 0);
+    assert_eq!(table.find("a").unwrap().state, State::Alive);
+    assert!(table.epoch() > epoch);
+    table.note_reply("a", Millis(12));
+    assert_eq!(table.responsive().count(), 1);
+}
--- a/components/query/src/scatter.rs
+++ b/components/query/src/scatter.rs
@@ -22,6 +22,8 @@
 // An owner answers this much before the root must.
 const HOP_MARGIN: Millis = Millis(3);
 const SURVEY_TIMEOUT: Millis = Millis(200);
+// A peer that answers nothing for this long after a call is probed.
+const SILENCE: Millis = Millis(40);
 // How often a call checks whether the peer it waits for is still alive.
 const LIVENESS_INTERVAL: Millis = Millis(25);
 
@@ -146,18 +148,27 @@
         request: ScatterRequest,
         timeout: Millis,
     ) -> Result<ScatterReply, PeerError> {
+        let members = &self.root.members;
         let owner = self.root.owner(member);
         let mut calling = owner.scatter(request, timeout);
+        let sent = Millis::now();
         loop {
             let check = std::pin::pin!(compio::time::sleep(LIVENESS_INTERVAL.into()));
             match select(calling, check).await {
-                Either::Left((result, _)) => return result,
+                Either::Left((Ok(reply), _)) => {
+                    members.note_reply(&member.id);
+                    return Ok(reply);
+                }
+                Either::Left((Err(e), _)) => return Err(e),
                 Either::Right((_, rest)) => calling = rest,
             }
-            let is_me = member.id == self.root.members.me().id;
-            if !is_me && !self.root.members.is_responsive(&member.id) {
+            let is_me = member.id == members.me().id;
+            if !is_me && !members.is_responsive(&member.id) {
                 return Err(PeerError::Lost);
             }
+            if !is_me && Millis::now().since(sent) >= SILENCE {
+                members.probe(&member.id, sent);
+            }
         }
     }
 
