--- a/standins/src/bench/fault.rs
+++ b/standins/src/bench/fault.rs
@@ -8,6 +8,8 @@
 
 const BEFORE: Duration = Duration::from_millis(1_500);
 const LASTS: Duration = Duration::from_millis(2_500);
+// Shorter than the deadline of a service that waits for coverage.
+const SHARD_AWAY: Duration = Duration::from_millis(300);
 const SWITCH_INTERVAL: Duration = Duration::from_secs(1);
 
 /// A fault; times count from the start of the load.
@@ -21,6 +23,8 @@
     UpstreamKilled,
     /// One upstream is frozen and goes on.
     UpstreamFrozen,
+    /// All replicas of one shard are killed and started again soon after.
+    ShardKilled,
     /// The owner of the first group is killed.
     OwnerKilled,
     /// The owner of the first group is frozen.
@@ -81,6 +85,16 @@
             compio::time::sleep(LASTS).await;
             fleet.upstream_process(&victim).resume();
         }
+        Fault::ShardKilled => {
+            let replicas = replicas_of_first(fleet, service);
+            for name in &replicas {
+                fleet.upstream_process(name).kill();
+            }
+            compio::time::sleep(SHARD_AWAY).await;
+            for name in &replicas {
+                fleet.restart_upstream(name).await;
+            }
+        }
         Fault::OwnerKilled => fleet.daemons[owner].process.kill(),
         Fault::OwnerFrozen => fleet.daemons[owner].process.freeze(),
         Fault::OwnerLeft => fleet.daemons[owner].process.terminate(),
@@ -96,6 +110,13 @@
     }
 }
 
+fn replicas_of_first(fleet: &Fleet, service: &str) -> Vec<String> {
+    let mut declared = fleet.declarations.services.iter();
+    let service = declared.find(|s| s.name == service);
+    let shard = service.and_then(|s| s.shards.first());
+    shard.map(|s| s.upstreams.clone()).unwrap_or_default()
+}
+
 fn names(fleet: &Fleet, service: &str) -> Vec<String> {
     let all = fleet.upstreams.iter().flat_map(|p| &p.upstreams);
     all.filter(|(s, _, _)| s == service)
--- a/standins/src/bench/scenario.rs
+++ b/standins/src/bench/scenario.rs
@@ -5,12 +5,13 @@
 use super::fault::Fault;
 
 /// The names of all scenarios.
-pub const SCENARIOS: [&str; 9] = [
+pub const SCENARIOS: [&str; 10] = [
     "steady",
     "overload",
     "straggler",
     "slow-replica",
     "loss",
+    "shard-loss",
     "owner-loss",
     "repartition",
     "store-outage",
@@ -96,6 +97,7 @@
         "straggler" => stragglers(&json!({ "straggler_share": 0.02, "straggler_factor": 20.0 })),
         "slow-replica" => slow_replica(),
         "loss" => losses(),
+        "shard-loss" => shard_losses(),
         "owner-loss" => owner_losses(),
         "repartition" => {
             both(|d| Variant::new("switched-every-second", d, 0.3).fault(Fault::Repartition))
@@ -181,6 +183,21 @@
     .concat()
 }
 
+/// Both deployments under both objectives, while a shard has no replica.
+fn shard_losses() -> Vec<Variant> {
+    ["latency", "coverage"]
+        .into_iter()
+        .flat_map(|objective| {
+            let declaration = json!({ "objective": objective });
+            both(move |d| {
+                Variant::new(objective, d, 0.3)
+                    .fault(Fault::ShardKilled)
+                    .declaration(declaration.clone())
+            })
+        })
+        .collect()
+}
+
 fn owner_losses() -> Vec<Variant> {
     [
         both(|d| Variant::new("killed", d, 0.4).fault(Fault::OwnerKilled)),
