Let an operator end a daemon, and log the revision of a search

Cause: the drain of an instance needed a signal on its machine; the debug line of a search lacked the revision; the verdict RELEASED between daemons was never sent.

--- a/components/daemon/src/callers.rs
+++ b/components/daemon/src/callers.rs
@@ -89,6 +89,7 @@
     };
     let answer = daemon.root.search(&request).await;
     slog::debug!(daemon.log, "search"; "request_id" => id, "service" => &request.service,
+        "revision" => answer.as_ref().map_or(0, |a| a.revision),
         "covered" => answer.as_ref().map_or(0, |a| a.covered.len()));
     answer.map(|a| encode(&a))
 }
--- a/components/daemon/src/operator.rs
+++ b/components/daemon/src/operator.rs
@@ -8,13 +8,13 @@
 use schema::operator_server::Operator;
 use schema::{
     ApplyReply, ApplyRequest, DrainReply, DrainRequest, DumpReply, DumpRequest, Finding, GetReply,
-    GetRequest, HistoryEntry, HistoryReply, HistoryRequest, InstanceStatus, PlanReply, PlanRequest,
-    StatusReply, StatusRequest,
+    GetRequest, HistoryEntry, HistoryReply, HistoryRequest, InstanceStatus, LeaveReply,
+    LeaveRequest, PlanReply, PlanRequest, StatusReply, StatusRequest,
 };
 use settings::Severity;
 use slog::info;
 use tonic::{Request, Response, Status};
-use transport::{Local, detached, local};
+use transport::{Local, detached, local, operator_client};
 use uuid::Uuid;
 
 use crate::dump;
@@ -100,6 +100,13 @@
             .map(Response::new)
     }
 
+    async fn leave(&self, request: Request<LeaveRequest>) -> Reply<LeaveReply> {
+        let daemon = self.0.clone();
+        local(async move { leave(&daemon, request.into_inner()).await })
+            .await
+            .map(Response::new)
+    }
+
     async fn dump(&self, _request: Request<DumpRequest>) -> Reply<DumpReply> {
         let json = dump::render(&self.0).map_err(|e| Status::internal(e.to_string()))?;
         Ok(Response::new(DumpReply { json }))
@@ -276,6 +283,20 @@
     }
 }
 
+/// Begins the shutdown of this daemon, or passes the wish to the one named.
+async fn leave(daemon: &Daemon, request: LeaveRequest) -> Result<LeaveReply, Status> {
+    let instance = request.instance.clone();
+    if instance == daemon.members.me().id {
+        daemon.departure.begin();
+        return Ok(LeaveReply { instance });
+    }
+    let member = daemon.members.find(&instance);
+    let member = member
+        .ok_or_else(|| Status::not_found(format!("instance `{instance}` is not a live daemon")))?;
+    let reply = operator_client(member.address).leave(request).await?;
+    Ok(reply.into_inner())
+}
+
 /// Commits a revision in which one upstream takes no new work, or does again.
 async fn drain(daemon: &Daemon, request: &DrainRequest) -> Result<DrainReply, Status> {
     let mut detail = String::new();
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -46,7 +46,7 @@
     },
 }
 
-/// Runs a daemon until SIGTERM or SIGINT.
+/// Runs a daemon until SIGTERM, SIGINT or an operator's wish.
 ///
 /// # Errors
 ///
@@ -75,7 +75,7 @@
     );
     let callers = compio::runtime::spawn(callers);
     let peers = compio::runtime::spawn(peers);
-    shutdown::wait_for_signal().await;
+    shutdown::wait_for_departure(&daemon).await;
     shutdown::drain(daemon).await;
     drop((callers, peers));
     Ok(())
@@ -127,6 +127,7 @@
         sync,
         recorder,
         is_leaving: Cell::new(false),
+        departure: Shutdown::default(),
         started: Millis::now(),
         callers_open: Rc::default(),
         callers_shutdown: Shutdown::default(),
--- a/components/daemon/src/shutdown.rs
+++ b/components/daemon/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! The shutdown after SIGTERM or SIGINT.
+//! The shutdown after SIGTERM, SIGINT or an operator's wish.
 
 use std::rc::Rc;
 
@@ -10,8 +10,14 @@
 
 const CHECK_INTERVAL: Millis = Millis(20);
 
-/// Waits for SIGTERM or SIGINT.
-pub(crate) async fn wait_for_signal() {
+/// Waits until this daemon is told to leave, by a signal or an operator.
+pub(crate) async fn wait_for_departure(daemon: &Daemon) {
+    let signal = std::pin::pin!(wait_for_signal());
+    let wish = std::pin::pin!(daemon.departure.wait());
+    select(signal, wish).await;
+}
+
+async fn wait_for_signal() {
     let term = std::pin::pin!(compio::signal::unix::signal(libc::SIGTERM));
     let int = std::pin::pin!(compio::signal::unix::signal(libc::SIGINT));
     select(term, int).await;
--- a/components/daemon/src/state.rs
+++ b/components/daemon/src/state.rs
@@ -27,6 +27,8 @@
     pub(crate) sync: Rc<Sync>,
     pub(crate) recorder: Recorder,
     pub(crate) is_leaving: Cell<bool>,
+    /// Begins when an operator asks this daemon to leave.
+    pub(crate) departure: Shutdown,
     pub(crate) started: Millis,
     pub(crate) callers_open: Rc<Cell<usize>>,
     pub(crate) callers_shutdown: Shutdown,
--- a/components/query/src/serve.rs
+++ b/components/query/src/serve.rs
@@ -226,8 +226,8 @@
         Verdict::TooOld => Code::TooOld,
         Verdict::Future => Code::Future,
         Verdict::Full => Code::Full,
-        Verdict::Released => Code::Released,
-        Verdict::Unavailable => Code::Unavailable,
+        // A claim is never answered with a release.
+        Verdict::Released | Verdict::Unavailable => Code::Unavailable,
     };
     let claimer = match verdict {
         Verdict::Duplicate { claimer } => claimer,
@@ -249,7 +249,6 @@
         Code::TooOld => Verdict::TooOld,
         Code::Future => Verdict::Future,
         Code::Full => Verdict::Full,
-        Code::Released => Verdict::Released,
         Code::Unavailable => Verdict::Unavailable,
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -58,7 +58,7 @@
     Dump(DaemonArgs),
     /// Stop new work on an upstream, or resume it.
     #[command(
-        after_help = "Example:\n  coltsfootgw drain --daemon 10.0.0.1:8081 billing billing-3"
+        after_help = "Example:\n  coltsfootgw drain --daemon 10.0.0.1:8081 billing billing-3\n  coltsfootgw drain --daemon 10.0.0.1:8081 --instance entry-2"
     )]
     Drain(DrainArgs),
     /// Search as a caller would.
@@ -146,12 +146,16 @@
     #[command(flatten)]
     pub(crate) daemon: DaemonArgs,
     /// Name of the service.
-    pub(crate) service: String,
+    #[arg(required_unless_present = "instance", requires = "upstream")]
+    pub(crate) service: Option<String>,
     /// Name of the upstream.
-    pub(crate) upstream: String,
+    pub(crate) upstream: Option<String>,
     /// Let the upstream take work again.
     #[arg(long)]
     pub(crate) resume: bool,
+    /// Name of a daemon's instance that is to finish its work and end.
+    #[arg(long, conflicts_with_all = ["service", "upstream", "resume"])]
+    pub(crate) instance: Option<String>,
 }
 
 #[derive(Debug, Args)]
--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -1,6 +1,8 @@
-//! `drain`: stops new work on an upstream, or resumes it.
+//! `drain`: stops new work on an upstream, resumes it, or ends a daemon.
 
-use schema::DrainRequest;
+use std::net::SocketAddr;
+
+use schema::{DrainRequest, LeaveRequest};
 use serde_json::json;
 use transport::operator_client;
 
@@ -10,9 +12,29 @@
 
 pub(crate) fn run(args: &DrainArgs, output: Output) -> Result<Code> {
     let address = args.daemon.daemon;
+    match &args.instance {
+        Some(instance) => end_daemon(address, instance, output),
+        None => drain_upstream(address, args, output),
+    }
+}
+
+fn end_daemon(address: SocketAddr, instance: &str, output: Output) -> Result<Code> {
+    let request = LeaveRequest {
+        instance: instance.to_owned(),
+    };
+    let reply = block_on(async move { operator_client(address).leave(request).await })?;
+    let reply = reply.map_err(|s| failed(address, &s))?.into_inner();
+    match output {
+        Output::Json => print_json(&json!({ "accepted": true, "instance": reply.instance })),
+        Output::Text => println!("accepted: {} finishes its work and ends", reply.instance),
+    }
+    Ok(Code::Success)
+}
+
+fn drain_upstream(address: SocketAddr, args: &DrainArgs, output: Output) -> Result<Code> {
     let request = DrainRequest {
-        service: args.service.clone(),
-        upstream: args.upstream.clone(),
+        service: args.service.clone().unwrap_or_default(),
+        upstream: args.upstream.clone().unwrap_or_default(),
         resume: args.resume,
     };
     let reply = block_on(async move { operator_client(address).drain(request).await })?;
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -92,3 +92,32 @@
         Some(0)
     );
 }
+
+#[compio::test]
+async fn an_operator_ends_a_daemon_through_another_one() {
+    let settings = json!({ "grace_ms": 200, "drain_ms": 1_000, "heartbeat_ms": 200 });
+    let plan = Plan {
+        settings,
+        ..Plan::default()
+    };
+    let mut fleet = Fleet::ready(&Binaries::find(), plan).await;
+    let asked = fleet.daemons[1].peers.to_string();
+    let wish = |instance| {
+        [
+            "drain",
+            "--daemon",
+            &asked,
+            "--output",
+            "json",
+            "--instance",
+            instance,
+        ]
+    };
+    let unknown = fleet.run(&wish("entry-9")).await;
+    assert!(unknown.to_string().contains("entry-9"), "{unknown}");
+    let reply = fleet.run(&wish("entry-1")).await;
+    assert_eq!(reply["accepted"], true, "{reply}");
+    let code = fleet.daemons[0].process.wait(Duration::from_secs(10)).await;
+    assert_eq!(code, Some(0));
+    assert!(fleet.daemons[1].process.is_running());
+}
