Let a hedge wait for a token as it waits for a slot

Cause: a hedge that got its slot while the budget was empty gave the slot back and was never tried again. Found by reading, not by a failure: no run showed the budget empty.

--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -19,14 +19,14 @@
 
 /// An attempt that is running; dropping it cancels the request, mostly since
 /// its hedge won, and notes an upstream that was far too slow.
-struct Running<'a> {
+struct Attempt<'a> {
     pool: &'a Pool,
     upstream: &'a Upstream,
     started: Millis,
     is_finished: bool,
 }
 
-impl Drop for Running<'_> {
+impl Drop for Attempt<'_> {
     fn drop(&mut self) {
         let now = Millis::now();
         if !self.is_finished && is_slow(self.pool, now.since(self.started)) {
@@ -66,14 +66,14 @@
         .to_request()
         .ok_or_else(|| Failure::not_run(Reason::UpstreamError))?;
     metrics::counter!(names::SENDS_TOTAL).increment(1);
-    let mut running = Running {
+    let mut attempt = Attempt {
         pool,
         upstream,
         started,
         is_finished: false,
     };
     let sent = lease.conn.send(request, ANSWER_LIMIT_BYTES).await;
-    running.is_finished = true;
+    attempt.is_finished = true;
     let response = match sent {
         Ok(response) => response,
         Err(e) if e.is_unsent() => {
--- a/components/upstreams/src/budget.rs
+++ b/components/upstreams/src/budget.rs
@@ -28,17 +28,16 @@
 
     /// Spends one token; `false` if there is none.
     pub fn spend(&self) -> bool {
-        let tokens = self.tokens.get();
-        let has_token = tokens >= 1.0;
+        let has_token = self.has_token();
         if has_token {
-            self.tokens.set(tokens - 1.0);
+            self.tokens.set(self.tokens.get() - 1.0);
         }
         has_token
     }
 
-    /// Gives back a token that was spent for nothing.
-    pub fn refund(&self) {
-        self.tokens.set((self.tokens.get() + 1.0).min(FULL));
+    /// Whether a token can be spent.
+    pub fn has_token(&self) -> bool {
+        self.tokens.get() >= 1.0
     }
 
     /// The tokens that are left.
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -232,7 +232,7 @@
         Some(Box::pin(async move {
             compio::time::sleep(delay.into()).await;
             loop {
-                let granted = match pool.is_overloaded() {
+                let granted = match pool.is_overloaded() || !pool.hedges.has_token() {
                     true => None,
                     false => pool.acquire(ask.clone()).await.ok(),
                 };
