Say once what stood twice, and spare the owner's path some work

Found by reading the whole change again; behaviour stays as it was.

- The refusal of a quarantined request was made in five places, each from its own match on the verdict: Suspects::refusal makes it.
- The wait of failed sub-requests went round them: the owner reduced it to one number and the merge kept it beside its failures, because a part on the wire had lost it.
Part carries retry_after_ms now, and both are gone.
- An upstream counted its busy slots beside the list of what runs there: the length of the list is the count.
- Each freed slot listed the free upstreams, also with nobody waiting; names of groups were built two or three times for each search; a call to the daemon itself woke every 25 ms to ask whether it is alive.
- A race between attempts ended in code that could not be reached.
- Operators' plan and drain read the newest revision with the same lines.
- Stand-ins: upstreams listen by transport::listen; the bench scenarios with and without hedging are one function; ticks and the timeline's interval are named once; tests/golden.rs and tests/crashes.rs share their starts.
No assertion, bound or expectation was changed.

Looked at and left: the queue's set of running suspects could be read from the upstreams, but not for one that a new revision removed while it runs; the hedge's candidates are looked up when an attempt starts, which is early but fixes when they are judged.

--- a/components/daemon/src/operator.rs
+++ b/components/daemon/src/operator.rs
@@ -123,18 +123,7 @@
             });
         }
     };
-    let (_, head) = daemon
-        .sync
-        .repository
-        .read_head()
-        .await
-        .map_err(unavailable)?;
-    let current = daemon
-        .sync
-        .repository
-        .load(head, &daemon.sync.catalog())
-        .await
-        .map_err(unavailable)?;
+    let current = current(daemon).await?;
     let old = current.declarations();
     let new = catalog::merge(&old, &declarations, request.prune);
     Ok(PlanReply {
@@ -144,6 +133,14 @@
     })
 }
 
+/// Reads the newest revision from the store.
+async fn current(daemon: &Daemon) -> Result<Catalog, Status> {
+    let repository = &daemon.sync.repository;
+    let (_, head) = repository.read_head().await.map_err(unavailable)?;
+    let known = daemon.sync.catalog();
+    repository.load(head, &known).await.map_err(unavailable)
+}
+
 fn unavailable(error: catalog::Error) -> Status {
     Status::unavailable(error.to_string())
 }
@@ -301,18 +298,7 @@
 async fn drain(daemon: &Daemon, request: &DrainRequest) -> Result<DrainReply, Status> {
     let mut detail = String::new();
     for _ in 0..DRAIN_TRIES {
-        let (_, head) = daemon
-            .sync
-            .repository
-            .read_head()
-            .await
-            .map_err(unavailable)?;
-        let current = daemon
-            .sync
-            .repository
-            .load(head, &daemon.sync.catalog())
-            .await
-            .map_err(unavailable)?;
+        let current = current(daemon).await?;
         let declarations = drained(&current, request)?;
         let operation = Uuid::new_v4().to_string();
         let proposal = Proposal {
--- a/components/query/src/merge.rs
+++ b/components/query/src/merge.rs
@@ -20,7 +20,6 @@
     failures: BTreeMap<String, Failure>,
     // What ran beside the parts: calls that were given up, earlier rounds.
     beside: Ran,
-    retry_after: Millis,
 }
 
 impl Merge {
@@ -34,7 +33,6 @@
             parts,
             failures: BTreeMap::new(),
             beside: Ran::No,
-            retry_after: Millis::ZERO,
         }
     }
 
@@ -55,8 +53,9 @@
             return self.fail(
                 &part.shard,
                 Failure {
+                    reason,
                     ran,
-                    ..Failure::not_run(reason)
+                    retry_after: Millis(part.retry_after_ms),
                 },
             );
         }
@@ -106,11 +105,6 @@
         self.beside = self.beside.max(ran);
     }
 
-    /// Notes when an owner says that failed sub-requests may come back.
-    pub fn note_retry_after(&mut self, retry_after: Millis) {
-        self.retry_after = self.retry_after.max(retry_after);
-    }
-
     /// Whether any part of the search was executed, as far as is known.
     pub fn ran(&self) -> Ran {
         let failed = self
@@ -138,8 +132,7 @@
             .values()
             .map(|f| f.retry_after)
             .max()
-            .unwrap_or_default()
-            .max(self.retry_after);
+            .unwrap_or_default();
         let main = main.unwrap_or_else(|| Failure::unknown(Reason::Timeout));
         Failure {
             ran: self.ran(),
--- a/components/query/src/root.rs
+++ b/components/query/src/root.rs
@@ -11,7 +11,7 @@
 use ledger::Ledger;
 use members::{Member, Members};
 use telemetry::names;
-use upstreams::{Failure, Pools, Reason, Verdict};
+use upstreams::Pools;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::answer::SearchAnswer;
@@ -201,20 +201,10 @@
     }
 
     pub(crate) fn check_quarantine(&self, fingerprint: u64) -> Result<()> {
-        match self
-            .pools
-            .shared
-            .suspects
-            .verdict(fingerprint, Millis::now())
-        {
-            Verdict::Quarantined { expires_in } => {
-                let failure = Failure {
-                    retry_after: expires_in,
-                    ..Failure::not_run(Reason::Quarantined)
-                };
-                Err(Refusal::from_failure(&failure, Kind::Quarantined))
-            }
-            Verdict::Clear | Verdict::Suspect => Ok(()),
+        let suspects = &self.pools.shared.suspects;
+        match suspects.refusal(fingerprint, Millis::now()) {
+            Some(failure) => Err(Refusal::from_failure(&failure, Kind::Quarantined)),
+            None => Ok(()),
         }
     }
 
--- a/components/query/src/scatter.rs
+++ b/components/query/src/scatter.rs
@@ -151,6 +151,9 @@
         let members = &self.root.members;
         let owner = self.root.owner(member);
         let mut calling = owner.scatter(request, timeout);
+        if member.id == members.me().id {
+            return calling.await;
+        }
         let sent = Millis::now();
         loop {
             let check = std::pin::pin!(compio::time::sleep(LIVENESS_INTERVAL.into()));
@@ -162,11 +165,10 @@
                 Either::Left((Err(e), _)) => return Err(e),
                 Either::Right((_, rest)) => calling = rest,
             }
-            let is_me = member.id == members.me().id;
-            if !is_me && !members.is_responsive(&member.id) {
+            if !members.is_responsive(&member.id) {
                 return Err(PeerError::Lost);
             }
-            if !is_me && Millis::now().since(sent) >= SILENCE {
+            if Millis::now().since(sent) >= SILENCE {
                 members.probe(&member.id, sent);
             }
         }
@@ -194,7 +196,6 @@
         }
         self.learn(&batch.groups, reply.holdings);
         reply.parts.into_iter().for_each(|part| merge.add(part));
-        merge.note_retry_after(Millis(reply.retry_after_ms));
         merge.fail_rest(&batch.shards, &Failure::unknown(Reason::Mismatch));
     }
 
--- a/components/query/src/search.rs
+++ b/components/query/src/search.rs
@@ -29,6 +29,8 @@
     topology: Rc<Topology>,
     asked: Vec<String>,
     groups: Vec<usize>,
+    /// Names of the groups in what owners told.
+    keys: Vec<String>,
     deadline: Millis,
 }
 
@@ -43,6 +45,7 @@
         let deadline = started + request.budget.unwrap_or(topology.service.deadline_ms);
         let asked = asked_shards(&topology, request)?;
         let groups = asked_groups(&topology, &asked);
+        let keys = groups.iter().map(|&g| view_key(&topology, g)).collect();
         let _in_flight = self.admit(&topology)?;
         let search = Search {
             root: self,
@@ -51,6 +54,7 @@
             topology,
             asked,
             groups,
+            keys,
             deadline,
         };
         search.run(deadline - started).await
@@ -71,7 +75,7 @@
 
     /// Refuses a search whose owners told a wait that is too long.
     fn check_wait(&self, budget: Millis) -> Result<()> {
-        let wait = self.root.waits.longest(&self.keys(), Millis::now());
+        let wait = self.root.waits.longest(&self.keys, Millis::now());
         if !is_too_long(wait, budget) {
             return Ok(());
         }
@@ -83,13 +87,6 @@
         ))
     }
 
-    fn keys(&self) -> Vec<String> {
-        self.groups
-            .iter()
-            .map(|&g| view_key(&self.topology, g))
-            .collect()
-    }
-
     /// Runs the search, and once more at another snapshot if shards lack the
     /// first one. Parts of two rounds are never merged.
     async fn run_rounds(&self, fingerprint: u64) -> Result<(Version, Merge)> {
@@ -118,7 +115,7 @@
     }
 
     fn choose(&self, tried: &[u64]) -> Option<Version> {
-        let holdings = self.root.views.holdings(&self.keys(), Millis::now());
+        let holdings = self.root.views.holdings(&self.keys, Millis::now());
         choose_version(
             &self.topology.service.partitioning,
             &self.asked,
--- a/components/query/src/serve.rs
+++ b/components/query/src/serve.rs
@@ -68,17 +68,17 @@
             deadline: Millis::now() + Millis(request.budget_ms),
             body: request.body.into(),
         };
-        let results = match pool.search(&topology, &call, &shards).await {
+        let outcome = pool.search(&topology, &call, &shards).await;
+        let wait_ms = pool.shard_wait(&topology, &shards).0;
+        let results = match outcome {
             Ok(results) => results,
             Err(failure) => {
-                let wait_ms = pool.shard_wait(&topology, &shards).0;
                 return ScatterReply {
                     wait_ms,
                     ..refuse(&failure)
                 };
             }
         };
-        let retry_after = longest_retry(&results);
         let parts = shards
             .iter()
             .zip(results)
@@ -86,9 +86,8 @@
         ScatterReply {
             parts: parts.collect(),
             holdings: holdings(&pool, &topology, &shards),
-            wait_ms: pool.shard_wait(&topology, &shards).0,
+            wait_ms,
             revision: topology.revision,
-            retry_after_ms: retry_after.0,
             ..ScatterReply::default()
         }
     }
@@ -164,12 +163,6 @@
     held.map(message).collect()
 }
 
-/// The latest time to come back of the failed sub-requests.
-fn longest_retry(results: &[upstreams::Result<Bytes>]) -> Millis {
-    let failed = results.iter().filter_map(|r| r.as_ref().err());
-    failed.map(|f| f.retry_after).max().unwrap_or_default()
-}
-
 fn refuse(failure: &Failure) -> ScatterReply {
     ScatterReply {
         refused: true,
@@ -197,6 +190,7 @@
         Err(f) => Part {
             reason: f.reason.name().to_owned(),
             ran: f.ran.into(),
+            retry_after_ms: f.retry_after.0,
             ..part
         },
     }
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -104,7 +104,12 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+/// Listens on an address that an ended process may have used just before.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = match address.is_ipv4() {
         true => TcpSocket::new_v4().await?,
         false => TcpSocket::new_v6().await?,
--- a/components/upstreams/src/batch.rs
+++ b/components/upstreams/src/batch.rs
@@ -7,10 +7,9 @@
 use futures_util::future::{Either, select};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
-use crate::failure::{Failure, Reason, Result};
+use crate::failure::{Failure, Ran, Reason, Result};
 use crate::pool::Pool;
 use crate::search::{Call, Rows, ShardSearch};
-use crate::suspects::Verdict;
 use crate::upstream::UpstreamKey;
 
 // Added to the expected wait, so that callers who were refused together
@@ -59,30 +58,20 @@
 
     /// Why a sub-request of a quarantined request was cut off.
     fn cancelled(&self, call: &Call) -> Failure {
-        let verdict = self
+        let refusal = self
             .shared
             .suspects
-            .verdict(call.fingerprint, Millis::now());
-        let retry_after = match verdict {
-            Verdict::Quarantined { expires_in } => expires_in,
-            Verdict::Clear | Verdict::Suspect => Millis::ZERO,
-        };
+            .refusal(call.fingerprint, Millis::now());
         Failure {
-            retry_after,
-            ..Failure::unknown(Reason::Quarantined)
+            ran: Ran::Unknown,
+            ..refusal.unwrap_or_else(|| Failure::not_run(Reason::Quarantined))
         }
     }
 
     fn admit(&self, topology: &Topology, call: &Call, shards: &[usize]) -> Result<()> {
         let now = Millis::now();
-        if let Verdict::Quarantined { expires_in } =
-            self.shared.suspects.verdict(call.fingerprint, now)
-        {
-            let retry_after = expires_in;
-            return Err(Failure {
-                retry_after,
-                ..Failure::not_run(Reason::Quarantined)
-            });
+        if let Some(refusal) = self.shared.suspects.refusal(call.fingerprint, now) {
+            return Err(refusal);
         }
         let candidates = self.shard_replicas(topology, shards);
         let wait = self.expected_wait(&candidates, shards.len());
@@ -96,9 +85,7 @@
         }
         Ok(())
     }
-}
 
-impl Pool {
     /// Returns the replicas of some shards, each once.
     fn shard_replicas(&self, topology: &Topology, shards: &[usize]) -> Vec<UpstreamKey> {
         let mut keys: Vec<UpstreamKey> = shards
--- a/components/upstreams/src/dispatch.rs
+++ b/components/upstreams/src/dispatch.rs
@@ -12,7 +12,6 @@
 use crate::pool::Pool;
 use crate::queue::{Ask, Refusal};
 use crate::search::Call;
-use crate::suspects::Verdict;
 use crate::upstream::UpstreamKey;
 
 impl Pool {
@@ -51,17 +50,10 @@
     }
 
     fn booking_ask(&self, candidates: &[UpstreamKey], call: &Call) -> Result<Ask> {
-        let verdict = self
-            .shared
-            .suspects
-            .verdict(call.fingerprint, Millis::now());
-        match verdict {
-            Verdict::Quarantined { expires_in } => Err(Failure {
-                reason: Reason::Quarantined,
-                ran: Ran::No,
-                retry_after: expires_in,
-            }),
-            Verdict::Clear | Verdict::Suspect => Ok(Ask {
+        let now = Millis::now();
+        match self.shared.suspects.refusal(call.fingerprint, now) {
+            Some(refusal) => Err(refusal),
+            None => Ok(Ask {
                 candidates: candidates.to_vec(),
                 deadline: call.deadline,
                 fingerprint: call.fingerprint,
--- a/components/upstreams/src/health.rs
+++ b/components/upstreams/src/health.rs
@@ -55,8 +55,9 @@
     pub(crate) fn tier(&self, now: Millis) -> Tier {
         match () {
             () if now < self.ejected_until => Tier::Ejected,
-            () if self.is_failing() || self.ejections > 0 => Tier::Poor,
-            () if self.is_reported_bad(now) => Tier::Poor,
+            () if self.is_failing() || self.ejections > 0 || self.is_reported_bad(now) => {
+                Tier::Poor
+            }
             () => Tier::Good,
         }
     }
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -239,7 +239,7 @@
 
     /// Whether any slot is in use.
     pub fn is_busy(&self) -> bool {
-        self.upstreams.borrow().values().any(|u| u.busy.get() > 0)
+        self.upstreams.borrow().values().any(|u| u.busy() > 0)
     }
 
     /// Returns the snapshots that the replicas of some shards hold.
@@ -286,7 +286,7 @@
         let upstreams: Vec<Rc<Upstream>> =
             candidates.iter().filter_map(|&k| self.find(k)).collect();
         let slots: usize = upstreams.iter().map(|u| u.limit()).sum();
-        let busy: usize = upstreams.iter().map(|u| u.busy.get()).sum();
+        let busy: usize = upstreams.iter().map(|u| u.busy()).sum();
         let ahead = (busy + self.queue.len() + more).saturating_sub(slots);
         match slots {
             0 => 0.0,
--- a/components/upstreams/src/queue.rs
+++ b/components/upstreams/src/queue.rs
@@ -43,7 +43,6 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.upstream.busy.set(self.upstream.busy.get() - 1);
         self.remove_running();
         if self.running.is_suspect {
             let mut state = self.pool.queue.state.borrow_mut();
@@ -144,7 +143,6 @@
         };
         let key = self.best_free(ask, running, now)?;
         let upstream = self.find(key)?;
-        upstream.busy.set(upstream.busy.get() + 1);
         upstream.last_used.set(now);
         upstream.running.borrow_mut().push(running);
         if running.is_suspect {
@@ -213,6 +211,9 @@
 
     /// Grants free slots to waiters in the order of their deadlines.
     pub(crate) fn pump(self: Rc<Self>) {
+        if self.queue.len() == 0 {
+            return;
+        }
         let now = Millis::now();
         let end = now + Millis(self.latency.borrow().mean_ms() as u64);
         let mut free = self.free_upstreams();
@@ -264,6 +265,6 @@
 /// An upstream that is back from an ejection gets one trial request while
 /// others serve the rest.
 fn is_allowed(tier: Tier, best: Tier, upstream: &Upstream, now: Millis) -> bool {
-    let is_trial = tier == Tier::Poor && upstream.busy.get() == 0 && upstream.is_due_for_trial(now);
+    let is_trial = tier == Tier::Poor && upstream.busy() == 0 && upstream.is_due_for_trial(now);
     tier == best || is_trial
 }
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -93,12 +93,13 @@
         self.pool.retries.earn(self.topology.service.retry_percent);
         self.pool.hedges.earn(self.topology.service.hedge_percent);
         metrics::counter!(names::SUBREQUESTS_TOTAL).increment(1);
+        let suspects = &self.pool.shared.suspects;
         loop {
-            if let Verdict::Quarantined { expires_in } = self.verdict() {
+            let now = Millis::now();
+            if let Some(refusal) = suspects.refusal(self.call.fingerprint, now) {
                 return Err(Failure {
-                    reason: Reason::Quarantined,
                     ran: self.ran,
-                    retry_after: expires_in,
+                    ..refusal
                 });
             }
             let failure = match self.first_slot().await {
@@ -127,13 +128,6 @@
         self.last = failure.clone();
     }
 
-    fn verdict(&self) -> Verdict {
-        self.pool
-            .shared
-            .suspects
-            .verdict(self.call.fingerprint, Millis::now())
-    }
-
     /// The replicas that hold the snapshot and were not tried yet.
     fn candidates(&self) -> Vec<UpstreamKey> {
         let all = self.pool.replicas(self.topology, self.shard);
@@ -189,8 +183,8 @@
         steps.push(self.start(slot));
         steps.push(self.expire());
         steps.extend(self.wait_to_hedge());
-        while let Some(step) = steps.next().await {
-            match step {
+        loop {
+            match steps.select_next_some().await {
                 Step::Finished(_, Ok(rows)) => return Ok(rows),
                 Step::Finished(key, Err(failure)) => {
                     self.note_attempt(key, &failure);
@@ -209,7 +203,6 @@
                 Step::Late => return Err(Failure::unknown(Reason::Timeout)),
             }
         }
-        Err(self.last.clone())
     }
 
     fn expire(&self) -> LocalBoxFuture<'a, Step> {
@@ -245,7 +238,9 @@
     }
 
     fn may_hedge(&self) -> bool {
-        self.verdict() == Verdict::Clear && self.pool.hedges.spend()
+        let suspects = &self.pool.shared.suspects;
+        let verdict = suspects.verdict(self.call.fingerprint, Millis::now());
+        verdict == Verdict::Clear && self.pool.hedges.spend()
     }
 
     /// An attempt that did not reach its replica costs nothing, and the
--- a/components/upstreams/src/suspects.rs
+++ b/components/upstreams/src/suspects.rs
@@ -8,6 +8,8 @@
 use futures_util::FutureExt;
 use schema::Strike;
 
+use crate::failure::{Failure, Reason};
+
 const STRIKES_TO_QUARANTINE: usize = 2;
 const STRIKE_LIFE: Millis = Millis(60_000);
 const ENTRY_LIMIT: usize = 1_024;
@@ -149,6 +151,17 @@
         }
     }
 
+    /// Why a request is refused, if it is quarantined; it did not run yet.
+    pub fn refusal(&self, fingerprint: u64, now: Millis) -> Option<Failure> {
+        match self.verdict(fingerprint, now) {
+            Verdict::Clear | Verdict::Suspect => None,
+            Verdict::Quarantined { expires_in } => Some(Failure {
+                retry_after: expires_in,
+                ..Failure::not_run(Reason::Quarantined)
+            }),
+        }
+    }
+
     /// Notes that a suspect ran alone without a crash; a quarantine stays.
     pub fn clear(&self, fingerprint: u64, now: Millis) {
         self.clear_until(fingerprint, now, now);
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -32,7 +32,6 @@
     pub(crate) slots: Cell<usize>,
     pub(crate) connections: Cell<usize>,
     pub(crate) is_drained: Cell<bool>,
-    pub(crate) busy: Cell<usize>,
     pub(crate) open: Rc<Cell<usize>>,
     idle: RefCell<Vec<Lease>>,
     pub(crate) health: RefCell<Health>,
@@ -89,7 +88,6 @@
             slots: Cell::new(1),
             connections: Cell::new(1),
             is_drained: Cell::new(false),
-            busy: Cell::new(0),
             open: Rc::default(),
             idle: RefCell::default(),
             health: RefCell::new(Health::new()),
@@ -114,14 +112,19 @@
         now.since(self.last_used.get()) >= TRIAL_INTERVAL
     }
 
+    /// Slots in use.
+    pub(crate) fn busy(&self) -> usize {
+        self.running.borrow().len()
+    }
+
     pub(crate) fn has_free_slot(&self) -> bool {
-        self.busy.get() < self.limit()
+        self.busy() < self.limit()
     }
 
     /// The wait that a new request can expect here, in milliseconds.
     pub(crate) fn expected_ms(&self, now: Millis) -> f64 {
         let load = self.health.borrow().load(now);
-        let busy = self.busy.get() as f64;
+        let busy = self.busy() as f64;
         let mean = self.latency.borrow().mean_ms();
         mean * (1.0 + load) * (1.0 + busy / self.slots.get() as f64)
     }
--- a/components/upstreams/src/view.rs
+++ b/components/upstreams/src/view.rs
@@ -59,7 +59,7 @@
             owned: self.is_owned(&u),
             leaving: u.is_drained.get() || self.shared.drains.is_leaving(&u.id),
             tier: u.health.borrow().tier(now),
-            busy: u.busy.get(),
+            busy: u.busy(),
             limit: u.limit(),
             open: u.open.get(),
             connections: u.connections.get(),
--- a/standins/src/bench/fault.rs
+++ b/standins/src/bench/fault.rs
@@ -117,7 +117,8 @@
     shard.map(|s| s.upstreams.clone()).unwrap_or_default()
 }
 
-fn names(fleet: &Fleet, service: &str) -> Vec<String> {
+/// The names of a service's upstreams.
+pub(crate) fn names(fleet: &Fleet, service: &str) -> Vec<String> {
     let all = fleet.upstreams.iter().flat_map(|p| &p.upstreams);
     all.filter(|(s, _, _)| s == service)
         .map(|(_, name, _)| name.clone())
--- a/standins/src/bench/measure.rs
+++ b/standins/src/bench/measure.rs
@@ -12,13 +12,12 @@
 use super::scenario::Variant;
 use crate::client::Json;
 use crate::fleet::{Binaries, Fleet, Plan, ServicePlan};
-use crate::load::{self, Load, Report};
+use crate::load::{self, Load, Report, TIMELINE_INTERVAL_MS};
 
 const DAEMONS: usize = 7;
 const SERVICE_MS: f64 = 10.0;
 const WARM_UP: Duration = Duration::from_secs(2);
 const TICKS_PER_SECOND: f64 = 100.0;
-const TIMELINE_MS: u64 = 100;
 
 /// Starts a fleet, loads it, and returns the figures.
 pub(crate) async fn run(
@@ -46,10 +45,10 @@
     load.duration = Duration::from_secs_f64(seconds);
     let before = counters(&fleet).await;
     let daemons: Vec<u32> = fleet.daemons.iter().map(|d| d.process.id()).collect();
-    let ticks = processor_ticks(&daemons);
+    let spent = processor_seconds(&daemons);
     let faulting = fault::cause(&mut fleet, variant.fault, variant.service, owner, seconds);
     let (report, ()) = join(load::run(&load), faulting).await;
-    let ticks = processor_ticks(&daemons) - ticks;
+    let spent = processor_seconds(&daemons) - spent;
     let after = counters(&fleet).await;
     let most_open = most_open(&fleet, variant.service).await;
     let mut figures = report.summary();
@@ -58,8 +57,7 @@
     figures["complete_share"] = json!(share(report.complete, report.sent));
     figures["goodput_of_capacity"] = json!(report.complete as f64 / seconds / capacity);
     figures["extra_load"] = json!((after.0 - before.0) / (after.1 - before.1).max(1.0) - 1.0);
-    figures["cpu_ms_per_query"] =
-        json!(ticks / TICKS_PER_SECOND * 1_000.0 / report.sent.max(1) as f64);
+    figures["cpu_ms_per_query"] = json!(spent * 1_000.0 / report.sent.max(1) as f64);
     figures["most_open_connections"] = json!(most_open);
     figures["connection_limit"] = json!(service.connections);
     figures["ms_to_full_coverage"] = json!(time_to_full(&report));
@@ -148,27 +146,22 @@
 /// The most connections that any upstream had open at a time.
 async fn most_open(fleet: &Fleet, service: &str) -> u64 {
     let mut most = 0;
-    for (_, name, _) in fleet
-        .upstreams
-        .iter()
-        .flat_map(|p| &p.upstreams)
-        .filter(|(s, _, _)| s == service)
-    {
-        most = most.max(fleet.counts(name).await["most_open"].as_u64().unwrap_or(0));
+    for name in fault::names(fleet, service) {
+        most = most.max(fleet.counts(&name).await["most_open"].as_u64().unwrap_or(0));
     }
     most
 }
 
-/// User and system time of processes, in ticks; a process that ended counts
+/// User and system time of processes, in seconds; a process that ended counts
 /// as nothing.
-pub(crate) fn processor_ticks(ids: &[u32]) -> f64 {
+pub(crate) fn processor_seconds(ids: &[u32]) -> f64 {
     let ticks = |id: &u32| {
         let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
         let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
         let number = |i: usize| fields.get(i)?.parse::<f64>().ok();
         Some(number(11)? + number(12)?)
     };
-    ids.iter().filter_map(ticks).sum()
+    ids.iter().filter_map(ticks).sum::<f64>() / TICKS_PER_SECOND
 }
 
 /// Time from the fault to the end of the last interval with an answer that is
@@ -181,6 +174,6 @@
         .enumerate()
         .rev()
         .find(|(_, (sent, complete))| complete < sent);
-    let end = bad.map_or(0, |(i, _)| (i as u64 + 1) * TIMELINE_MS);
+    let end = bad.map_or(0, |(i, _)| (i as u64 + 1) * TIMELINE_INTERVAL_MS);
     end.saturating_sub(at)
 }
--- a/standins/src/bench/scale.rs
+++ b/standins/src/bench/scale.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 
-use super::measure::processor_ticks;
+use super::measure::processor_seconds;
 use crate::fleet::{Binaries, Fleet, Plan, ServicePlan};
 use crate::load::{self, Load};
 
@@ -12,7 +12,6 @@
 const LOADED: Duration = Duration::from_secs(5);
 const SETTLE: Duration = Duration::from_secs(4);
 const QUERIES_PER_SECOND: f64 = 20.0;
-const TICKS_PER_SECOND: f64 = 100.0;
 const UPSTREAMS_PER_PROCESS: usize = 30;
 /// Daemons and upstreams of each step.
 const STEPS: [(usize, usize); 9] = [
@@ -88,13 +87,13 @@
 
 /// What each daemon spends while something runs.
 async fn cost(ids: &[u32], run: impl AsyncFnOnce()) -> Cost {
-    let (ticks, bytes) = (processor_ticks(ids), loopback_bytes());
+    let (spent, bytes) = (processor_seconds(ids), loopback_bytes());
     let started = std::time::Instant::now();
     run().await;
     let seconds = started.elapsed().as_secs_f64();
     let each = ids.len() as f64 * seconds;
     Cost {
-        core_percent: (processor_ticks(ids) - ticks) / TICKS_PER_SECOND / each * 100.0,
+        core_percent: (processor_seconds(ids) - spent) / each * 100.0,
         kilobytes: (loopback_bytes() - bytes) / 1_000.0 / each,
     }
 }
--- a/standins/src/bench/scenario.rs
+++ b/standins/src/bench/scenario.rs
@@ -94,8 +94,10 @@
     let variants = match name {
         "steady" => ownership(0.7),
         "overload" => [ownership(1.5), vec![without_bound()]].concat(),
-        "straggler" => stragglers(&json!({ "straggler_share": 0.02, "straggler_factor": 20.0 })),
-        "slow-replica" => slow_replica(),
+        "straggler" => hedging("no-stragglers", |v| {
+            v.behaviour(json!({ "straggler_share": 0.02, "straggler_factor": 20.0 }))
+        }),
+        "slow-replica" => hedging("no-slow-replica", |v| v.fault(Fault::SlowReplica)),
         "loss" => losses(),
         "shard-loss" => shard_losses(),
         "owner-loss" => owner_losses(),
@@ -137,30 +139,13 @@
     Variant::new("no-bound", BROLGA, 1.5).declaration(declaration)
 }
 
-fn stragglers(behaviour: &Value) -> Vec<Variant> {
+/// A run without a trouble, and the trouble with and without hedging.
+fn hedging(without: &str, trouble: impl Fn(Variant) -> Variant) -> Vec<Variant> {
     let off = json!({ "hedge_percent": 0 });
     [
-        both(|d| Variant::new("no-stragglers", d, 0.4)),
-        both(|d| Variant::new("hedged", d, 0.4).behaviour(behaviour.clone())),
-        both(|d| {
-            Variant::new("unhedged", d, 0.4)
-                .behaviour(behaviour.clone())
-                .declaration(off.clone())
-        }),
-    ]
-    .concat()
-}
-
-fn slow_replica() -> Vec<Variant> {
-    let off = json!({ "hedge_percent": 0 });
-    [
-        both(|d| Variant::new("no-slow-replica", d, 0.4)),
-        both(|d| Variant::new("hedged", d, 0.4).fault(Fault::SlowReplica)),
-        both(|d| {
-            Variant::new("unhedged", d, 0.4)
-                .fault(Fault::SlowReplica)
-                .declaration(off.clone())
-        }),
+        both(|d| Variant::new(without, d, 0.4)),
+        both(|d| trouble(Variant::new("hedged", d, 0.4))),
+        both(|d| trouble(Variant::new("unhedged", d, 0.4)).declaration(off.clone())),
     ]
     .concat()
 }
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -94,7 +94,7 @@
     timeline: Vec::new(),
     refusal_p99: 0.0,
 };
-const TIMELINE_INTERVAL_MS: u128 = 100;
+pub(crate) const TIMELINE_INTERVAL_MS: u64 = 100;
 const FAST_REFUSAL_MICROS: u64 = 5_000;
 const CURVE_QUANTILES: [f64; 16] = [
     0.0, 0.1, 0.25, 0.5, 0.6, 0.7, 0.8, 0.9, 0.95, 0.97, 0.98, 0.99, 0.995, 0.999, 0.9999, 1.0,
@@ -156,7 +156,7 @@
 
 impl Tally {
     fn note_time(&mut self, due: Duration, is_complete: bool) {
-        let at = (due.as_millis() / TIMELINE_INTERVAL_MS) as usize;
+        let at = due.as_millis() as usize / TIMELINE_INTERVAL_MS as usize;
         let timeline = &mut self.report.timeline;
         if timeline.len() <= at {
             timeline.resize(at + 1, (0, 0));
--- a/standins/src/upstream/server.rs
+++ b/standins/src/upstream/server.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use clock::Millis;
-use compio::net::{TcpListener, TcpSocket, TcpStream};
+use compio::net::{TcpListener, TcpStream};
 use cyper_core::HyperStream;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -18,7 +18,6 @@
 use super::control::{Behaviour, Leaving, Mode};
 use super::work::{Execution, Work};
 
-const BACKLOG: i32 = 1_024;
 const FOREVER: Duration = Duration::from_secs(600);
 const CRASH_MARK: &str = "crash-upstream";
 const CRASH_DELAY: Millis = Millis(3);
@@ -44,10 +43,7 @@
 ///
 /// Fails if the address can't be bound.
 pub async fn start(options: Options) -> std::io::Result<SocketAddr> {
-    let socket = TcpSocket::new_v4().await?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(options.address).await?;
-    let listener = socket.listen(BACKLOG).await?;
+    let listener = transport::listen(options.address).await?;
     let address = listener.local_addr()?;
     let work = Work::new(&options.name, options.behaviour, options.seed);
     compio::runtime::spawn(accept(listener, work)).detach();
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -10,17 +10,25 @@
 use futures_util::future::join_all;
 use serde_json::{Value, json};
 use standins::client::Json;
-use standins::fleet::{Binaries, Fleet, Plan, ServicePlan, search};
+use standins::fleet::{Binaries, Fleet, Plan, ServicePlan, UpstreamProcess, search};
 
 const RESENDS: usize = 6;
 const INNOCENTS: usize = 6;
 
-fn crashed(fleet: &mut Fleet) -> usize {
-    fleet
-        .upstreams
-        .iter_mut()
-        .filter_map(|u| (!u.process.is_running()).then_some(()))
-        .count()
+fn crashed(fleet: &mut Fleet) -> Vec<&UpstreamProcess> {
+    let all = fleet.upstreams.iter_mut();
+    all.filter_map(|u| (!u.process.is_running()).then_some(&*u))
+        .collect()
+}
+
+/// Six shards with three replicas each, under a load of searches.
+async fn loaded_fleet() -> (Fleet, Innocents) {
+    let mut service = ServicePlan::new("jobs", 6);
+    service.replicas = 3;
+    let fleet = Fleet::ready(&Binaries::find(), Plan::of(service)).await;
+    let innocents = Innocents::start(&fleet);
+    compio::time::sleep(Duration::from_millis(300)).await;
+    (fleet, innocents)
 }
 
 /// Searches that run beside, each with a text of its own.
@@ -87,18 +95,14 @@
 
 #[compio::test]
 async fn a_request_to_one_shard_crashes_two_upstreams_at_most() {
-    let mut service = ServicePlan::new("jobs", 6);
-    service.replicas = 3;
-    let mut fleet = Fleet::ready(&Binaries::find(), Plan::of(service)).await;
-    let innocents = Innocents::start(&fleet);
-    compio::time::sleep(Duration::from_millis(300)).await;
+    let (mut fleet, innocents) = loaded_fleet().await;
     let mut last = Value::Null;
     for resend in 0..RESENDS {
         last = send_marked(&fleet, resend % 3, &json!(["s0"])).await;
     }
     compio::time::sleep(Duration::from_millis(500)).await;
     let (sent, refused) = innocents.finish().await;
-    let crashes = crashed(&mut fleet);
+    let crashes = crashed(&mut fleet).len();
     println!(
         "{crashes} crashes, {sent} innocent requests, {} refused",
         refused.len()
@@ -114,17 +118,13 @@
 
 /// The request that each crashed upstream ran, as it logged.
 fn crash_causes(fleet: &mut Fleet) -> Vec<Value> {
-    let crashed = fleet
-        .upstreams
-        .iter_mut()
-        .filter_map(|u| (!u.process.is_running()).then(|| u.process.read_log()));
-    crashed
-        .map(|log| {
-            let last = log.lines().last().unwrap_or_default().to_owned();
-            let line: Value = serde_json::from_str(&last).unwrap_or_default();
-            line["crashed_by"].clone()
-        })
-        .collect()
+    let logs = crashed(fleet).into_iter().map(|u| u.process.read_log());
+    logs.map(|log| {
+        let last = log.lines().last().unwrap_or_default();
+        let line: Value = serde_json::from_str(last).unwrap_or_default();
+        line["crashed_by"].clone()
+    })
+    .collect()
 }
 
 /// The first wave of a wide request reaches every shard at once; sending it
@@ -136,7 +136,7 @@
     let plan = Plan::of(ServicePlan::new("jobs", 12));
     let mut fleet = Fleet::ready(&Binaries::find(), plan).await;
     let first = send_marked(&fleet, 0, &Value::Null).await;
-    let at_answer = crashed(&mut fleet);
+    let at_answer = crashed(&mut fleet).len();
     let mut answers = Vec::new();
     for resend in 0..RESENDS {
         answers.push(send_marked(&fleet, resend % 3, &Value::Null).await);
@@ -163,11 +163,7 @@
 /// nothing about the searches that ran there.
 #[compio::test]
 async fn losing_a_failure_domain_quarantines_no_search() {
-    let mut service = ServicePlan::new("jobs", 6);
-    service.replicas = 3;
-    let mut fleet = Fleet::ready(&Binaries::find(), Plan::of(service)).await;
-    let innocents = Innocents::start(&fleet);
-    compio::time::sleep(Duration::from_millis(300)).await;
+    let (mut fleet, innocents) = loaded_fleet().await;
     let declared = &fleet.declarations.services[0].upstreams;
     let in_domain = declared.iter().filter(|u| u.domain == "a");
     let lost: Vec<String> = in_domain.map(|u| u.name.clone()).collect();
--- a/tests/golden.rs
+++ b/tests/golden.rs
@@ -35,6 +35,11 @@
     }
 }
 
+async fn search_open(fleet: &Fleet) -> Answer {
+    let client = fleet.client(0);
+    search(&client, "jobs", &json!("open")).await.unwrap()
+}
+
 async fn fleet() -> Fleet {
     Fleet::ready(&Binaries::find(), Plan::default()).await
 }
@@ -42,9 +47,7 @@
 #[compio::test]
 async fn complete_search() {
     let fleet = fleet().await;
-    let answer = search(&fleet.client(0), "jobs", &json!("open"))
-        .await
-        .unwrap();
+    let answer = search_open(&fleet).await;
     insta::assert_json_snapshot!(seen(&answer));
 }
 
@@ -54,9 +57,7 @@
     fleet.upstream_process("jobs-1").kill();
     fleet.upstream_process("jobs-2").kill();
     compio::time::sleep(Duration::from_millis(500)).await;
-    let answer = search(&fleet.client(0), "jobs", &json!("open"))
-        .await
-        .unwrap();
+    let answer = search_open(&fleet).await;
     insta::assert_json_snapshot!(seen(&answer));
 }
 
@@ -69,9 +70,7 @@
         fleet.upstream_process(name).kill();
     }
     compio::time::sleep(Duration::from_millis(500)).await;
-    let answer = search(&fleet.client(0), "jobs", &json!("open"))
-        .await
-        .unwrap();
+    let answer = search_open(&fleet).await;
     insta::assert_json_snapshot!(seen(&answer));
 }
 
