--- /dev/null
+++ b/components/discovery/src/lib.rs
@@ -0,0 +1,17 @@
+//! What a daemon believes of the system: the configuration, the upstreams and
+//! the other daemons, learned from a watched store or, while it is out of
+//! reach, from peers.
+
+mod directory;
+mod entry;
+mod feed;
+mod follow;
+mod registration;
+mod relay;
+
+pub use directory::{Change, Directory};
+pub use entry::{Decode, Fact, InstanceEntry, Lifecycle, Record, UpstreamEntry};
+pub use feed::{Changes, Error, Feed, Result, Snapshot};
+pub use follow::{Follower, Shared, Wakers};
+pub use registration::{Leases, Registration};
+pub use relay::{PeerFeed, RelayState};
--- /dev/null
+++ b/components/gateway/src/fleet.rs
@@ -0,0 +1,147 @@
+//! The pools of all services, kept in line with the directory.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use clock::Millis;
+use discovery::{Directory, Lifecycle, UpstreamEntry};
+use routes::Table;
+use slog::info;
+use upstreams::{Budget, Endpoint, Pool, Shared};
+
+use crate::settings::Budgets;
+
+/// Share of the slack that the buckets of all daemons hold together; a
+/// daemon that is killed comes back with a full one, and some may be unknown.
+const SLACK_SHARE: f64 = 0.4;
+/// Connections that a daemon may hold to an upstream, however many daemons
+/// there are.
+const MIN_CONNECTIONS: usize = 2;
+/// Connections for a service that the configuration doesn't name yet.
+const UNNAMED_CONNECTIONS: usize = 16;
+/// Sub-requests that may wait for a slot, for each slot.
+const QUEUE_PER_SLOT: usize = 8;
+/// A daemon that disappears from the list may only have lost its lease.
+const INSTANCE_MEMORY: Millis = Millis(30_000);
+
+/// The pools by service.
+pub(crate) struct Fleet {
+    shared: Rc<Shared>,
+    pools: RefCell<HashMap<String, Rc<Pool>>>,
+    table: RefCell<Option<Rc<Table>>>,
+    table_revision: Cell<u64>,
+    daemons: Cell<usize>,
+    daemons_at: Cell<Millis>,
+    budgets: Budgets,
+}
+
+impl Fleet {
+    pub(crate) fn new(shared: &Rc<Shared>, budgets: Budgets) -> Rc<Self> {
+        Rc::new(Self {
+            shared: shared.clone(),
+            pools: RefCell::default(),
+            table: RefCell::default(),
+            table_revision: Cell::new(0),
+            daemons: Cell::new(1),
+            daemons_at: Cell::new(Millis::ZERO),
+            budgets,
+        })
+    }
+
+    /// The routes in force; `None` until a configuration is known.
+    pub(crate) fn table(&self) -> Option<Rc<Table>> {
+        self.table.borrow().clone()
+    }
+
+    /// The pool of a service.
+    pub(crate) fn find(&self, service: &str) -> Option<Rc<Pool>> {
+        self.pools.borrow().get(service).cloned()
+    }
+
+    pub(crate) fn all(&self) -> Vec<Rc<Pool>> {
+        self.pools.borrow().values().cloned().collect()
+    }
+
+    pub(crate) fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
+    /// Brings the routes and the pools in line with the directory.
+    pub(crate) fn update(&self, directory: &Directory) {
+        self.count_daemons(directory.instances().count());
+        self.install_table(directory);
+        let mut by_service: HashMap<&str, Vec<&UpstreamEntry>> = HashMap::new();
+        for entry in directory.upstreams() {
+            by_service.entry(&entry.service).or_default().push(entry);
+        }
+        for pool in self.all() {
+            if !by_service.contains_key(pool.name.as_str()) {
+                pool.install(&[]);
+            }
+        }
+        for (service, entries) in by_service {
+            self.install_service(service, &entries);
+        }
+    }
+
+    /// Daemons that share the budgets: at once more, but only later less.
+    fn count_daemons(&self, seen: usize) {
+        let now = Millis::now();
+        let seen = seen.max(1);
+        let is_remembered = now.since(self.daemons_at.get()) < INSTANCE_MEMORY;
+        if seen >= self.daemons.get() || !is_remembered {
+            self.daemons.set(seen);
+            self.daemons_at.set(now);
+        }
+    }
+
+    fn install_table(&self, directory: &Directory) {
+        let Some((revision, configuration)) = directory.configuration() else {
+            return;
+        };
+        if revision == self.table_revision.get() {
+            return;
+        }
+        info!(self.shared.log, "configuration in force"; "version" => configuration.version,
+            "revision" => revision, "routes" => configuration.routes.len());
+        self.table_revision.set(revision);
+        *self.table.borrow_mut() = Some(Rc::new(Table::new(&configuration)));
+    }
+
+    fn install_service(&self, service: &str, entries: &[&UpstreamEntry]) {
+        let pool = self.ensure(service);
+        let connections = self.connections(service);
+        let endpoint = |entry: &&UpstreamEntry| Endpoint {
+            id: entry.id.clone(),
+            address: entry.address,
+            domain: entry.domain.clone(),
+            born: entry.born,
+            slots: entry.slots,
+            connections,
+            is_drained: entry.lifecycle == Lifecycle::Draining,
+        };
+        let endpoints: Vec<Endpoint> = entries.iter().map(endpoint).collect();
+        let slots: usize = endpoints.iter().map(|e| e.slots).sum();
+        pool.set_queue_limit(slots * QUEUE_PER_SLOT);
+        pool.set_budget_limit(self.budgets.slack * SLACK_SHARE / self.daemons.get() as f64);
+        pool.install(&endpoints);
+    }
+
+    /// The connections to one upstream that are this daemon's share.
+    fn connections(&self, service: &str) -> usize {
+        let table = self.table.borrow();
+        let limits = table.as_ref().and_then(|t| t.service(service));
+        let all = limits.map_or(UNNAMED_CONNECTIONS, |l| l.connections);
+        (all / self.daemons.get()).max(MIN_CONNECTIONS)
+    }
+
+    fn ensure(&self, service: &str) -> Rc<Pool> {
+        let mut pools = self.pools.borrow_mut();
+        let create = || Pool::with_budget(&self.shared, service, Rc::new(Budget::default()));
+        pools
+            .entry(service.to_owned())
+            .or_insert_with(create)
+            .clone()
+    }
+}
--- /dev/null
+++ b/components/gateway/src/forward.rs
@@ -0,0 +1,205 @@
+//! Sends a request to its upstreams and returns the caller's answer.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use clock::Millis;
+use futures_util::future::{Either, select};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use http::Response;
+use routes::{Gather, Repeat, Target};
+use upstreams::{Answer, Failure, Pool, Ran, Shard, UpstreamKey};
+
+use crate::gather::{Progress, Step};
+use crate::handler::{Job, end_to_end, with_retry_after};
+use crate::merge::top_records;
+use crate::outcome::{Cause, Refusal, Result};
+use crate::state::Gateway;
+
+/// Time for merging and for the way of an answer, taken off the objective.
+const OBJECTIVE_MARGIN: Millis = Millis(8);
+
+/// All upstreams of a service.
+struct WholeService<'a>(&'a Pool);
+
+impl Shard for WholeService<'_> {
+    fn name(&self) -> &str {
+        &self.0.name
+    }
+
+    fn replicas(&self) -> Vec<UpstreamKey> {
+        self.0.keys()
+    }
+}
+
+/// Serves a request whose route is known.
+pub(crate) async fn run(gateway: &Gateway, job: &Job) -> Result<Response<Bytes>> {
+    let suspects = &gateway.fleet.shared().suspects;
+    if let Some(failure) = suspects.refusal(job.call.fingerprint, Millis::now()) {
+        let refusal = Refusal::from_failure(&failure);
+        return Err(with_retry_after(refusal, failure.retry_after, &job.call));
+    }
+    match &job.entry.route.target {
+        Target::Service(service) => whole(gateway, job, service).await,
+        Target::Split(shares) => {
+            let service = job.entry.splitter.next(shares);
+            let none = || Refusal::not_run(Cause::NoUpstream, "no service has a weight");
+            whole(gateway, job, service.ok_or_else(none)?).await
+        }
+        Target::Gather(gather) => merged(gateway, job, gather).await,
+    }
+}
+
+/// Sends a request to one upstream of a service.
+async fn whole(gateway: &Gateway, job: &Job, service: &str) -> Result<Response<Bytes>> {
+    let none = || {
+        Refusal::not_run(
+            Cause::NoUpstream,
+            format!("no upstream of {service} is known"),
+        )
+    };
+    let pool = gateway.fleet.find(service).ok_or_else(none)?;
+    let shard = WholeService(&pool);
+    let result = match job.entry.route.repeat {
+        Repeat::Idempotent => {
+            let left = job.call.deadline.since(Millis::now());
+            match compio::time::timeout(left.into(), pool.fetch(&shard, &job.call)).await {
+                Ok(result) => result,
+                Err(_) => Err(Failure::unknown(upstreams::Reason::Timeout)),
+            }
+        }
+        Repeat::AtMostOnce => pool.dispatch(&shard, &job.call).await,
+    };
+    match result {
+        Ok(answer) => Ok(passed_on(answer)),
+        Err(failure) => match job.forwarded.failed.take() {
+            Some(answer) if failure.ran != Ran::No => Ok(passed_on(answer)),
+            _ => Err(refuse(job, &failure, &pool)),
+        },
+    }
+}
+
+fn passed_on(answer: Answer) -> Response<Bytes> {
+    let (mut head, body) = answer.into_parts();
+    head.headers = end_to_end(head.headers);
+    Response::from_parts(head, body)
+}
+
+fn refuse(job: &Job, failure: &Failure, pool: &Pool) -> Refusal {
+    let refusal = Refusal::from_failure(failure);
+    match failure.ran {
+        Ran::No => {
+            let wait = Millis(pool.expected_wait(&pool.keys(), 1) as u64);
+            with_retry_after(refusal, wait, &job.call)
+        }
+        Ran::Yes | Ran::Unknown => refusal,
+    }
+}
+
+/// The parts of a search so far.
+struct Parts<'a> {
+    gather: &'a Gather,
+    answers: Vec<Answer>,
+    failures: Vec<Failure>,
+    is_overdue: bool,
+}
+
+impl Parts<'_> {
+    fn progress(&self) -> Progress {
+        Progress {
+            total: self.gather.shards.len(),
+            needed: self.gather.needed(),
+            covered: self.answers.len(),
+            failed: self.failures.len(),
+            is_overdue: self.is_overdue,
+        }
+    }
+
+    /// Whether any shard may have run the search.
+    fn ran(&self) -> Ran {
+        let failed = self.failures.iter().map(|f| f.ran).max();
+        match self.answers.is_empty() {
+            true => failed.unwrap_or(Ran::No),
+            false => Ran::Yes,
+        }
+    }
+}
+
+/// Asks one upstream of each shard and merges their parts.
+async fn merged(gateway: &Gateway, job: &Job, gather: &Gather) -> Result<Response<Bytes>> {
+    let pools: Vec<Option<Rc<Pool>>> = gather
+        .shards
+        .iter()
+        .map(|s| gateway.fleet.find(s))
+        .collect();
+    let mut parts = Parts {
+        gather,
+        answers: Vec::with_capacity(pools.len()),
+        failures: Vec::new(),
+        is_overdue: false,
+    };
+    let mut running = FuturesUnordered::new();
+    for pool in &pools {
+        match pool {
+            Some(pool) => running.push(fetch(pool, job)),
+            None => parts
+                .failures
+                .push(Failure::not_run(upstreams::Reason::NoReplica)),
+        }
+    }
+    let objective = job.entry.route.objective - OBJECTIVE_MARGIN;
+    let due = (job.arrived + objective).min(job.call.deadline);
+    loop {
+        match parts.progress().step() {
+            Step::Answer => break,
+            Step::GiveUp => return Err(give_up(job, &parts, &pools)),
+            Step::Wait => {}
+        }
+        let until = match parts.is_overdue {
+            false => due,
+            true => job.call.deadline,
+        };
+        let pause = compio::time::sleep(until.since(Millis::now()).into());
+        match select(running.next(), std::pin::pin!(pause)).await {
+            Either::Left((Some(Ok(answer)), _)) => parts.answers.push(answer),
+            Either::Left((Some(Err(failure)), _)) => parts.failures.push(failure),
+            Either::Left((None, _)) => {}
+            Either::Right(_) if !parts.is_overdue => parts.is_overdue = true,
+            Either::Right(_) => return Err(give_up(job, &parts, &pools)),
+        }
+    }
+    let records = top_records(parts.answers.iter().map(|a| a.body().as_ref()), gather.top);
+    let missing = gather.shards.len() - parts.answers.len();
+    Ok(gateway.wire.merged(&parts.answers, missing, records))
+}
+
+async fn fetch(pool: &Rc<Pool>, job: &Job) -> upstreams::Result<Answer> {
+    pool.fetch(&WholeService(pool), &job.call).await
+}
+
+fn give_up(job: &Job, parts: &Parts<'_>, pools: &[Option<Rc<Pool>>]) -> Refusal {
+    let progress = parts.progress();
+    let detail = format!(
+        "{} of {} shards, {} needed",
+        progress.covered, progress.total, progress.needed
+    );
+    let is_late = Millis::now() >= job.call.deadline;
+    let refusal = Refusal {
+        cause: match is_late {
+            true => Cause::Timeout,
+            false => Cause::Coverage,
+        },
+        // Sub-requests that still wait for their answer may have run.
+        ran: match progress.covered + progress.failed < progress.total {
+            true => Ran::Unknown,
+            false => parts.ran(),
+        },
+        detail,
+        retry_after: None,
+    };
+    let waits = pools.iter().flatten();
+    let wait = waits
+        .map(|p| p.expected_wait(&p.keys(), 1))
+        .fold(0.0, f64::max);
+    with_retry_after(refusal, Millis(wait as u64), &job.call)
+}
--- /dev/null
+++ b/components/gateway/src/gather.rs
@@ -0,0 +1,44 @@
+//! When a search over many shards is answered: with all parts, with enough of
+//! them, or not at all. No I/O.
+
+/// The parts of a search so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// Shards that are asked.
+    pub total: usize,
+    /// Shards that must be covered.
+    pub needed: usize,
+    /// Shards whose part is there.
+    pub covered: usize,
+    /// Shards whose part will not come.
+    pub failed: usize,
+    /// Whether a full answer would now be too late to be worth more than a
+    /// partial one.
+    pub is_overdue: bool,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Wait for more parts.
+    Wait,
+    /// Answer with the parts that are there.
+    Answer,
+    /// Give up: the needed coverage can't be reached any more.
+    GiveUp,
+}
+
+impl Progress {
+    /// Decides with the parts that are there: all of them are waited for
+    /// until the search is overdue, the needed ones for as long as they can
+    /// come.
+    pub fn step(&self) -> Step {
+        let is_settled = self.covered + self.failed >= self.total;
+        let is_enough = self.covered >= self.needed;
+        match () {
+            () if self.total - self.failed < self.needed => Step::GiveUp,
+            () if is_enough && (is_settled || self.is_overdue) => Step::Answer,
+            () => Step::Wait,
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/lib.rs
@@ -0,0 +1,25 @@
+//! The query tier on a platform: routes callers' requests to upstreams that
+//! are discovered in a store, and merges the parts of searches over many
+//! shards.
+
+mod admin;
+mod fleet;
+mod forward;
+mod gather;
+mod handler;
+mod merge;
+mod outcome;
+mod retry_after;
+mod run;
+mod settings;
+mod shutdown;
+mod state;
+mod wire;
+
+pub use gather::{Progress, Step};
+pub use merge::top_records;
+pub use outcome::{Cause, Refusal, Result};
+pub use retry_after::retry_after;
+pub use run::{Error, Parts, run};
+pub use settings::{Budgets, Settings};
+pub use wire::{Forwarded, Purpose, Terms, Wire};
--- /dev/null
+++ b/components/gateway/src/outcome.rs
@@ -0,0 +1,124 @@
+//! Why a caller gets no answer from an upstream, and whether the request ran.
+
+use bytes::Bytes;
+use clock::Millis;
+use http::{Response, StatusCode, header};
+use snafu::Snafu;
+use upstreams::{Failure, Ran, Reason};
+
+/// Result of serving a request.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// Why a request was not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// A header is missing or malformed.
+    BadRequest,
+    /// No route matches.
+    NoRoute,
+    /// The body is too large.
+    BodyTooLarge,
+    /// This daemon knows no configuration yet.
+    NotLoaded,
+    /// It would not be served in time.
+    Overloaded,
+    /// No upstream takes work.
+    NoUpstream,
+    /// It crashes upstreams.
+    Quarantined,
+    /// Too few shards answered.
+    Coverage,
+    /// An upstream failed after it may have run the request.
+    UpstreamFailed,
+    /// No answer came in time.
+    Timeout,
+}
+
+impl Cause {
+    /// The name used in logs, metrics and answers.
+    pub fn name(self) -> &'static str {
+        match self {
+            Cause::BadRequest => "bad_request",
+            Cause::NoRoute => "no_route",
+            Cause::BodyTooLarge => "body_too_large",
+            Cause::NotLoaded => "not_loaded",
+            Cause::Overloaded => "overloaded",
+            Cause::NoUpstream => "no_upstream",
+            Cause::Quarantined => "quarantined",
+            Cause::Coverage => "coverage",
+            Cause::UpstreamFailed => "upstream_failed",
+            Cause::Timeout => "timeout",
+        }
+    }
+}
+
+/// A request that was not served.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{}: {detail}", cause.name()))]
+pub struct Refusal {
+    /// Why.
+    pub cause: Cause,
+    /// Whether an upstream ran it.
+    pub ran: Ran,
+    /// More about the cause, for people.
+    pub detail: String,
+    /// When to ask again.
+    pub retry_after: Option<Millis>,
+}
+
+impl Refusal {
+    /// Returns the refusal of a request that no upstream ran.
+    pub fn not_run(cause: Cause, detail: impl Into<String>) -> Self {
+        Self {
+            cause,
+            ran: Ran::No,
+            detail: detail.into(),
+            retry_after: None,
+        }
+    }
+
+    /// Returns what a failure in the engine means to the caller.
+    pub fn from_failure(failure: &Failure) -> Self {
+        let cause = match failure.reason {
+            Reason::Quarantined => Cause::Quarantined,
+            Reason::NoReplica if failure.ran == Ran::No => Cause::NoUpstream,
+            Reason::Timeout => Cause::Timeout,
+            _ if failure.ran == Ran::No => Cause::Overloaded,
+            _ => Cause::UpstreamFailed,
+        };
+        Self {
+            cause,
+            ran: failure.ran,
+            detail: failure.reason.name().to_owned(),
+            retry_after: None,
+        }
+    }
+
+    /// The status: 503 only if the request has not run and never will.
+    pub fn status(&self) -> StatusCode {
+        match (self.cause, self.ran) {
+            (Cause::BadRequest, _) => StatusCode::BAD_REQUEST,
+            (Cause::NoRoute, _) => StatusCode::NOT_FOUND,
+            (Cause::BodyTooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
+            (_, Ran::No) => StatusCode::SERVICE_UNAVAILABLE,
+            (Cause::Timeout, _) => StatusCode::GATEWAY_TIMEOUT,
+            _ => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// Returns the answer for the caller.
+    pub fn to_response(&self) -> Response<Bytes> {
+        let mut builder = Response::builder()
+            .status(self.status())
+            .header(header::CONTENT_TYPE, "text/plain");
+        if let Some(after) = self.retry_after {
+            let seconds = after.0 as f64 / 1_000.0;
+            builder = builder.header(header::RETRY_AFTER, format!("{seconds:.3}"));
+        }
+        if self.status().is_client_error() {
+            builder = builder.header(header::CONNECTION, "close");
+        }
+        let body = Bytes::from(format!("{self}\n"));
+        builder.body(body).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/components/gateway/src/run.rs
@@ -0,0 +1,130 @@
+//! Builds a gateway and runs it until it is told to stop.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use axum::Router;
+use discovery::{Decode, Directory, Feed, Follower, InstanceEntry, Leases, Registration};
+use slog::{Logger, info};
+use snafu::{ResultExt, Snafu};
+use telemetry::Recorder;
+use transport::{Listener, ServerLimits, Shutdown, serve};
+
+use crate::admin;
+use crate::fleet::Fleet;
+use crate::handler;
+use crate::settings::Settings;
+use crate::shutdown;
+use crate::state::Gateway;
+use crate::wire::Wire;
+
+/// Result of running a gateway.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Why a gateway could not run.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// An address could not be bound.
+    #[snafu(display("{source}"))]
+    Bind {
+        /// What the listener said.
+        source: transport::Error,
+    },
+}
+
+/// The platform as a gateway uses it.
+pub struct Parts {
+    /// Source of records.
+    pub feed: Rc<dyn Feed>,
+    /// Reads the records.
+    pub decoder: Rc<dyn Decode>,
+    /// Keeps the registration.
+    pub leases: Rc<dyn Leases>,
+    /// Headers of callers and upstreams.
+    pub wire: Rc<dyn Wire>,
+}
+
+/// Runs a gateway until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails if an address can't be bound.
+pub async fn run(settings: Settings, parts: Parts, recorder: Recorder, log: Logger) -> Result<()> {
+    let callers = bind(settings.callers).await?;
+    let ready = bind(settings.ready).await?;
+    let peers = bind(settings.peers).await?;
+    let metrics = bind(settings.metrics).await?;
+    info!(log, "started"; "callers" => %callers.address, "ready" => %ready.address,
+        "peers" => %peers.address, "metrics" => %metrics.address, "domain" => &settings.domain);
+    let instance = InstanceEntry {
+        name: settings.instance.clone(),
+        address: settings.peers,
+    };
+    let registration = Registration::new(parts.leases.clone(), instance, &log);
+    let gateway = build(settings, parts, recorder, &log);
+    start_tasks(&gateway, &registration);
+    start_server(ready, admin::ready_router(&gateway));
+    start_server(peers, admin::peer_router(&gateway));
+    start_server(metrics, admin::metrics_router(&gateway));
+    let serving = serve(
+        callers,
+        handler::router(&gateway),
+        ServerLimits {
+            // Callers reuse connections that were idle for this long.
+            header_timeout: clock::Millis(15_000),
+            ..ServerLimits::default()
+        },
+        gateway.callers_shutdown.clone(),
+        gateway.callers_open.clone(),
+    );
+    compio::runtime::spawn(serving).detach();
+    shutdown::wait_for_signal().await;
+    shutdown::drain(&gateway, &registration).await;
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> Result<Listener> {
+    Listener::bind(address).await.context(BindSnafu)
+}
+
+fn build(settings: Settings, parts: Parts, recorder: Recorder, log: &Logger) -> Rc<Gateway> {
+    let directory = Rc::new(RefCell::new(Directory::new(parts.decoder)));
+    let follower = Follower::new(
+        parts.feed,
+        directory.clone(),
+        settings.seeds.clone(),
+        settings.peers,
+        log,
+    );
+    let shared = upstreams::Shared::new(log);
+    let fleet = Fleet::new(&shared, settings.budgets);
+    let updated = fleet.clone();
+    follower.add_listener(move |directory| updated.update(directory));
+    Rc::new(Gateway {
+        settings,
+        fleet,
+        follower,
+        directory,
+        wire: parts.wire,
+        recorder,
+        is_leaving: Cell::new(false),
+        in_flight: Cell::new(0),
+        callers_open: Rc::default(),
+        callers_shutdown: Shutdown::default(),
+        log: log.clone(),
+    })
+}
+
+fn start_tasks(gateway: &Rc<Gateway>, registration: &Rc<Registration>) {
+    let follower = &gateway.follower;
+    compio::runtime::spawn(follower.clone().follow_store()).detach();
+    compio::runtime::spawn(follower.clone().follow_peers()).detach();
+    compio::runtime::spawn(registration.clone().run()).detach();
+}
+
+fn start_server(listener: Listener, router: Router) {
+    let limits = ServerLimits::default();
+    let serving = serve(listener, router, limits, Shutdown::default(), Rc::default());
+    compio::runtime::spawn(serving).detach();
+}
--- a/components/query/src/serve.rs
+++ b/components/query/src/serve.rs
@@ -2,8 +2,7 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
-use catalog::Topology;
+use catalog::{Objective, Topology};
 use clock::Millis;
 use ledger::{Key, Ledger, Request, Verdict};
 use schema::claim_reply::Verdict as Code;
@@ -11,10 +10,13 @@
     ClaimReply, ClaimRequest, DispatchReply, DispatchRequest, OutcomeReply, OutcomeRequest, Part,
     ScatterReply, ScatterRequest, SurveyReply, SurveyRequest,
 };
-use upstreams::{Call, Failure, Pool, Pools, Ran, Reason};
+use upstreams::{Answer, Call, Effort, Failure, Held, NativeMessage, Pools, Ran, Reason, Service};
 
 use crate::outcomes::{Kept, Outcomes};
 
+const LATENCY_ATTEMPTS: usize = 3;
+const COVERAGE_ATTEMPTS: usize = 6;
+
 /// Answers what peers, and the root's side of this daemon, ask of an owner.
 pub struct Server {
     /// The upstreams.
@@ -59,14 +61,24 @@
         let Some(shards) = shards else {
             return refuse(&Failure::not_run(Reason::PartitioningUnknown));
         };
-        let call = Call {
+        let message = NativeMessage {
             request_id: request.request_id,
             partitioning: request.partitioning,
             snapshot: request.snapshot,
             key: None,
+            body: request.body.into(),
+        };
+        let version = Held {
+            partitioning: message.partitioning.clone(),
+            snapshot: message.snapshot,
+        };
+        let call = Call {
+            message: Rc::new(message.clone()),
+            version: Some(version),
             fingerprint: request.fingerprint,
+            priority: 0,
             deadline: Millis::now() + Millis(request.budget_ms),
-            body: request.body.into(),
+            effort: effort(&topology),
         };
         let outcome = pool.search(&topology, &call, &shards).await;
         let wait_ms = pool.shard_wait(&topology, &shards).0;
@@ -82,7 +94,7 @@
         let parts = shards
             .iter()
             .zip(results)
-            .map(|(&s, r)| part(&call, &topology.service.shards[s].name, r));
+            .map(|(&s, r)| part(&message, &topology.service.shards[s].name, r));
         ScatterReply {
             parts: parts.collect(),
             holdings: holdings(&pool, &topology, &shards),
@@ -102,16 +114,22 @@
         let Some((pool, topology, shard)) = found else {
             return dispatch_reply(Err(Failure::not_run(Reason::PartitioningUnknown)));
         };
-        let call = Call {
+        let message = NativeMessage {
             request_id: request.request_id,
             partitioning: request.partitioning,
             snapshot: 0,
             key: Some(request.key),
+            body: request.body.into(),
+        };
+        let call = Call {
+            message: Rc::new(message),
+            version: None,
             fingerprint: request.fingerprint,
+            priority: 0,
             deadline: Millis::now() + Millis(request.budget_ms),
-            body: request.body.into(),
+            effort: effort(&topology),
         };
-        dispatch_reply(pool.dispatch(&topology, &call, shard).await)
+        dispatch_reply(pool.book(&topology, &call, shard).await)
     }
 
     /// Claims or releases an idempotency key.
@@ -153,7 +171,23 @@
     }
 }
 
-fn holdings(pool: &Pool, topology: &Topology, shards: &[usize]) -> Vec<schema::Holding> {
+/// How hard the policy of a service says to try.
+fn effort(topology: &Topology) -> Effort {
+    let service = &topology.service;
+    let is_patient = service.objective == Objective::Coverage;
+    Effort {
+        attempts: match is_patient {
+            false => LATENCY_ATTEMPTS,
+            true => COVERAGE_ATTEMPTS,
+        },
+        hedge_percent: service.hedge_percent,
+        retry_percent: service.retry_percent,
+        is_patient,
+        hedge_limit: None,
+    }
+}
+
+fn holdings(pool: &Service, topology: &Topology, shards: &[usize]) -> Vec<schema::Holding> {
     let held = pool.holdings(topology, shards).into_iter();
     let message = |h: upstreams::Holding| schema::Holding {
         partitioning: h.partitioning,
@@ -172,19 +206,19 @@
     }
 }
 
-fn part(call: &Call, shard: &str, result: upstreams::Result<Bytes>) -> Part {
+fn part(message: &NativeMessage, shard: &str, result: upstreams::Result<Answer>) -> Part {
     let part = Part {
-        request_id: call.request_id.clone(),
+        request_id: message.request_id.clone(),
         shard: shard.to_owned(),
-        snapshot: call.snapshot,
-        partitioning: call.partitioning.clone(),
+        snapshot: message.snapshot,
+        partitioning: message.partitioning.clone(),
         ..Part::default()
     };
     match result {
         Ok(rows) => Part {
             covered: true,
             ran: Ran::Yes.into(),
-            rows: rows.into(),
+            rows: rows.into_body().into(),
             ..part
         },
         Err(f) => Part {
@@ -196,12 +230,12 @@
     }
 }
 
-fn dispatch_reply(result: upstreams::Result<Bytes>) -> DispatchReply {
+fn dispatch_reply(result: upstreams::Result<Answer>) -> DispatchReply {
     match result {
         Ok(body) => DispatchReply {
             ran: Ran::Yes.into(),
             done: true,
-            body: body.into(),
+            body: body.into_body().into(),
             ..DispatchReply::default()
         },
         Err(f) => DispatchReply {
--- /dev/null
+++ b/components/routes/src/lib.rs
@@ -0,0 +1,12 @@
+//! Which requests go where: the configuration that operators write, and the
+//! table that finds the route of a request.
+
+mod configuration;
+mod split;
+mod table;
+
+pub use configuration::{
+    Configuration, Gather, Limits, Repeat, Route, ServiceLimits, Share, Target,
+};
+pub use split::Splitter;
+pub use table::{Entry, Table};
--- /dev/null
+++ b/components/routes/tests/table.rs
@@ -0,0 +1,85 @@
+//! Which route a request takes.
+
+use clock::Millis;
+use routes::{Configuration, Gather, Repeat, Route, Share, Splitter, Table, Target};
+use rstest::rstest;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        repeat: Repeat::Idempotent,
+        timeout: Millis(1_000),
+        objective: Millis(100),
+        priority: 0,
+        attempts: 2,
+        target: Target::Service("s".to_owned()),
+    }
+}
+
+fn table() -> Table {
+    Table::new(&Configuration {
+        version: 3,
+        routes: vec![
+            route("all", "a.example", "/"),
+            route("short", "a.example", "/x/"),
+            route("long", "a.example", "/x/y/"),
+            route("other", "b.example", "/x/"),
+        ],
+        ..Configuration::default()
+    })
+}
+
+#[rstest]
+#[case("a.example", "/x/y/z", Some("long"))]
+#[case("a.example", "/x/y", Some("short"))]
+#[case("a.example", "/x/yy/z", Some("short"))]
+#[case("a.example", "/q", Some("all"))]
+#[case("A.Example:8080", "/x/", Some("short"))]
+#[case("b.example", "/x/1", Some("other"))]
+#[case("b.example", "/y/1", None)]
+#[case("c.example", "/x/", None)]
+#[case("a.example", "", None)]
+fn longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] name: Option<&str>,
+) {
+    let found = table().find(host, path);
+    assert_eq!(found.as_ref().map(|e| e.route.name.as_str()), name);
+}
+
+#[test]
+fn split_follows_the_weights() {
+    let share = |service: &str, weight| Share {
+        service: service.to_owned(),
+        weight,
+    };
+    let shares = [share("a", 3.0), share("b", 1.0), share("c", 0.0)];
+    let splitter = Splitter::default();
+    let dealt: Vec<&str> = (0..100).filter_map(|_| splitter.next(&shares)).collect();
+    let count = |name| dealt.iter().filter(|s| **s == name).count();
+    assert_eq!((count("a"), count("b"), count("c")), (75, 25, 0));
+    assert!(dealt.chunks(4).all(|four| four.contains(&"b")));
+    assert_eq!(Splitter::default().next(&[share("a", 0.0)]), None);
+}
+
+#[rstest]
+#[case(10, 0.89, 9)]
+#[case(10, 0.75, 8)]
+#[case(10, 0.7, 7)]
+#[case(15, 0.89, 14)]
+#[case(1, 0.0, 1)]
+fn least_coverage_is_rounded_up(
+    #[case] total: usize,
+    #[case] min_share: f64,
+    #[case] needed: usize,
+) {
+    let gather = Gather {
+        shards: vec![String::new(); total],
+        top: 5,
+        min_share,
+    };
+    assert_eq!(gather.needed(), needed);
+}
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -3,5 +3,5 @@
 mod log;
 mod metric;
 
-pub use log::{Level, log_panics, logger};
+pub use log::{Level, bounded_logger, log_panics, logger};
 pub use metric::{Recorder, install, names};
--- a/components/telemetry/src/log.rs
+++ b/components/telemetry/src/log.rs
@@ -1,4 +1,4 @@
-//! Structured logs, one JSON object a line on standard error.
+//! Structured logs, one JSON object a line.
 
 use std::io;
 use std::str::FromStr;
@@ -49,20 +49,39 @@
     }
 }
 
-/// Returns a logger that writes JSON lines with the name of the instance.
+/// Lines that wait to be written; further ones are dropped and counted.
+const BUFFERED_LINES: usize = 2_048;
+
+/// Returns a logger that writes JSON lines with the name of the instance to
+/// standard error.
 pub fn logger(level: Level, instance: &str) -> Logger {
-    let json = slog_json::Json::new(io::stderr())
+    let filtered = slog::LevelFilter::new(json_lines(io::stderr()), level.into());
+    Logger::root(
+        Mutex::new(filtered).fuse(),
+        o!("instance" => instance.to_owned()),
+    )
+}
+
+/// Returns a logger that writes to standard output and never blocks: lines
+/// that nobody reads are dropped, and a line counts them.
+pub fn bounded_logger(level: Level, instance: &str) -> Logger {
+    let lines = Mutex::new(json_lines(io::stdout())).fuse();
+    let buffered = slog_async::Async::new(lines)
+        .chan_size(BUFFERED_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build();
+    let filtered = slog::LevelFilter::new(buffered, level.into());
+    Logger::root(filtered.fuse(), o!("instance" => instance.to_owned()))
+}
+
+fn json_lines<W: io::Write>(writer: W) -> slog_json::Json<W> {
+    slog_json::Json::new(writer)
         .add_key_value(o!(
             "msg" => PushFnValue(|r: &Record, s| s.emit(r.msg())),
             "level" => FnValue(|r: &Record| r.level().as_str()),
             "ts_ms" => FnValue(|_: &Record| clock::Millis::wall().0),
         ))
-        .build();
-    let filtered = slog::LevelFilter::new(json, level.into());
-    Logger::root(
-        Mutex::new(filtered).fuse(),
-        o!("instance" => instance.to_owned()),
-    )
+        .build()
 }
 
 /// Logs and counts panics from now on; the runtime goes on with other tasks.
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -1,16 +1,17 @@
 //! One request to one upstream, in a slot.
 
-use bytes::Bytes;
 use clock::Millis;
 use telemetry::names;
 
+use crate::call::{Call, HEDGE_QUANTILE};
 use crate::failure::{Failure, Ran, Reason, Result};
+use crate::message::{Answer, Notes, Recipient};
 use crate::pool::Pool;
 use crate::queue::Slot;
-use crate::search::{Call, HEDGE_QUANTILE};
 use crate::suspects::Death;
 use crate::upstream::{LeaseError, Upstream};
-use crate::wire::{self, ANSWER_LIMIT_BYTES, Outgoing};
+
+const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
 // An attempt that takes this many times as long as nearly all others, and
 // longer than the margin, counts against the upstream.
@@ -45,7 +46,7 @@
 }
 
 /// Sends a call to the slot's upstream and checks the answer.
-pub(crate) async fn run(slot: &Slot, pool: &Pool, call: &Call, shard: &str) -> Result<Bytes> {
+pub(crate) async fn run(slot: &Slot, pool: &Pool, call: &Call, shard: &str) -> Result<Answer> {
     let upstream = &slot.upstream;
     let mut lease = match upstream.lease().await {
         Ok(lease) => lease,
@@ -57,13 +58,13 @@
     };
     let started = Millis::now();
     let budget = call.deadline.since(started);
-    let outgoing = Outgoing {
-        call,
+    let recipient = Recipient {
+        upstream: &upstream.name,
         shard,
-        budget,
     };
-    let request = outgoing
-        .to_request()
+    let request = call
+        .message
+        .to_request(&recipient, budget)
         .ok_or_else(|| Failure::not_run(Reason::UpstreamError))?;
     metrics::counter!(names::SENDS_TOTAL).increment(1);
     let mut attempt = Attempt {
@@ -82,16 +83,16 @@
         }
         Err(_) => return Err(note_death(pool, upstream)),
     };
-    if !outgoing.is_echoed(response.headers()) {
+    let reply = call.message.read(&recipient, response);
+    if matches!(&reply.result, Err(f) if f.reason == Reason::Mismatch) {
         metrics::counter!(names::MISMATCHES_TOTAL).increment(1);
         upstream.health.borrow_mut().note_failure(Millis::now());
-        return Err(Failure::unknown(Reason::Mismatch));
+        return reply.result;
     }
     upstream.keep(lease);
-    note_answer(pool, upstream, &response, started);
-    let result = wire::outcome(response);
-    note_outcome(pool, slot, call, &result, started);
-    result
+    note_answer(pool, upstream, reply.notes, started);
+    note_outcome(pool, slot, call, &reply.result, started);
+    reply.result
 }
 
 /// Strikes all that ran on the upstream, not only the request whose
@@ -116,13 +117,7 @@
     Failure::unknown(Reason::ConnectionDied)
 }
 
-fn note_answer(
-    pool: &Pool,
-    upstream: &Upstream,
-    response: &http::Response<Bytes>,
-    started: Millis,
-) {
-    let notes = wire::notes(response.headers());
+fn note_answer(pool: &Pool, upstream: &Upstream, notes: Notes, started: Millis) {
     let now = Millis::now();
     if let Some(load) = notes.load {
         upstream.health.borrow_mut().note_answered_load(load, now);
@@ -137,7 +132,7 @@
     }
 }
 
-fn note_outcome(pool: &Pool, slot: &Slot, call: &Call, result: &Result<Bytes>, started: Millis) {
+fn note_outcome(pool: &Pool, slot: &Slot, call: &Call, result: &Result<Answer>, started: Millis) {
     let now = Millis::now();
     let upstream = &slot.upstream;
     match result {
@@ -152,10 +147,9 @@
             }
         }
         Err(f) if f.reason == Reason::SnapshotNotHeld => {
-            upstream
-                .health
-                .borrow_mut()
-                .note_not_held(&call.partitioning, call.snapshot);
+            if let Some(version) = &call.version {
+                upstream.health.borrow_mut().note_not_held(version);
+            }
             upstream.request_poll();
         }
         Err(f) if f.ran == Ran::Unknown => upstream.health.borrow_mut().note_failure(now),
--- a/components/upstreams/src/batch.rs
+++ b/components/upstreams/src/batch.rs
@@ -1,15 +1,15 @@
 //! All sub-requests of one search that this daemon runs.
 
-use std::rc::Rc;
-
 use catalog::Topology;
 use clock::Millis;
 use futures_util::future::{Either, select};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
+use crate::call::Call;
 use crate::failure::{Failure, Ran, Reason, Result};
-use crate::pool::Pool;
-use crate::search::{Call, Rows, ShardSearch};
+use crate::message::Answer;
+use crate::search::ShardSearch;
+use crate::service::{DeclaredShard, Service};
 use crate::upstream::UpstreamKey;
 
 // Added to the expected wait, so that callers who were refused together
@@ -17,7 +17,7 @@
 const RETRY_SPREAD: f64 = 1.0;
 const MIN_RETRY_AFTER_MS: f64 = 20.0;
 
-impl Pool {
+impl Service {
     /// Searches `shards`; the results are in their order.
     ///
     /// # Errors
@@ -25,18 +25,20 @@
     /// Refuses the whole batch, before anything runs, if it can't be
     /// answered in time.
     pub async fn search(
-        self: &Rc<Self>,
+        &self,
         topology: &Topology,
         call: &Call,
         shards: &[usize],
-    ) -> Result<Vec<Result<Rows>>> {
+    ) -> Result<Vec<Result<Answer>>> {
         self.admit(topology, call, shards)?;
-        let mut results: Vec<Option<Result<Rows>>> = vec![None; shards.len()];
-        let mut running: FuturesUnordered<_> = shards
+        let mut results: Vec<Option<Result<Answer>>> = vec![None; shards.len()];
+        let declared: Vec<DeclaredShard<'_>> =
+            shards.iter().map(|&s| self.declared(topology, s)).collect();
+        let mut running: FuturesUnordered<_> = declared
             .iter()
             .enumerate()
-            .map(|(i, &shard)| {
-                let search = ShardSearch::new(self, topology, call, shard);
+            .map(|(i, shard)| {
+                let search = ShardSearch::new(self, shard, call);
                 async move { (i, search.run().await) }
             })
             .collect();
@@ -56,6 +58,23 @@
             .collect())
     }
 
+    /// Runs a booking on one replica of a shard; see [`crate::Pool::dispatch`].
+    ///
+    /// # Errors
+    ///
+    /// The failure tells whether the booking ran; it ran at most once.
+    pub async fn book(&self, topology: &Topology, call: &Call, shard: usize) -> Result<Answer> {
+        self.dispatch(&self.declared(topology, shard), call).await
+    }
+
+    fn declared<'a>(&'a self, topology: &'a Topology, index: usize) -> DeclaredShard<'a> {
+        DeclaredShard {
+            service: self,
+            topology,
+            index,
+        }
+    }
+
     /// Why a sub-request of a quarantined request was cut off.
     fn cancelled(&self, call: &Call) -> Failure {
         let refusal = self
--- a/components/upstreams/src/budget.rs
+++ b/components/upstreams/src/budget.rs
@@ -9,12 +9,14 @@
 #[derive(Debug)]
 pub struct Budget {
     tokens: Cell<f64>,
+    limit: Cell<f64>,
 }
 
 impl Default for Budget {
     fn default() -> Self {
         Self {
             tokens: Cell::new(INITIAL),
+            limit: Cell::new(FULL),
         }
     }
 }
@@ -23,7 +25,13 @@
     /// Earns `percent` of a token for one needed sub-request.
     pub fn earn(&self, percent: u8) {
         let tokens = self.tokens.get() + f64::from(percent) / 100.0;
-        self.tokens.set(tokens.min(FULL));
+        self.tokens.set(tokens.min(self.limit.get()));
+    }
+
+    /// Bounds the tokens that may be saved up.
+    pub fn set_limit(&self, tokens: f64) {
+        self.limit.set(tokens);
+        self.tokens.set(self.tokens.get().min(tokens));
     }
 
     /// Spends one token; `false` if there is none.
--- a/components/upstreams/src/dispatch.rs
+++ b/components/upstreams/src/dispatch.rs
@@ -3,31 +3,34 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
-use catalog::Topology;
 use clock::Millis;
 
 use crate::attempt;
+use crate::call::{Call, Shard};
 use crate::failure::{Failure, Ran, Reason, Result};
+use crate::message::Answer;
 use crate::pool::Pool;
 use crate::queue::{Ask, Refusal};
-use crate::search::Call;
+use crate::search::ShardSearch;
 use crate::upstream::UpstreamKey;
 
 impl Pool {
+    /// Runs one sub-request, with hedges and retries, on the replicas of a shard.
+    ///
+    /// # Errors
+    ///
+    /// The failure tells whether the sub-request ran.
+    pub async fn fetch(self: &Rc<Self>, shard: &dyn Shard, call: &Call) -> Result<Answer> {
+        ShardSearch::new(self, shard, call).run().await
+    }
+
     /// Runs a booking on one replica of a shard.
     ///
     /// # Errors
     ///
     /// The failure tells whether the booking ran; it ran at most once.
-    pub async fn dispatch(
-        self: &Rc<Self>,
-        topology: &Topology,
-        call: &Call,
-        shard: usize,
-    ) -> Result<Bytes> {
-        let name = &topology.service.shards[shard].name;
-        let mut candidates = self.replicas(topology, shard);
+    pub async fn dispatch(self: &Rc<Self>, shard: &dyn Shard, call: &Call) -> Result<Answer> {
+        let mut candidates = shard.replicas();
         let mut last = Failure::not_run(Reason::NoReplica);
         while !candidates.is_empty() {
             let slot = match self.acquire(self.booking_ask(&candidates, call)?).await {
@@ -38,7 +41,7 @@
                 }
             };
             let left = call.deadline.since(Millis::now());
-            let running = attempt::run(&slot, self, call, name);
+            let running = attempt::run(&slot, self, call, shard.name());
             match compio::time::timeout(left.into(), running).await {
                 Ok(Err(failure)) if failure.ran == Ran::No => last = failure,
                 Ok(result) => return result,
@@ -57,6 +60,7 @@
                 candidates: candidates.to_vec(),
                 deadline: call.deadline,
                 fingerprint: call.fingerprint,
+                priority: call.priority,
             }),
         }
     }
--- a/components/upstreams/src/health.rs
+++ b/components/upstreams/src/health.rs
@@ -4,7 +4,8 @@
 use clock::Millis;
 use serde::Serialize;
 
-use crate::wire::{Held, ReportedState};
+use crate::message::Held;
+use crate::wire::ReportedState;
 
 const SLOW_TO_EJECT: u32 = 3;
 const FIRST_EJECTION: Millis = Millis(500);
@@ -141,18 +142,17 @@
         }
     }
 
-    /// Whether a snapshot is held; unknown counts as held.
-    pub(crate) fn is_held(&self, partitioning: &str, snapshot: u64) -> bool {
-        let matches = |h: &Held| h.snapshot == snapshot && h.partitioning == partitioning;
+    /// Whether a version is held; unknown counts as held.
+    pub(crate) fn is_held(&self, version: &Held) -> bool {
         self.holds
             .as_ref()
-            .is_none_or(|list| list.iter().any(matches))
+            .is_none_or(|list| list.contains(version))
     }
 
-    /// Notes that an upstream answered that it does not hold a snapshot.
-    pub(crate) fn note_not_held(&mut self, partitioning: &str, snapshot: u64) {
+    /// Notes that an upstream answered that it does not hold a version.
+    pub(crate) fn note_not_held(&mut self, version: &Held) {
         if let Some(list) = &mut self.holds {
-            list.retain(|h| !(h.snapshot == snapshot && h.partitioning == partitioning));
+            list.retain(|h| h != version);
         }
     }
 }
--- a/components/upstreams/src/queue.rs
+++ b/components/upstreams/src/queue.rs
@@ -1,4 +1,5 @@
-//! The queue for slots of a service's upstreams, ordered by deadline.
+//! The queue for slots of a service's upstreams, ordered by priority and
+//! deadline.
 
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -59,6 +60,8 @@
     pub(crate) deadline: Millis,
     /// Fingerprint of the request.
     pub(crate) fingerprint: u64,
+    /// Rank in the queue; 0 goes first.
+    pub(crate) priority: u8,
 }
 
 struct Waiter {
@@ -86,7 +89,7 @@
 
 #[derive(Default)]
 struct State {
-    // In the order of their deadlines.
+    // By priority, then by deadline.
     waiters: Vec<Waiter>,
     suspects: HashSet<u64>,
 }
@@ -129,8 +132,7 @@
     /// Whether more sub-requests wait than can run at a time; extra load
     /// would then only delay what is needed.
     pub(crate) fn is_overloaded(&self) -> bool {
-        let upstreams = self.upstreams.borrow();
-        let slots: usize = upstreams.values().map(|u| u.slots.get()).sum();
+        let slots: usize = self.upstreams().iter().map(|u| u.slots.get()).sum();
         self.queue.len() > slots
     }
 
@@ -204,12 +206,12 @@
         let mut state = self.queue.state.borrow_mut();
         let at = state
             .waiters
-            .partition_point(|w| w.ask.deadline <= ask.deadline);
+            .partition_point(|w| (w.ask.priority, w.ask.deadline) <= (ask.priority, ask.deadline));
         state.waiters.insert(at, Waiter { ask, grant });
         receiver
     }
 
-    /// Grants free slots to waiters in the order of their deadlines.
+    /// Grants free slots to waiters in their order.
     pub(crate) fn pump(self: Rc<Self>) {
         if self.queue.len() == 0 {
             return;
@@ -252,8 +254,8 @@
 
     /// The upstreams that could take a request now.
     fn free_upstreams(&self) -> Vec<UpstreamKey> {
-        let upstreams = self.upstreams.borrow();
-        let free = upstreams.iter().filter(|(_, u)| u.has_free_slot());
+        let all = self.keyed().into_iter();
+        let free = all.filter(|(_, u)| u.has_free_slot());
         free.map(|(key, _)| key).collect()
     }
 
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -2,54 +2,28 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
-use catalog::{Objective, Topology};
 use clock::Millis;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use telemetry::names;
 
 use crate::attempt;
+use crate::call::{Call, HEDGE_QUANTILE, Shard};
 use crate::failure::{Failure, Ran, Reason, Result};
+use crate::message::Answer;
 use crate::pool::Pool;
 use crate::queue::{Ask, Refusal, Slot};
 use crate::suspects::Verdict;
 use crate::upstream::UpstreamKey;
 
-/// Sub-requests that take longer than this share of them are hedged.
-pub(crate) const HEDGE_QUANTILE: f64 = 0.95;
 const MIN_HEDGE_DELAY: Millis = Millis(3);
 const HEDGE_RETRY: Millis = Millis(3);
-const LATENCY_ATTEMPTS: usize = 3;
-const COVERAGE_ATTEMPTS: usize = 6;
 const RETRY_PAUSE: Millis = Millis(20);
 
-/// The rows of one shard, as the upstream encoded them.
-pub type Rows = Bytes;
-
-/// A request as it is sent to upstreams, the same for all shards.
-#[derive(Clone, Debug)]
-pub struct Call {
-    /// Unique identifier that answers must repeat.
-    pub request_id: String,
-    /// Label of the shard map.
-    pub partitioning: String,
-    /// Number of the snapshot; not used by bookings.
-    pub snapshot: u64,
-    /// Idempotency key of a booking.
-    pub key: Option<String>,
-    /// Digest of what the caller sent.
-    pub fingerprint: u64,
-    /// Time by which the answer must be there.
-    pub deadline: Millis,
-    /// The caller's body.
-    pub body: Bytes,
-}
-
 /// What a race between attempts waits for.
 enum Step {
     /// An attempt ended.
-    Finished(UpstreamKey, Result<Rows>),
+    Finished(UpstreamKey, Result<Answer>),
     /// There is a slot for a hedge.
     Granted(Slot),
     /// The deadline passed.
@@ -59,9 +33,8 @@
 /// Runs one sub-request on a shard.
 pub(crate) struct ShardSearch<'a> {
     pool: &'a Rc<Pool>,
-    topology: &'a Topology,
+    shard: &'a dyn Shard,
     call: &'a Call,
-    shard: usize,
     tried: Vec<UpstreamKey>,
     attempts: usize,
     last: Failure,
@@ -69,18 +42,12 @@
 }
 
 impl<'a> ShardSearch<'a> {
-    pub(crate) fn new(
-        pool: &'a Rc<Pool>,
-        topology: &'a Topology,
-        call: &'a Call,
-        shard: usize,
-    ) -> Self {
+    pub(crate) fn new(pool: &'a Rc<Pool>, shard: &'a dyn Shard, call: &'a Call) -> Self {
         let last = Failure::not_run(Reason::NoReplica);
         Self {
             pool,
-            topology,
-            call,
             shard,
+            call,
             tried: Vec::new(),
             attempts: 0,
             last,
@@ -89,9 +56,9 @@
     }
 
     /// Runs until a replica answers, or none can in time.
-    pub(crate) async fn run(mut self) -> Result<Rows> {
-        self.pool.retries.earn(self.topology.service.retry_percent);
-        self.pool.hedges.earn(self.topology.service.hedge_percent);
+    pub(crate) async fn run(mut self) -> Result<Answer> {
+        self.pool.retries.earn(self.call.effort.retry_percent);
+        self.pool.hedges.earn(self.call.effort.hedge_percent);
         metrics::counter!(names::SUBREQUESTS_TOTAL).increment(1);
         let suspects = &self.pool.shared.suspects;
         loop {
@@ -130,7 +97,7 @@
 
     /// The replicas that hold the snapshot and were not tried yet.
     fn candidates(&self) -> Vec<UpstreamKey> {
-        let all = self.pool.replicas(self.topology, self.shard);
+        let all = self.shard.replicas();
         let is_untried = |k: &UpstreamKey| !self.tried.contains(k);
         all.into_iter()
             .filter(|k| is_untried(k) && self.is_held(*k))
@@ -138,12 +105,11 @@
     }
 
     fn is_held(&self, key: UpstreamKey) -> bool {
+        let Some(version) = &self.call.version else {
+            return true;
+        };
         let upstream = self.pool.find(key);
-        upstream.is_some_and(|u| {
-            u.health
-                .borrow()
-                .is_held(&self.call.partitioning, self.call.snapshot)
-        })
+        upstream.is_some_and(|u| u.health.borrow().is_held(version))
     }
 
     fn ask(&self) -> Ask {
@@ -151,13 +117,14 @@
             candidates: self.candidates(),
             deadline: self.call.deadline,
             fingerprint: self.call.fingerprint,
+            priority: self.call.priority,
         }
     }
 
     async fn first_slot(&self) -> Result<Slot> {
         let ask = self.ask();
         if ask.candidates.is_empty() {
-            let replicas = self.pool.replicas(self.topology, self.shard);
+            let replicas = self.shard.replicas();
             let is_held = replicas.iter().any(|&k| self.is_held(k));
             let reason = if is_held {
                 Reason::NoReplica
@@ -177,7 +144,7 @@
     }
 
     /// Runs an attempt and, if it takes long, a hedge beside it.
-    async fn race(&mut self, slot: Slot) -> Result<Rows> {
+    async fn race(&mut self, slot: Slot) -> Result<Answer> {
         let mut steps: FuturesUnordered<LocalBoxFuture<'a, Step>> = FuturesUnordered::new();
         let mut running = 1;
         steps.push(self.start(slot));
@@ -218,7 +185,7 @@
     /// slots don't keep each other from being hedged.
     fn wait_to_hedge(&self) -> Option<LocalBoxFuture<'a, Step>> {
         let ask = self.ask();
-        if ask.candidates.is_empty() {
+        if ask.candidates.is_empty() || self.attempts >= self.call.effort.attempts {
             return None;
         }
         let (pool, delay) = (self.pool, self.hedge_delay());
@@ -257,12 +224,11 @@
     }
 
     fn start(&mut self, slot: Slot) -> LocalBoxFuture<'a, Step> {
-        let (pool, call) = (self.pool, self.call);
-        let shard = &self.topology.service.shards[self.shard].name;
+        let (pool, call, shard) = (self.pool, self.call, self.shard);
         self.tried.push(slot.key);
         self.attempts += 1;
         Box::pin(async move {
-            let result = attempt::run(&slot, pool, call, shard).await;
+            let result = attempt::run(&slot, pool, call, shard.name()).await;
             Step::Finished(slot.key, result)
         })
     }
@@ -271,16 +237,17 @@
         let learned = self.pool.latency.borrow().quantile(HEDGE_QUANTILE);
         let left = self.call.deadline.since(Millis::now());
         let unlearned = Millis(left.0 / 4);
-        learned.unwrap_or(unlearned).max(MIN_HEDGE_DELAY)
+        let delay = learned.unwrap_or(unlearned).max(MIN_HEDGE_DELAY);
+        self.call
+            .effort
+            .hedge_limit
+            .map_or(delay, |limit| delay.min(limit))
     }
 
     /// Whether another attempt is worth it and paid for. What was never sent
     /// to an upstream costs nothing.
     fn may_retry(&mut self, failure: &Failure) -> bool {
-        let limit = match self.topology.service.objective {
-            Objective::Latency => LATENCY_ATTEMPTS,
-            Objective::Coverage => COVERAGE_ATTEMPTS,
-        };
+        let limit = self.call.effort.attempts;
         let has_time = Millis::now() + RETRY_PAUSE < self.call.deadline;
         let is_final =
             matches!(failure.reason, Reason::SnapshotNotHeld if self.candidates().is_empty());
@@ -303,7 +270,7 @@
 
     /// With other replicas left, or where coverage goes before latency.
     fn waits_for_replicas(&self) -> bool {
-        !self.candidates().is_empty() || self.topology.service.objective == Objective::Coverage
+        !self.candidates().is_empty() || self.call.effort.is_patient
     }
 
     async fn pause(&self) {
--- /dev/null
+++ b/components/upstreams/src/shared.rs
@@ -0,0 +1,52 @@
+//! What all pools of a daemon share.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use catalog::Topology;
+use slog::Logger;
+
+use crate::drains::Drains;
+use crate::suspects::Suspects;
+
+/// Tells whether this daemon owns a group of a topology.
+pub type OwnsGroup = dyn Fn(&Topology, usize) -> bool;
+
+/// What all pools of a daemon share.
+pub struct Shared {
+    /// Marks of leaving upstreams.
+    pub drains: Drains,
+    /// Requests that may crash upstreams.
+    pub suspects: Suspects,
+    /// Called when there is news that peers should hear at once.
+    pub news: RefCell<Option<Rc<dyn Fn()>>>,
+    /// Whether this daemon owns a group, by the key of the group.
+    pub owns: RefCell<Option<Rc<OwnsGroup>>>,
+    /// The log.
+    pub log: Logger,
+}
+
+impl Shared {
+    /// Returns the state that a new daemon starts with.
+    pub fn new(log: &Logger) -> Rc<Self> {
+        Rc::new(Self {
+            drains: Drains::default(),
+            suspects: Suspects::default(),
+            news: RefCell::default(),
+            owns: RefCell::default(),
+            log: log.clone(),
+        })
+    }
+
+    pub(crate) fn tell_news(&self) {
+        let news = self.news.borrow().clone();
+        if let Some(tell) = news {
+            tell();
+        }
+    }
+
+    pub(crate) fn is_owned(&self, topology: &Topology, group: usize) -> bool {
+        let owns = self.owns.borrow().clone();
+        owns.is_none_or(|owns| owns(topology, group))
+    }
+}
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -9,6 +9,7 @@
 use slotmap::new_key_type;
 use transport::Connection;
 
+use crate::endpoint::Endpoint;
 use crate::health::Health;
 use crate::latency::Latency;
 
@@ -29,6 +30,8 @@
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: String,
+    /// Wall-clock time of its start, if known.
+    pub(crate) born: Option<Millis>,
     pub(crate) slots: Cell<usize>,
     pub(crate) connections: Cell<usize>,
     pub(crate) is_drained: Cell<bool>,
@@ -79,12 +82,13 @@
 }
 
 impl Upstream {
-    pub(crate) fn new(service: &str, declared: &catalog::Upstream) -> Self {
+    pub(crate) fn new(service: &str, endpoint: &Endpoint) -> Self {
         Self {
-            id: format!("{service}/{}", declared.name),
-            name: declared.name.clone(),
-            address: declared.address,
-            domain: declared.domain.clone(),
+            id: format!("{service}/{}", endpoint.id),
+            name: endpoint.id.clone(),
+            address: endpoint.address,
+            domain: endpoint.domain.clone(),
+            born: endpoint.born,
             slots: Cell::new(1),
             connections: Cell::new(1),
             is_drained: Cell::new(false),
@@ -98,6 +102,13 @@
         }
     }
 
+    /// Whether an endpoint names this very process.
+    pub(crate) fn is_same_process(&self, endpoint: &Endpoint) -> bool {
+        endpoint.address == self.address
+            && endpoint.domain == self.domain
+            && endpoint.born == self.born
+    }
+
     /// Requests that may run here at a time now.
     pub(crate) fn limit(&self) -> usize {
         let health = self.health.borrow();
--- a/components/upstreams/src/view.rs
+++ b/components/upstreams/src/view.rs
@@ -3,9 +3,9 @@
 use clock::Millis;
 use serde::Serialize;
 
+use crate::call::HEDGE_QUANTILE;
 use crate::health::{Health, Tier};
-use crate::pool::Pool;
-use crate::search::HEDGE_QUANTILE;
+use crate::service::Service;
 
 /// The state of one service's pool.
 #[derive(Debug, Serialize)]
@@ -50,8 +50,8 @@
     health: Health,
 }
 
-impl Pool {
-    /// Returns the state of this pool.
+impl Service {
+    /// Returns the state of this service.
     pub fn view(&self) -> PoolView {
         let now = Millis::now();
         let upstreams = self.upstreams().into_iter().map(|u| UpstreamView {
--- a/components/upstreams/src/wire.rs
+++ b/components/upstreams/src/wire.rs
@@ -1,4 +1,4 @@
-//! The HTTP interface of upstreams; docs/INTERFACES.md describes it.
+//! The native HTTP interface of upstreams; docs/INTERFACES.md describes it.
 
 use bytes::Bytes;
 use clock::Millis;
@@ -7,9 +7,7 @@
 use transport::Payload;
 
 use crate::failure::{Failure, Ran, Reason};
-use crate::search::Call;
-
-pub(crate) const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+use crate::message::{Answer, Held, Message, Notes, Recipient, Reply};
 
 const REQUEST_ID: &str = "x-request-id";
 const SHARD: &str = "x-shard";
@@ -24,18 +22,24 @@
 const HOLDS: &str = "x-holds";
 const RETRY_AFTER_MS: &str = "x-retry-after-ms";
 
-/// One sub-request as it is sent to an upstream.
-pub(crate) struct Outgoing<'a> {
-    pub(crate) call: &'a Call,
-    pub(crate) shard: &'a str,
-    pub(crate) budget: Millis,
+/// A search or a booking on the native interface.
+#[derive(Clone, Debug)]
+pub struct NativeMessage {
+    /// Unique identifier that answers must repeat.
+    pub request_id: String,
+    /// Label of the shard map.
+    pub partitioning: String,
+    /// Number of the snapshot; not used by bookings.
+    pub snapshot: u64,
+    /// Idempotency key of a booking.
+    pub key: Option<String>,
+    /// The caller's body.
+    pub body: Bytes,
 }
 
-impl Outgoing<'_> {
-    /// Builds the HTTP request; `None` if a value can't be a header.
-    pub(crate) fn to_request(&self) -> Option<Request<Payload>> {
-        let call = self.call;
-        let path = if call.key.is_some() {
+impl Message for NativeMessage {
+    fn to_request(&self, recipient: &Recipient<'_>, budget: Millis) -> Option<Request<Payload>> {
+        let path = if self.key.is_some() {
             "/book"
         } else {
             "/search"
@@ -43,38 +47,44 @@
         let mut builder = Request::post(path)
             .header(header::HOST, "upstream")
             .header(header::CONTENT_TYPE, "application/json")
-            .header(REQUEST_ID, &call.request_id)
-            .header(SHARD, self.shard)
-            .header(PARTITIONING, &call.partitioning)
-            .header(DEADLINE_MS, self.budget.0);
-        builder = match &call.key {
+            .header(REQUEST_ID, &self.request_id)
+            .header(SHARD, recipient.shard)
+            .header(PARTITIONING, &self.partitioning)
+            .header(DEADLINE_MS, budget.0);
+        builder = match &self.key {
             Some(key) => builder.header(IDEMPOTENCY_KEY, key),
-            None => builder.header(SNAPSHOT, call.snapshot),
+            None => builder.header(SNAPSHOT, self.snapshot),
         };
-        builder.body(Payload::new(call.body.clone())).ok()
+        builder.body(Payload::new(self.body.clone())).ok()
     }
 
+    fn read(&self, recipient: &Recipient<'_>, response: Response<Bytes>) -> Reply {
+        if !self.is_echoed(recipient.shard, response.headers()) {
+            return Reply {
+                notes: Notes::default(),
+                result: Err(Failure::unknown(Reason::Mismatch)),
+            };
+        }
+        Reply {
+            notes: notes(response.headers()),
+            result: outcome(response),
+        }
+    }
+}
+
+impl NativeMessage {
     /// Whether an answer repeats what identifies this request.
-    pub(crate) fn is_echoed(&self, headers: &HeaderMap) -> bool {
-        let call = self.call;
+    fn is_echoed(&self, shard: &str, headers: &HeaderMap) -> bool {
         let is_same_snapshot =
-            call.key.is_some() || number(headers, SNAPSHOT) == Some(call.snapshot);
-        text(headers, REQUEST_ID) == Some(call.request_id.as_str())
-            && text(headers, SHARD) == Some(self.shard)
-            && text(headers, PARTITIONING) == Some(call.partitioning.as_str())
+            self.key.is_some() || number(headers, SNAPSHOT) == Some(self.snapshot);
+        text(headers, REQUEST_ID) == Some(self.request_id.as_str())
+            && text(headers, SHARD) == Some(shard)
+            && text(headers, PARTITIONING) == Some(self.partitioning.as_str())
             && is_same_snapshot
     }
 }
 
-/// What an answer says of the upstream itself.
-pub(crate) struct Notes {
-    pub(crate) leaving: bool,
-    pub(crate) boot: String,
-    pub(crate) load: Option<f64>,
-    pub(crate) holds: Option<Vec<Held>>,
-}
-
-pub(crate) fn notes(headers: &HeaderMap) -> Notes {
+fn notes(headers: &HeaderMap) -> Notes {
     Notes {
         leaving: text(headers, LEAVING).is_some_and(|v| v == "1"),
         boot: text(headers, BOOT).unwrap_or_default().to_owned(),
@@ -96,12 +106,12 @@
 }
 
 /// Reads the status of an answer whose echo was checked.
-pub(crate) fn outcome(response: Response<Bytes>) -> Result<Bytes, Failure> {
+fn outcome(response: Response<Bytes>) -> Result<Answer, Failure> {
     let headers = response.headers();
     let is_not_run = text(headers, RAN).is_some_and(|v| v == "no");
     let retry_after = Millis(number(headers, RETRY_AFTER_MS).unwrap_or(0));
     match response.status() {
-        StatusCode::OK => Ok(response.into_body()),
+        StatusCode::OK => Ok(response),
         StatusCode::CONFLICT if is_not_run => Err(Failure::not_run(Reason::SnapshotNotHeld)),
         _ if is_not_run => Err(Failure {
             reason: Reason::Overloaded,
@@ -140,13 +150,6 @@
     Failing,
 }
 
-/// The snapshots of one partitioning that an upstream holds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Held {
-    pub(crate) partitioning: String,
-    pub(crate) snapshot: u64,
-}
-
 /// The answer of an upstream's health endpoint.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub(crate) struct HealthReport {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -31,6 +31,9 @@
     /// Run a daemon until SIGTERM.
     #[command(after_help = "Example:\n  coltsfootgw serve --settings entry-1.yaml")]
     Serve(ServeArgs),
+    /// Run a daemon on the users' platform until SIGTERM.
+    #[command(after_help = "Example:\n  coltsfootgw gateway --settings settings.yaml")]
+    Gateway(GatewayArgs),
     /// Check declarations offline; prints every finding with its place.
     #[command(after_help = "Example:\n  coltsfootgw check --file deploy.yaml")]
     Check(CheckArgs),
@@ -78,6 +81,16 @@
     Completions(CompletionsArgs),
 }
 
+#[derive(Debug, Args)]
+pub(crate) struct GatewayArgs {
+    /// Settings file that the platform places on the machine.
+    #[arg(long, env = platform::SETTINGS_VARIABLE)]
+    pub(crate) settings: PathBuf,
+    /// Least severe level of the log: error, warning, info or debug.
+    #[arg(long, default_value = "info")]
+    pub(crate) log_level: telemetry::Level,
+}
+
 #[derive(Debug, Args)]
 pub(crate) struct ServeArgs {
     /// The daemon's settings (YAML).
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -7,6 +7,7 @@
 pub(crate) mod completions;
 pub(crate) mod drain;
 pub(crate) mod dump;
+pub(crate) mod gateway;
 pub(crate) mod get;
 pub(crate) mod history;
 pub(crate) mod plan;
--- /dev/null
+++ b/src/cmd/gateway.rs
@@ -0,0 +1,27 @@
+//! `gateway`: runs a daemon on the users' platform.
+
+use std::rc::Rc;
+
+use gateway::Parts;
+use platform::{PlatformRecords, PlatformStore, PlatformWire};
+use snafu::ResultExt;
+
+use crate::cli::GatewayArgs;
+use crate::cmd::call::block_on;
+use crate::exit::{Code, GatewaySnafu, MetricsSnafu, PlatformSnafu, Result};
+
+pub(crate) fn run(args: &GatewayArgs) -> Result<Code> {
+    let settings = platform::load(&args.settings).context(PlatformSnafu)?;
+    let recorder = telemetry::install().map_err(|detail| MetricsSnafu { detail }.build())?;
+    let log = telemetry::bounded_logger(args.log_level, &settings.gateway.instance);
+    telemetry::log_panics(&log);
+    let store = Rc::new(PlatformStore::new(settings.store));
+    let parts = Parts {
+        feed: store.clone(),
+        decoder: Rc::new(PlatformRecords),
+        leases: store,
+        wire: Rc::new(PlatformWire),
+    };
+    block_on(gateway::run(settings.gateway, parts, recorder, log))?.context(GatewaySnafu)?;
+    Ok(Code::Success)
+}
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -60,6 +60,18 @@
         /// What the daemon said.
         source: daemon::Error,
     },
+    /// The platform's settings file can't be used.
+    #[snafu(display("{source}"))]
+    Platform {
+        /// The place and what is wrong there.
+        source: platform::Error,
+    },
+    /// The gateway could not run.
+    #[snafu(display("{source}"))]
+    Gateway {
+        /// What the gateway said.
+        source: gateway::Error,
+    },
     /// The daemon answered an operator's call with an error.
     #[snafu(display("the daemon at {address} answered: {detail}"))]
     Call {
@@ -92,7 +104,7 @@
     /// The exit code for this error.
     pub(crate) fn code(&self) -> Code {
         match self {
-            Error::Findings { .. } => Code::Findings,
+            Error::Findings { .. } | Error::Platform { .. } => Code::Findings,
             Error::Call { .. } | Error::Transport { .. } => Code::Unavailable,
             _ => Code::Failure,
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,7 @@
     let cli = Cli::parse();
     let result = match &cli.command {
         Command::Serve(args) => cmd::serve::run(args),
+        Command::Gateway(args) => cmd::gateway::run(args),
         Command::Check(args) => cmd::check::run(args, cli.output),
         Command::Plan(args) => cmd::plan::run(args, cli.output),
         Command::Apply(args) => cmd::apply::run(args, cli.output),
