--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -8,6 +8,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::Response;
 use routes::{Gather, Repeat, Target};
+use slog::info;
 use upstreams::{Answer, Failure, Pool, Ran, Shard, UpstreamKey};
 
 use crate::gather::{Progress, Step};
@@ -100,7 +101,8 @@
 struct Parts<'a> {
     gather: &'a Gather,
     answers: Vec<Answer>,
-    failures: Vec<Failure>,
+    covered: Vec<bool>,
+    failures: Vec<(usize, Failure)>,
     is_overdue: bool,
 }
 
@@ -115,9 +117,25 @@
         }
     }
 
+    fn add(&mut self, shard: usize, answer: Answer) {
+        self.covered[shard] = true;
+        self.answers.push(answer);
+    }
+
+    /// The shards that are missing, each with its reason, for the log.
+    fn missing(&self) -> String {
+        let reason = |shard: usize| {
+            let failure = self.failures.iter().find(|(s, _)| *s == shard);
+            failure.map_or("running", |(_, f)| f.reason.name())
+        };
+        let missing = (0..self.covered.len()).filter(|&s| !self.covered[s]);
+        let named = missing.map(|s| format!("{}={}", self.gather.shards[s], reason(s)));
+        named.collect::<Vec<_>>().join(" ")
+    }
+
     /// Whether any shard may have run the search.
     fn ran(&self) -> Ran {
-        let failed = self.failures.iter().map(|f| f.ran).max();
+        let failed = self.failures.iter().map(|(_, f)| f.ran).max();
         match self.answers.is_empty() {
             true => failed.unwrap_or(Ran::No),
             false => Ran::Yes,
@@ -135,16 +153,18 @@
     let mut parts = Parts {
         gather,
         answers: Vec::with_capacity(pools.len()),
+        covered: vec![false; pools.len()],
         failures: Vec::new(),
         is_overdue: false,
     };
     let mut running = FuturesUnordered::new();
-    for pool in &pools {
+    for (shard, pool) in pools.iter().enumerate() {
         match pool {
-            Some(pool) => running.push(fetch(pool, job)),
-            None => parts
-                .failures
-                .push(Failure::not_run(upstreams::Reason::NoReplica)),
+            Some(pool) => running.push(fetch(pool, job, shard)),
+            None => {
+                let unknown = Failure::not_run(upstreams::Reason::NoReplica);
+                parts.failures.push((shard, unknown));
+            }
         }
     }
     let objective = job.entry.route.objective - OBJECTIVE_MARGIN;
@@ -161,8 +181,10 @@
         };
         let pause = compio::time::sleep(until.since(Millis::now()).into());
         match select(running.next(), std::pin::pin!(pause)).await {
-            Either::Left((Some(Ok(answer)), _)) => parts.answers.push(answer),
-            Either::Left((Some(Err(failure)), _)) => parts.failures.push(failure),
+            Either::Left((Some((shard, Ok(answer))), _)) => parts.add(shard, answer),
+            Either::Left((Some((shard, Err(failure))), _)) => {
+                parts.failures.push((shard, failure));
+            }
             Either::Left((None, _)) => {}
             Either::Right(_) if !parts.is_overdue => parts.is_overdue = true,
             Either::Right(_) => return Err(give_up(job, &parts, &pools)),
@@ -170,18 +192,30 @@
     }
     let records = top_records(parts.answers.iter().map(|a| a.body().as_ref()), gather.top);
     let missing = gather.shards.len() - parts.answers.len();
+    if missing > 0 {
+        gateway.journal.note(|| {
+            info!(gateway.log, "partial answer"; "request_id" => &job.forwarded.id,
+                "route" => &job.entry.route.name, "version" => job.version,
+                "missing" => parts.missing(), "total" => gather.shards.len(),
+                "elapsed_ms" => Millis::now().since(job.arrived).0,
+                "store_age_ms" => gateway.follower.store_age(Millis::now()).0);
+        });
+    }
     Ok(gateway.wire.merged(&parts.answers, missing, records))
 }
 
-async fn fetch(pool: &Rc<Pool>, job: &Job) -> upstreams::Result<Answer> {
-    pool.fetch(&WholeService(pool), &job.call).await
+async fn fetch(pool: &Rc<Pool>, job: &Job, shard: usize) -> (usize, upstreams::Result<Answer>) {
+    (shard, pool.fetch(&WholeService(pool), &job.call).await)
 }
 
 fn give_up(job: &Job, parts: &Parts<'_>, pools: &[Option<Rc<Pool>>]) -> Refusal {
     let progress = parts.progress();
     let detail = format!(
-        "{} of {} shards, {} needed",
-        progress.covered, progress.total, progress.needed
+        "{} of {} shards, {} needed; missing {}",
+        progress.covered,
+        progress.total,
+        progress.needed,
+        parts.missing()
     );
     let is_late = Millis::now() >= job.call.deadline;
     let refusal = Refusal {
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -12,6 +12,8 @@
 use http::{HeaderMap, HeaderValue, Response, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use routes::{Entry, Repeat, Route, Table, Target};
+use slog::info;
+use telemetry::names;
 use transport::{Local, detached, local};
 use upstreams::{Call, Effort};
 use xxhash_rust::xxh3::xxh3_64;
@@ -69,6 +71,8 @@
 /// A request whose route is known.
 pub(crate) struct Job {
     pub(crate) entry: Rc<Entry>,
+    /// Version of the configuration that the request keeps.
+    pub(crate) version: u64,
     pub(crate) arrived: Millis,
     pub(crate) call: Call,
     pub(crate) forwarded: Rc<Forwarded>,
@@ -77,11 +81,17 @@
 async fn handle(State(app): State<App>, request: Request) -> Response<Body> {
     local(async move {
         let gateway: Rc<Gateway> = (*app.0).clone();
+        let arrived = Millis::now();
         let counted = InFlight::new(&gateway);
+        let id = gateway.wire.terms(request.headers()).map(|t| t.id);
+        let id = id.unwrap_or_default();
         let result = serve(&gateway, request).await;
         let mut response = match result {
             Ok(response) => response,
-            Err(refusal) => refusal.to_response(),
+            Err(refusal) => {
+                note_refusal(&gateway, &id, &refusal, Millis::now().since(arrived));
+                refusal.to_response()
+            }
         };
         if gateway.is_leaving.get() {
             let close = HeaderValue::from_static("close");
@@ -114,6 +124,19 @@
     }
 }
 
+fn note_refusal(gateway: &Gateway, id: &str, refusal: &Refusal, elapsed: Millis) {
+    let cause = refusal.cause.name();
+    metrics::counter!(names::REFUSALS_TOTAL, "reason" => cause).increment(1);
+    gateway.journal.note(|| {
+        info!(gateway.log, "request not served"; "request_id" => id, "cause" => cause,
+            "ran" => ?refusal.ran, "status" => refusal.status().as_u16(),
+            "detail" => &refusal.detail, "elapsed_ms" => elapsed.0,
+            "retry_after_ms" => refusal.retry_after.map(|r| r.0),
+            "in_flight" => gateway.in_flight.get(),
+            "store_age_ms" => gateway.follower.store_age(Millis::now()).0);
+    });
+}
+
 fn not_loaded() -> Refusal {
     Refusal {
         retry_after: Some(LOADING_WAIT),
@@ -168,6 +191,7 @@
     };
     Ok(Job {
         entry,
+        version: table.version,
         arrived,
         call,
         forwarded,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod gather;
 mod handler;
+mod journal;
 mod merge;
 mod outcome;
 mod retry_after;
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -14,6 +14,7 @@
 use crate::admin;
 use crate::fleet::Fleet;
 use crate::handler;
+use crate::journal::Journal;
 use crate::settings::Settings;
 use crate::shutdown;
 use crate::state::Gateway;
@@ -112,6 +113,7 @@
         in_flight: Cell::new(0),
         callers_open: Rc::default(),
         callers_shutdown: Shutdown::default(),
+        journal: Journal::new(log),
         log: log.clone(),
     })
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -9,6 +9,7 @@
 use transport::Shutdown;
 
 use crate::fleet::Fleet;
+use crate::journal::Journal;
 use crate::settings::Settings;
 use crate::wire::Wire;
 
@@ -24,6 +25,7 @@
     pub(crate) in_flight: Cell<usize>,
     pub(crate) callers_open: Rc<Cell<usize>>,
     pub(crate) callers_shutdown: Shutdown,
+    pub(crate) journal: Journal,
     pub(crate) log: Logger,
 }
 
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -152,6 +152,11 @@
             }
             upstream.request_poll();
         }
+        Err(f) if f.reason == Reason::Misdirected => {
+            slog::info!(pool.shared.log, "upstream was replaced"; "upstream" => &upstream.id,
+                "address" => %upstream.address);
+            upstream.is_replaced.set(true);
+        }
         Err(f) if f.ran == Ran::Unknown => upstream.health.borrow_mut().note_failure(now),
         Err(_) => {}
     }
--- a/components/upstreams/src/failure.rs
+++ b/components/upstreams/src/failure.rs
@@ -59,6 +59,8 @@
     Mismatch,
     /// The upstream answered with an error.
     UpstreamError,
+    /// Another process has the upstream's address.
+    Misdirected,
     /// The request crashes upstreams.
     Quarantined,
     /// The daemon that owns the shard did not answer.
@@ -77,6 +79,7 @@
             Reason::ConnectionDied => "connection_died",
             Reason::Mismatch => "mismatch",
             Reason::UpstreamError => "upstream_error",
+            Reason::Misdirected => "misdirected",
             Reason::Quarantined => "quarantined",
             Reason::OwnerUnreachable => "owner_unreachable",
         }
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -123,7 +123,10 @@
     /// Whether an upstream takes new work at all.
     pub(crate) fn takes_work(&self, key: UpstreamKey) -> bool {
         let upstream = self.find(key);
-        upstream.is_some_and(|u| !u.is_drained.get() && !self.shared.drains.is_leaving(&u.id))
+        upstream.is_some_and(|u| {
+            let is_gone = u.is_drained.get() || u.is_replaced.get();
+            !is_gone && !self.shared.drains.is_leaving(&u.id)
+        })
     }
 
     /// Whether any slot is in use.
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -17,7 +17,9 @@
 use crate::upstream::UpstreamKey;
 
 const MIN_HEDGE_DELAY: Millis = Millis(3);
-const HEDGE_RETRY: Millis = Millis(3);
+/// A hedge that got no token or no slot is tried again after this time, and
+/// after twice as long each further time.
+const HEDGE_RETRY: Millis = Millis(10);
 const RETRY_PAUSE: Millis = Millis(20);
 
 /// What a race between attempts waits for.
@@ -191,6 +193,7 @@
         let (pool, delay) = (self.pool, self.hedge_delay());
         Some(Box::pin(async move {
             compio::time::sleep(delay.into()).await;
+            let mut pause = HEDGE_RETRY;
             loop {
                 let granted = match pool.is_overloaded() || !pool.hedges.has_token() {
                     true => None,
@@ -198,8 +201,9 @@
                 };
                 match granted {
                     Some(slot) => return Step::Granted(slot),
-                    None => compio::time::sleep(HEDGE_RETRY.into()).await,
+                    None => compio::time::sleep(pause.into()).await,
                 }
+                pause = pause + pause;
             }
         }))
     }
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -35,6 +35,8 @@
     pub(crate) slots: Cell<usize>,
     pub(crate) connections: Cell<usize>,
     pub(crate) is_drained: Cell<bool>,
+    /// Whether another process was found at its address.
+    pub(crate) is_replaced: Cell<bool>,
     pub(crate) open: Rc<Cell<usize>>,
     idle: RefCell<Vec<Lease>>,
     pub(crate) health: RefCell<Health>,
@@ -92,6 +94,7 @@
             slots: Cell::new(1),
             connections: Cell::new(1),
             is_drained: Cell::new(false),
+            is_replaced: Cell::new(false),
             open: Rc::default(),
             idle: RefCell::default(),
             health: RefCell::new(Health::new()),
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod graph;
 pub mod instances;
 pub mod load;
+pub mod platform;
 pub mod store;
 pub mod upstream;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -8,6 +8,7 @@
 use clap::{Parser, Subcommand};
 use serde::Deserialize;
 use serde_json::json;
+use standins::platform::site;
 use standins::upstream::{Behaviour, Options};
 use standins::{bench, demo, graph, instances, load, store, upstream};
 use transport::{Listener, ServerLimits, Shutdown, serve};
@@ -80,6 +81,21 @@
         #[arg(long)]
         to: std::path::PathBuf,
     },
+    /// A site on the platform: a store and upstreams, until it is ended.
+    Site {
+        /// Settings file that is written for a daemon.
+        #[arg(long)]
+        settings: std::path::PathBuf,
+        /// First of the daemon's ports.
+        #[arg(long, default_value_t = 8_500)]
+        port: u16,
+        /// Shards.
+        #[arg(long, default_value_t = 10)]
+        shards: usize,
+        /// Time that an upstream takes for a request, in milliseconds.
+        #[arg(long, default_value_t = 11)]
+        service_ms: u64,
+    },
     /// What control costs as daemons and upstreams grow.
     Scale,
     /// An open-loop load of searches.
@@ -148,6 +164,12 @@
             bench::run(&options, &examples).await.map(|_| ())
         }
         Command::Graph { from, to } => graph::draw(&from, &to),
+        Command::Site {
+            settings,
+            port,
+            shards,
+            service_ms,
+        } => serve_site(&settings, port, shards, service_ms).await,
         Command::Scale => {
             bench::scale::run().await;
             Ok(())
@@ -208,3 +230,22 @@
     std::future::pending::<()>().await;
     Ok(())
 }
+
+async fn serve_site(
+    settings: &std::path::Path,
+    port: u16,
+    shards: usize,
+    service_ms: u64,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let size = site::Size {
+        shards,
+        replicas: 3,
+        service_time: clock::Millis(service_ms),
+    };
+    let site = site::Site::start(size).await?;
+    let file = site::settings("gateway-1", port, site.store_address, &[]);
+    site::write_settings(settings, &file)?;
+    println!("{}", json!({ "store": site.store_address }));
+    std::future::pending::<()>().await;
+    Ok(())
+}
--- /dev/null
+++ b/standins/src/platform/site.rs
@@ -0,0 +1,154 @@
+//! A whole site on loopback: a store, shards with their upstreams, and the
+//! settings of daemons.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use clock::Millis;
+use serde_json::{Value, json};
+use transport::{Listener, ServerLimits, Shutdown, serve};
+
+use super::store::{self, PlatformStore};
+use super::upstream::{self, PlatformUpstream};
+
+/// Host of all routes.
+pub const HOST: &str = "site.example";
+/// Prefix of the search over all shards.
+pub const SEARCH: &str = "/search/";
+/// Prefix of the reads from one shard.
+pub const READ: &str = "/read/";
+/// Prefix of the writes to one shard, which may not be repeated.
+pub const WRITE: &str = "/write/";
+
+/// How large a site is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Shards.
+    pub shards: usize,
+    /// Upstreams of each shard.
+    pub replicas: usize,
+    /// Time that an upstream takes for a request.
+    pub service_time: Millis,
+}
+
+/// A running site.
+pub struct Site {
+    /// The store.
+    pub store: Rc<PlatformStore>,
+    /// Its address.
+    pub store_address: SocketAddr,
+    /// The upstreams by shard.
+    pub shards: Vec<Vec<Rc<PlatformUpstream>>>,
+}
+
+impl Site {
+    /// Starts a site on free ports of loopback.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn start(size: Size) -> transport::Result<Self> {
+        let store = PlatformStore::new();
+        let store_address = listen(store::router(&store)).await?;
+        let mut shards = Vec::new();
+        for shard in 0..size.shards {
+            let mut replicas = Vec::new();
+            for replica in 0..size.replicas {
+                let id = format!("u-{shard}-{replica}");
+                let upstream = PlatformUpstream::new(&id, 2, size.service_time, 25);
+                let address = listen(upstream::router(&upstream)).await?;
+                let entry = entry(&shard_name(shard), address, "ready", 1);
+                put(&store, &format!("servers/{id}"), &entry);
+                replicas.push(upstream);
+            }
+            shards.push(replicas);
+        }
+        put(&store, "op/config", &configuration(size.shards, 1));
+        Ok(Self {
+            store,
+            store_address,
+            shards,
+        })
+    }
+}
+
+async fn listen(router: axum::Router) -> transport::Result<SocketAddr> {
+    let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+    let address = listener.address;
+    let limits = ServerLimits::default();
+    let serving = serve(listener, router, limits, Shutdown::default(), Rc::default());
+    compio::runtime::spawn(serving).detach();
+    Ok(address)
+}
+
+/// Writes a JSON value to the store, as operators and upstreams do.
+pub fn put(store: &PlatformStore, key: &str, value: &Value) {
+    store.put(key, &STANDARD.encode(value.to_string()), 0);
+}
+
+/// The name of a shard's service.
+pub fn shard_name(shard: usize) -> String {
+    format!("shard-{shard}")
+}
+
+/// What an upstream writes of itself.
+pub fn entry(service: &str, address: SocketAddr, state: &str, seq: u64) -> Value {
+    json!({
+        "service": service, "address": address, "zone": "a", "version": "v1",
+        "capacity-slots": 2, "state": state, "cold-remaining-ms": 0, "seq": seq,
+    })
+}
+
+/// A configuration with a search over all shards, and reads and writes of the
+/// first.
+pub fn configuration(shards: usize, version: u64) -> Value {
+    let names: Vec<String> = (0..shards).map(shard_name).collect();
+    let route = |name: &str, prefix: &str, kind: &str| {
+        json!({
+            "name": name, "host": HOST, "prefix": prefix, "route-kind": kind,
+            "timeout-ms": 1_000, "target-latency-ms": 100, "priority": 1, "max-attempts": 2,
+        })
+    };
+    let mut search = route("search", SEARCH, "safe");
+    search["gather"] = json!(names);
+    search["top-k"] = json!(20);
+    search["min-success-share"] = json!(0.7);
+    let mut read = route("read", READ, "safe");
+    read["service"] = json!(shard_name(0));
+    let mut write = route("write", WRITE, "unsafe");
+    write["service"] = json!(shard_name(0));
+    let services: Vec<Value> = names
+        .iter()
+        .map(|n| json!({ "name": n, "max-connections": 26 }))
+        .collect();
+    json!({
+        "version": version, "routes": [search, read, write], "services": services,
+        "limits": { "max-header-bytes": 16_384, "max-body-bytes": 262_144,
+            "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000 },
+    })
+}
+
+/// The settings file of a daemon with free ports from `port` on.
+pub fn settings(name: &str, port: u16, store: SocketAddr, seeds: &[SocketAddr]) -> Value {
+    let address = |offset: u16| SocketAddr::from(([127, 0, 0, 1], port + offset));
+    json!({
+        "node-name": name, "ip-address": "127.0.0.1", "zone": "a",
+        "listen-addresses": {
+            "front": address(0), "ready": address(1), "control": address(2) },
+        "seed-nodes": seeds,
+        "bounds": { "grace-s": 6, "retry-budget-ratio": 0.2, "budget-slack": 54 },
+        "platform": { "address": store },
+    })
+}
+
+/// Writes the settings file of a daemon.
+///
+/// # Errors
+///
+/// Fails if the file can't be written.
+pub fn write_settings(path: &Path, settings: &Value) -> std::io::Result<()> {
+    std::fs::write(path, settings.to_string())
+}
--- /dev/null
+++ b/standins/src/platform/upstream.rs
@@ -0,0 +1,125 @@
+//! An upstream on the platform: signs its answers, expects its own name, and
+//! takes a while for each request.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use bytes::Bytes;
+use clock::Millis;
+use transport::{Local, local};
+
+const RECORD_BYTES: usize = 16;
+
+/// How an upstream answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Manner {
+    /// With records, after its service time.
+    Well,
+    /// Refuses, saying that it did not run the request.
+    NotRun,
+    /// With a server error, after it ran the request.
+    Failing,
+    /// With the identifier of another request.
+    Foreign,
+    /// Not at all.
+    Silent,
+}
+
+/// One upstream.
+pub struct PlatformUpstream {
+    /// Its identifier.
+    pub id: String,
+    /// Slots that it tells.
+    pub slots: usize,
+    /// Time that a request takes.
+    pub service_time: Cell<Millis>,
+    /// How it answers.
+    pub manner: RefCell<Manner>,
+    /// Records of each answer.
+    pub records: usize,
+    /// Identifiers of the requests that it ran.
+    pub ran: RefCell<Vec<String>>,
+    busy: Cell<usize>,
+}
+
+impl PlatformUpstream {
+    /// Returns an upstream that answers well.
+    pub fn new(id: &str, slots: usize, service_time: Millis, records: usize) -> Rc<Self> {
+        Rc::new(Self {
+            id: id.to_owned(),
+            slots,
+            service_time: Cell::new(service_time),
+            manner: RefCell::new(Manner::Well),
+            records,
+            ran: RefCell::default(),
+            busy: Cell::new(0),
+        })
+    }
+
+    fn body(&self, request_id: &str) -> Bytes {
+        let record = |i: usize| {
+            let mut record = [0_u8; RECORD_BYTES];
+            let digest =
+                xxhash_rust::xxh3::xxh3_128(format!("{}{request_id}{i}", self.id).as_bytes());
+            record.copy_from_slice(&digest.to_be_bytes());
+            record
+        };
+        (0..self.records).flat_map(record).collect()
+    }
+}
+
+#[derive(Clone)]
+struct App(Local<Rc<PlatformUpstream>>);
+
+/// Returns the upstream's routes.
+pub fn router(upstream: &Rc<PlatformUpstream>) -> Router {
+    Router::new()
+        .fallback(answer)
+        .with_state(App(Local::new(upstream.clone())))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name).and_then(|v| v.to_str().ok());
+    value.unwrap_or_default()
+}
+
+async fn answer(State(app): State<App>, request: Request) -> Response {
+    local(async move {
+        let upstream = &app.0;
+        let headers = request.headers().clone();
+        let request_id = text(&headers, "request-id").to_owned();
+        if text(&headers, "expect-instance") != upstream.id {
+            return StatusCode::MISDIRECTED_REQUEST.into_response();
+        }
+        let manner = upstream.manner.borrow().clone();
+        if manner == Manner::NotRun {
+            return (StatusCode::SERVICE_UNAVAILABLE, [("not-executed", "1")]).into_response();
+        }
+        upstream.ran.borrow_mut().push(request_id.clone());
+        upstream.busy.set(upstream.busy.get() + 1);
+        let load = format!("{},0,{}", upstream.busy.get(), upstream.slots);
+        compio::time::sleep(upstream.service_time.get().into()).await;
+        if manner == Manner::Silent {
+            std::future::pending::<()>().await;
+        }
+        upstream.busy.set(upstream.busy.get() - 1);
+        let (status, echoed) = match manner {
+            Manner::Failing => (StatusCode::INTERNAL_SERVER_ERROR, request_id.clone()),
+            Manner::Foreign => (StatusCode::OK, "another".to_owned()),
+            _ => (StatusCode::OK, request_id.clone()),
+        };
+        Response::builder()
+            .status(status)
+            .header("request-id", echoed)
+            .header("server-stamp", format!("{}.{request_id}", upstream.id))
+            .header("server-load", load)
+            .body(Body::from(upstream.body(&request_id)))
+            .unwrap_or_default()
+    })
+    .await
+}
