Admit by the objective, prefer the own failure domain, confirm crashes

Change: an admission limit for each route that follows missed objectives; a lost connection counts as a crash only once the upstream refuses connections; three failures in a row eject; near upstreams go first.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -40,6 +40,19 @@
         let refusal = Refusal::from_failure(&failure);
         return Err(with_retry_after(refusal, failure.retry_after, &job.call));
     }
+    let route = &job.entry.route;
+    let admitted = gateway.gate.admit(route).map_err(|wait| {
+        let refusal = Refusal::not_run(Cause::Overloaded, "the limit of the route is reached");
+        with_retry_after(refusal, wait, &job.call)
+    })?;
+    let result = serve(gateway, job).await;
+    let now = Millis::now();
+    let is_in_time = result.is_ok() && now.since(job.arrived) <= route.objective;
+    admitted.finish(is_in_time, route, now);
+    result
+}
+
+async fn serve(gateway: &Gateway, job: &Job) -> Result<Response<Bytes>> {
     match &job.entry.route.target {
         Target::Service(service) => whole(gateway, job, service).await,
         Target::Split(shares) => {
--- /dev/null
+++ b/components/gateway/src/gate.rs
@@ -0,0 +1,65 @@
+//! The admission of each route, and the requests that it admitted.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use clock::Millis;
+use routes::Route;
+
+use crate::admission::Admission;
+
+/// The admissions by the names of their routes.
+#[derive(Default)]
+pub(crate) struct Gate {
+    routes: RefCell<HashMap<String, Rc<RefCell<Admission>>>>,
+}
+
+/// An admitted request; dropping it unfinished says that its caller left.
+pub(crate) struct Admitted {
+    admission: Rc<RefCell<Admission>>,
+    is_finished: Cell<bool>,
+}
+
+impl Gate {
+    /// Admits a request of a route, or says how long its caller should wait.
+    pub(crate) fn admit(&self, route: &Route) -> Result<Admitted, Millis> {
+        let admission = self.find(&route.name);
+        let is_admitted = admission.borrow_mut().admit();
+        if !is_admitted {
+            return Err(admission.borrow().wait(route.objective));
+        }
+        Ok(Admitted {
+            admission,
+            is_finished: Cell::new(false),
+        })
+    }
+
+    fn find(&self, route: &str) -> Rc<RefCell<Admission>> {
+        if let Some(known) = self.routes.borrow().get(route) {
+            return known.clone();
+        }
+        let admission = Rc::<RefCell<Admission>>::default();
+        self.routes
+            .borrow_mut()
+            .insert(route.to_owned(), admission.clone());
+        admission
+    }
+}
+
+impl Admitted {
+    /// Notes whether the request was answered within its objective.
+    pub(crate) fn finish(self, is_in_time: bool, route: &Route, now: Millis) {
+        self.is_finished.set(true);
+        let mut admission = self.admission.borrow_mut();
+        admission.finish(is_in_time, route.objective, now);
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        if !self.is_finished.get() {
+            self.admission.borrow_mut().forget();
+        }
+    }
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,8 +3,10 @@
 //! shards.
 
 mod admin;
+mod admission;
 mod fleet;
 mod forward;
+mod gate;
 mod gather;
 mod handler;
 mod journal;
@@ -17,6 +19,7 @@
 mod state;
 mod wire;
 
+pub use admission::Admission;
 pub use gather::{Progress, Step};
 pub use merge::top_records;
 pub use outcome::{Cause, Refusal, Result};
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -13,6 +13,7 @@
 
 use crate::admin;
 use crate::fleet::Fleet;
+use crate::gate::Gate;
 use crate::handler;
 use crate::journal::Journal;
 use crate::settings::Settings;
@@ -20,6 +21,9 @@
 use crate::state::Gateway;
 use crate::wire::Wire;
 
+/// Single answers are lost without a fault of the upstream.
+const FAILURES_TO_EJECT: u32 = 3;
+
 /// Result of running a gateway.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -98,7 +102,12 @@
         settings.peers,
         log,
     );
-    let shared = upstreams::Shared::new(log);
+    let habits = upstreams::Habits {
+        failures_to_eject: FAILURES_TO_EJECT,
+        confirms_crashes: true,
+        domain: Some(settings.domain.clone()),
+    };
+    let shared = upstreams::Shared::with_habits(log, habits);
     let fleet = Fleet::new(&shared, settings.budgets);
     let updated = fleet.clone();
     follower.add_listener(move |directory| updated.update(directory));
@@ -107,6 +116,7 @@
         fleet,
         follower,
         directory,
+        gate: Gate::default(),
         wire: parts.wire,
         recorder,
         is_leaving: Cell::new(false),
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -9,6 +9,7 @@
 use transport::Shutdown;
 
 use crate::fleet::Fleet;
+use crate::gate::Gate;
 use crate::journal::Journal;
 use crate::settings::Settings;
 use crate::wire::Wire;
@@ -19,6 +20,7 @@
     pub(crate) fleet: Rc<Fleet>,
     pub(crate) follower: Rc<Follower>,
     pub(crate) directory: discovery::Shared,
+    pub(crate) gate: Gate,
     pub(crate) wire: Rc<dyn Wire>,
     pub(crate) recorder: Recorder,
     pub(crate) is_leaving: Cell<bool>,
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -9,7 +9,7 @@
 use crate::pool::Pool;
 use crate::queue::Slot;
 use crate::suspects::Death;
-use crate::upstream::{LeaseError, Upstream};
+use crate::upstream::{LeaseError, Running, Upstream};
 
 const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
@@ -52,7 +52,7 @@
         Ok(lease) => lease,
         Err(LeaseError::Limit) => return Err(Failure::not_run(Reason::Overloaded)),
         Err(LeaseError::Refused) => {
-            upstream.health.borrow_mut().note_refused(Millis::now());
+            note_refused(pool, upstream);
             return Err(Failure::not_run(Reason::NoReplica));
         }
     };
@@ -101,8 +101,29 @@
 fn note_death(pool: &Pool, upstream: &Upstream) -> Failure {
     let now = Millis::now();
     upstream.health.borrow_mut().note_failure(now);
+    match pool.shared.habits.confirms_crashes {
+        true => upstream.note_lost(now),
+        false => {
+            upstream.cool_down();
+            let running = upstream.running.borrow().clone();
+            strike(pool, upstream, &running, now);
+        }
+    }
+    Failure::unknown(Reason::ConnectionDied)
+}
+
+fn note_refused(pool: &Pool, upstream: &Upstream) {
+    let now = Millis::now();
+    upstream.health.borrow_mut().note_refused(now);
     upstream.cool_down();
-    for running in upstream.running.borrow().iter() {
+    strike(pool, upstream, &upstream.take_lost(now), now);
+}
+
+fn strike(pool: &Pool, upstream: &Upstream, running: &[Running], now: Millis) {
+    if running.is_empty() {
+        return;
+    }
+    for running in running {
         let death = Death {
             upstream: upstream.id.clone(),
             domain: upstream.domain.clone(),
@@ -114,7 +135,6 @@
         }
     }
     pool.shared.tell_news();
-    Failure::unknown(Reason::ConnectionDied)
 }
 
 fn note_answer(pool: &Pool, upstream: &Upstream, notes: Notes, started: Millis) {
--- a/components/upstreams/src/health.rs
+++ b/components/upstreams/src/health.rs
@@ -31,6 +31,7 @@
 #[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct Health {
     pub(crate) failures: u32,
+    failures_to_eject: u32,
     pub(crate) slow: u32,
     ejections: u32,
     last_success: Millis,
@@ -46,8 +47,9 @@
 }
 
 impl Health {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(failures_to_eject: u32) -> Self {
         Self {
+            failures_to_eject,
             ramp: 1,
             ..Self::default()
         }
@@ -65,7 +67,7 @@
 
     /// Whether the last requests failed.
     pub(crate) fn is_failing(&self) -> bool {
-        self.failures > 0
+        self.failures >= self.failures_to_eject.max(1)
     }
 
     fn is_reported_bad(&self, now: Millis) -> bool {
@@ -91,8 +93,10 @@
     /// Notes a request that failed while it ran.
     pub(crate) fn note_failure(&mut self, now: Millis) {
         self.failures += 1;
-        self.ramp = 1;
-        self.eject(now);
+        if self.is_failing() {
+            self.ramp = 1;
+            self.eject(now);
+        }
     }
 
     /// Notes a request that took far too long, or lost to its hedge. The
@@ -106,7 +110,7 @@
 
     /// Notes that nothing listens at the address.
     pub(crate) fn note_refused(&mut self, now: Millis) {
-        self.failures += 1;
+        self.failures += self.failures_to_eject.max(1);
         self.ramp = 1;
         self.ejected_until = self.ejected_until.max(now + REFUSED_PAUSE);
     }
--- a/components/upstreams/src/lib.rs
+++ b/components/upstreams/src/lib.rs
@@ -35,7 +35,7 @@
 pub use pool::Pool;
 pub use queue::{Refusal, Slot};
 pub use service::{Holding, Pools, Service};
-pub use shared::{OwnsGroup, Shared};
+pub use shared::{Habits, OwnsGroup, Shared};
 pub use suspects::{Death, Suspects, Verdict};
 pub use upstream::{Upstream, UpstreamKey};
 pub use view::{PoolView, UpstreamView};
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -90,7 +90,7 @@
         if let Some(known) = self.key_of(&endpoint.id).and_then(|key| self.find(key)) {
             return known;
         }
-        let upstream = Rc::new(Upstream::new(&self.name, endpoint));
+        let upstream = Rc::new(Upstream::new(&self.name, endpoint, &self.shared.habits));
         let key = self.upstreams.borrow_mut().insert(upstream.clone());
         self.keys.borrow_mut().insert(endpoint.id.clone(), key);
         upstream
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -12,6 +12,28 @@
 /// Tells whether this daemon owns a group of a topology.
 pub type OwnsGroup = dyn Fn(&Topology, usize) -> bool;
 
+/// How the engine reads failures, and which upstreams it prefers.
+#[derive(Clone, Debug)]
+pub struct Habits {
+    /// Failures in a row after which an upstream rests.
+    pub failures_to_eject: u32,
+    /// Whether a lost connection counts as a crash only once the upstream
+    /// refuses connections.
+    pub confirms_crashes: bool,
+    /// Failure domain whose upstreams are preferred.
+    pub domain: Option<String>,
+}
+
+impl Default for Habits {
+    fn default() -> Self {
+        Self {
+            failures_to_eject: 1,
+            confirms_crashes: false,
+            domain: None,
+        }
+    }
+}
+
 /// What all pools of a daemon share.
 pub struct Shared {
     /// Marks of leaving upstreams.
@@ -22,6 +44,8 @@
     pub news: RefCell<Option<Rc<dyn Fn()>>>,
     /// Whether this daemon owns a group, by the key of the group.
     pub owns: RefCell<Option<Rc<OwnsGroup>>>,
+    /// How failures are read.
+    pub habits: Habits,
     /// The log.
     pub log: Logger,
 }
@@ -29,11 +53,17 @@
 impl Shared {
     /// Returns the state that a new daemon starts with.
     pub fn new(log: &Logger) -> Rc<Self> {
+        Self::with_habits(log, Habits::default())
+    }
+
+    /// Returns the state of a new daemon with habits of its own.
+    pub fn with_habits(log: &Logger, habits: Habits) -> Rc<Self> {
         Rc::new(Self {
             drains: Drains::default(),
             suspects: Suspects::default(),
             news: RefCell::default(),
             owns: RefCell::default(),
+            habits,
             log: log.clone(),
         })
     }
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -12,8 +12,13 @@
 use crate::endpoint::Endpoint;
 use crate::health::Health;
 use crate::latency::Latency;
+use crate::shared::Habits;
 
 const TRIAL_INTERVAL: Millis = Millis(250);
+/// An upstream that crashed refuses connections this soon.
+const CRASH_CONFIRMATION: Millis = Millis(500);
+/// Waits of up to this time are preferred to another failure domain.
+const DETOUR_MS: f64 = 6.0;
 
 new_key_type! {
     /// Key of an upstream in its pool.
@@ -41,6 +46,11 @@
     idle: RefCell<Vec<Lease>>,
     pub(crate) health: RefCell<Health>,
     pub(crate) latency: RefCell<Latency>,
+    /// Whether it is in the preferred failure domain.
+    is_near: bool,
+    /// What ran when connections were lost, until it is known whether the
+    /// upstream crashed.
+    lost: RefCell<Option<(Millis, Vec<Running>)>>,
     /// What runs here now.
     pub(crate) running: RefCell<Vec<Running>>,
     pub(crate) last_used: Cell<Millis>,
@@ -84,7 +94,8 @@
 }
 
 impl Upstream {
-    pub(crate) fn new(service: &str, endpoint: &Endpoint) -> Self {
+    pub(crate) fn new(service: &str, endpoint: &Endpoint, habits: &Habits) -> Self {
+        let is_near = habits.domain.as_ref().is_none_or(|d| *d == endpoint.domain);
         Self {
             id: format!("{service}/{}", endpoint.id),
             name: endpoint.id.clone(),
@@ -97,7 +108,9 @@
             is_replaced: Cell::new(false),
             open: Rc::default(),
             idle: RefCell::default(),
-            health: RefCell::new(Health::new()),
+            health: RefCell::new(Health::new(habits.failures_to_eject)),
+            is_near,
+            lost: RefCell::default(),
             latency: RefCell::default(),
             running: RefCell::default(),
             last_used: Cell::new(Millis::ZERO),
@@ -140,7 +153,25 @@
         let load = self.health.borrow().load(now);
         let busy = self.busy() as f64;
         let mean = self.latency.borrow().mean_ms();
-        mean * (1.0 + load) * (1.0 + busy / self.slots.get() as f64)
+        let detour = match self.is_near {
+            true => 0.0,
+            false => DETOUR_MS,
+        };
+        mean * (1.0 + load) * (1.0 + busy / self.slots.get() as f64) + detour
+    }
+
+    /// Remembers what ran when a connection was lost.
+    pub(crate) fn note_lost(&self, now: Millis) {
+        let running = self.running.borrow().clone();
+        *self.lost.borrow_mut() = Some((now, running));
+    }
+
+    /// Takes what ran when a connection was lost a moment ago.
+    pub(crate) fn take_lost(&self, now: Millis) -> Vec<Running> {
+        match self.lost.borrow_mut().take() {
+            Some((at, running)) if now.since(at) < CRASH_CONFIRMATION => running,
+            _ => Vec::new(),
+        }
     }
 
     /// Takes an idle connection or opens one.
