Don't spin while no replica takes work

Ruled out: processor time (the same without charging it), hedge polling, the upstreams (idle meanwhile). Change: replicas that take no work are no candidates, so a patient request pauses and any other fails at once. The gateway is not patient: what is known not to be served is refused at once. Test: upstreams/tests/patience.rs, both cases failed before.

--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -221,7 +221,7 @@
         attempts: route.attempts.max(1),
         hedge_percent: percent,
         retry_percent: 0,
-        is_patient: true,
+        is_patient: false,
         hedge_limit: Some(Millis(route.objective.0 * 2 / 5)),
     }
 }
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -97,12 +97,12 @@
         self.last = failure.clone();
     }
 
-    /// The replicas that hold the snapshot and were not tried yet.
+    /// The replicas that take work, hold the version and were not tried yet.
     fn candidates(&self) -> Vec<UpstreamKey> {
         let all = self.shard.replicas();
         let is_untried = |k: &UpstreamKey| !self.tried.contains(k);
         all.into_iter()
-            .filter(|k| is_untried(k) && self.is_held(*k))
+            .filter(|k| is_untried(k) && self.pool.takes_work(*k) && self.is_held(*k))
             .collect()
     }
 
--- /dev/null
+++ b/components/upstreams/tests/patience.rs
@@ -0,0 +1,113 @@
+//! A shard none of whose replicas takes work.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use clock::Millis;
+use http::{Request, Response};
+use slog::{Discard, Logger, o};
+use transport::Payload;
+use upstreams::{
+    Call, Effort, Endpoint, Message, Pool, Ran, Reason, Recipient, Reply, Shard, Shared,
+    UpstreamKey,
+};
+
+const DEADLINE: Millis = Millis(300);
+const TICK: Millis = Millis(10);
+
+struct Never;
+
+impl Message for Never {
+    fn to_request(&self, _: &Recipient<'_>, _: Millis) -> Option<Request<Payload>> {
+        None
+    }
+
+    fn read(&self, _: &Recipient<'_>, _: Response<Bytes>) -> Reply {
+        unreachable!("nothing is sent")
+    }
+}
+
+struct All(Rc<Pool>);
+
+impl Shard for All {
+    fn name(&self) -> &str {
+        &self.0.name
+    }
+
+    fn replicas(&self) -> Vec<UpstreamKey> {
+        self.0.keys()
+    }
+}
+
+fn draining(id: &str) -> Endpoint {
+    Endpoint {
+        id: id.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        domain: "a".to_owned(),
+        born: None,
+        slots: 2,
+        connections: 2,
+        is_drained: true,
+    }
+}
+
+fn call(is_patient: bool) -> Call {
+    Call {
+        message: Rc::new(Never),
+        version: None,
+        fingerprint: 1,
+        priority: 0,
+        deadline: Millis::now() + DEADLINE,
+        effort: Effort {
+            attempts: 2,
+            hedge_percent: 10,
+            retry_percent: 10,
+            is_patient,
+            hedge_limit: None,
+        },
+    }
+}
+
+fn pool() -> Rc<Pool> {
+    let log = Logger::root(Discard, o!());
+    let pool = Pool::new(&Shared::new(&log), "s");
+    pool.set_queue_limit(8);
+    pool.install(&[draining("u1"), draining("u2")]);
+    pool
+}
+
+/// Ticks until it is dropped.
+async fn tick(ticks: Rc<Cell<u64>>) {
+    loop {
+        compio::time::sleep(TICK.into()).await;
+        ticks.set(ticks.get() + 1);
+    }
+}
+
+#[compio::test]
+async fn waiting_for_replicas_leaves_the_thread_to_others() {
+    let pool = pool();
+    let ticks = Rc::new(Cell::new(0));
+    let ticker = compio::runtime::spawn(tick(ticks.clone()));
+    let result = pool.fetch(&All(pool.clone()), &call(true)).await;
+    let failure = result.expect_err("no replica takes work");
+    assert_eq!((failure.reason, failure.ran), (Reason::NoReplica, Ran::No));
+    assert!(
+        ticks.get() >= DEADLINE.0 / TICK.0 / 2,
+        "{} ticks",
+        ticks.get()
+    );
+    drop(ticker);
+}
+
+#[compio::test]
+async fn without_patience_it_fails_at_once() {
+    let pool = pool();
+    let began = Millis::now();
+    let result = pool.fetch(&All(pool.clone()), &call(false)).await;
+    let failure = result.expect_err("no replica takes work");
+    assert_eq!((failure.reason, failure.ran), (Reason::NoReplica, Ran::No));
+    assert!(Millis::now().since(began) < DEADLINE - Millis(100));
+}
