Test the gateway against a stand-in of the platform

Real processes against a stand-in store (history, watches, leases) and stand-in upstreams: merging, partial answers in time, what may be sent again, drains and deletions, dropped history, relay between peers, and a shutdown that cuts nothing.

--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -86,9 +86,9 @@
         /// Settings file that is written for a daemon.
         #[arg(long)]
         settings: std::path::PathBuf,
-        /// First of the daemon's ports.
-        #[arg(long, default_value_t = 8_500)]
-        port: u16,
+        /// Address of the daemon.
+        #[arg(long, default_value = "127.0.0.1")]
+        ip: std::net::Ipv4Addr,
         /// Shards.
         #[arg(long, default_value_t = 10)]
         shards: usize,
@@ -166,10 +166,10 @@
         Command::Graph { from, to } => graph::draw(&from, &to),
         Command::Site {
             settings,
-            port,
+            ip,
             shards,
             service_ms,
-        } => serve_site(&settings, port, shards, service_ms).await,
+        } => serve_site(&settings, ip, shards, service_ms).await,
         Command::Scale => {
             bench::scale::run().await;
             Ok(())
@@ -233,7 +233,7 @@
 
 async fn serve_site(
     settings: &std::path::Path,
-    port: u16,
+    ip: std::net::Ipv4Addr,
     shards: usize,
     service_ms: u64,
 ) -> Result<(), Box<dyn std::error::Error>> {
@@ -243,8 +243,9 @@
         service_time: clock::Millis(service_ms),
     };
     let site = site::Site::start(size).await?;
-    let file = site::settings("gateway-1", port, site.store_address, &[]);
-    site::write_settings(settings, &file)?;
+    let place = site::Place { ip };
+    let file = site::settings("gateway-1", place, site.store_address, &[]);
+    std::fs::write(settings, file.to_string())?;
     println!("{}", json!({ "store": site.store_address }));
     std::future::pending::<()>().await;
     Ok(())
--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -1,8 +1,8 @@
 //! A whole site on loopback: a store, shards with their upstreams, and the
 //! settings of daemons.
 
-use std::net::SocketAddr;
-use std::path::Path;
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 
 use base64::Engine;
@@ -12,7 +12,11 @@
 use transport::{Listener, ServerLimits, Shutdown, serve};
 
 use super::store::{self, PlatformStore};
-use super::upstream::{self, PlatformUpstream};
+use super::upstream::{self, Manner, PlatformUpstream};
+
+const CALLERS_PORT: u16 = 8_226;
+const READY_PORT: u16 = 8_227;
+const PEERS_PORT: u16 = 8_224;
 
 /// Host of all routes.
 pub const HOST: &str = "site.example";
@@ -42,9 +46,38 @@
     pub store_address: SocketAddr,
     /// The upstreams by shard.
     pub shards: Vec<Vec<Rc<PlatformUpstream>>>,
+    addresses: HashMap<String, SocketAddr>,
 }
 
 impl Site {
+    /// Reports an upstream of a shard again, in another state.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such upstream.
+    pub fn report(&self, shard: usize, replica: usize, state: &str, seq: u64) {
+        let id = &self.shards[shard][replica].id;
+        let entry = entry(&shard_name(shard), self.addresses[id], state, seq);
+        put(&self.store, &format!("servers/{id}"), &entry);
+    }
+
+    /// Sets how all upstreams of a shard answer.
+    pub fn set_manner(&self, shard: usize, manner: &Manner) {
+        for upstream in &self.shards[shard] {
+            *upstream.manner.borrow_mut() = manner.clone();
+        }
+    }
+
+    /// How often a request ran on all upstreams.
+    pub fn runs(&self, request_id: &str) -> usize {
+        let all = self.shards.iter().flatten();
+        let runs = |u: &Rc<PlatformUpstream>| {
+            let ran = u.ran.borrow();
+            ran.iter().filter(|id| *id == request_id).count()
+        };
+        all.map(runs).sum()
+    }
+
     /// Starts a site on free ports of loopback.
     ///
     /// # Errors
@@ -54,6 +87,7 @@
         let store = PlatformStore::new();
         let store_address = listen(store::router(&store)).await?;
         let mut shards = Vec::new();
+        let mut addresses = HashMap::new();
         for shard in 0..size.shards {
             let mut replicas = Vec::new();
             for replica in 0..size.replicas {
@@ -62,6 +96,7 @@
                 let address = listen(upstream::router(&upstream)).await?;
                 let entry = entry(&shard_name(shard), address, "ready", 1);
                 put(&store, &format!("servers/{id}"), &entry);
+                addresses.insert(id, address);
                 replicas.push(upstream);
             }
             shards.push(replicas);
@@ -71,6 +106,7 @@
             store,
             store_address,
             shards,
+            addresses,
         })
     }
 }
@@ -131,24 +167,42 @@
     })
 }
 
-/// The settings file of a daemon with free ports from `port` on.
-pub fn settings(name: &str, port: u16, store: SocketAddr, seeds: &[SocketAddr]) -> Value {
-    let address = |offset: u16| SocketAddr::from(([127, 0, 0, 1], port + offset));
+/// Where a daemon on an address of its own listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// Address of the machine.
+    pub ip: Ipv4Addr,
+}
+
+impl Place {
+    /// Address for callers.
+    pub fn callers(self) -> SocketAddr {
+        self.port(CALLERS_PORT)
+    }
+
+    /// Address of the readiness question.
+    pub fn ready(self) -> SocketAddr {
+        self.port(READY_PORT)
+    }
+
+    /// Address for other daemons.
+    pub fn peers(self) -> SocketAddr {
+        self.port(PEERS_PORT)
+    }
+
+    fn port(self, port: u16) -> SocketAddr {
+        SocketAddr::from((self.ip, port))
+    }
+}
+
+/// The settings file of a daemon.
+pub fn settings(name: &str, place: Place, store: SocketAddr, seeds: &[SocketAddr]) -> Value {
     json!({
-        "node-name": name, "ip-address": "127.0.0.1", "zone": "a",
+        "node-name": name, "ip-address": place.ip, "zone": "a",
         "listen-addresses": {
-            "front": address(0), "ready": address(1), "control": address(2) },
+            "front": place.callers(), "ready": place.ready(), "control": place.peers() },
         "seed-nodes": seeds,
         "bounds": { "grace-s": 6, "retry-budget-ratio": 0.2, "budget-slack": 54 },
         "platform": { "address": store },
     })
 }
-
-/// Writes the settings file of a daemon.
-///
-/// # Errors
-///
-/// Fails if the file can't be written.
-pub fn write_settings(path: &Path, settings: &Value) -> std::io::Result<()> {
-    std::fs::write(path, settings.to_string())
-}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,320 @@
+//! The gateway on the platform: real processes against a stand-in store and
+//! stand-in upstreams.
+
+use std::cell::Cell;
+use std::net::Ipv4Addr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use clock::Millis;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use rstest::rstest;
+use serde_json::json;
+use standins::fleet::{Binaries, Process};
+use standins::platform::site::{self, HOST, Place, READ, SEARCH, Site, Size, WRITE};
+use standins::platform::upstream::Manner;
+use transport::Payload;
+use uuid::Uuid;
+
+const SHARDS: usize = 4;
+const ANSWER_LIMIT_BYTES: usize = 1024 * 1024;
+const TIMEOUT: Millis = Millis(5_000);
+/// A change of the store is in force this soon.
+const PROPAGATION: Duration = Duration::from_millis(2_500);
+const RECORD_BYTES: usize = 16;
+
+thread_local! {
+    static NEXT_MACHINE: Cell<u8> = const { Cell::new(1) };
+}
+
+struct Gateway {
+    process: Process,
+    place: Place,
+    dir: PathBuf,
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+async fn start_site() -> Site {
+    let size = Size {
+        shards: SHARDS,
+        replicas: 2,
+        service_time: Millis(5),
+    };
+    Site::start(size).await.expect("loopback ports are free")
+}
+
+/// A loopback address that no other test of this process uses.
+fn place() -> Place {
+    let machine = NEXT_MACHINE.get();
+    NEXT_MACHINE.set(machine + 1);
+    let [high, low] = (std::process::id() as u16).to_be_bytes();
+    Place {
+        ip: Ipv4Addr::new(127, 1 + high % 250, low, machine),
+    }
+}
+
+async fn start_gateway(site: &Site, seeds: &[Place]) -> Gateway {
+    let place = place();
+    let dir = std::env::temp_dir().join(format!("coltsfootgw-{}", Uuid::new_v4()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let seeds: Vec<_> = seeds.iter().map(|s| s.peers()).collect();
+    let name = format!("gateway-{}", place.ip);
+    let settings = site::settings(&name, place, site.store_address, &seeds);
+    let path = dir.join("settings.yaml");
+    std::fs::write(&path, settings.to_string()).unwrap();
+    let arguments = ["gateway", "--settings", path.to_str().unwrap()];
+    let process = Process::start(&Binaries::find().gateway, &arguments, &dir, "gateway");
+    process.wait_for_line("\"started\"").await;
+    Gateway {
+        process,
+        place,
+        dir,
+    }
+}
+
+async fn ready(site: &Site) -> Gateway {
+    let gateway = start_gateway(site, &[]).await;
+    wait_until(async || gateway.is_ready().await, PROPAGATION).await;
+    gateway
+}
+
+async fn wait_until(mut is_true: impl AsyncFnMut() -> bool, timeout: Duration) {
+    let end = Instant::now() + timeout;
+    while !is_true().await {
+        assert!(Instant::now() < end, "not so after {timeout:?}");
+        compio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+impl Gateway {
+    async fn is_ready(&self) -> bool {
+        let request = Request::get("/api/readiness")
+            .body(Payload::default())
+            .unwrap();
+        let answer = transport::request(self.place.ready(), request, 1_024, TIMEOUT).await;
+        answer.is_ok_and(|a| a.status() == StatusCode::OK)
+    }
+
+    async fn get(&self, path: &str, id: &str) -> Response<Bytes> {
+        self.send(Method::GET, path, id, Bytes::new()).await
+    }
+
+    async fn send(&self, method: Method, path: &str, id: &str, body: Bytes) -> Response<Bytes> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", HOST)
+            .header("request-id", id)
+            .header("deadline-milliseconds", "1000")
+            .body(Payload::new(body))
+            .unwrap();
+        self.exchange(request).await
+    }
+
+    async fn exchange(&self, request: Request<Payload>) -> Response<Bytes> {
+        let sent = transport::request(self.place.callers(), request, ANSWER_LIMIT_BYTES, TIMEOUT);
+        sent.await.expect("the gateway answers")
+    }
+}
+
+fn signatures(headers: &HeaderMap) -> Vec<String> {
+    let text = headers["part-stamps"].to_str().unwrap();
+    text.split(", ").map(str::to_owned).collect()
+}
+
+#[compio::test]
+async fn a_search_merges_the_greatest_records_of_all_shards() {
+    let site = start_site().await;
+    let gateway = ready(&site).await;
+    let answer = gateway.get(&format!("{SEARCH}1"), "r1").await;
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert_eq!(signatures(answer.headers()).len(), SHARDS);
+    assert_eq!(answer.headers()["missing-parts"], "0");
+    let records: Vec<&[u8]> = answer.body().chunks(RECORD_BYTES).collect();
+    assert_eq!(records.len(), 20);
+    assert!(records.is_sorted_by(|a, b| a >= b));
+    assert_eq!(site.runs("r1"), SHARDS);
+}
+
+#[compio::test]
+async fn a_search_answers_within_its_objective_without_a_silent_shard() {
+    let site = start_site().await;
+    let gateway = ready(&site).await;
+    site.set_manner(2, &Manner::Silent);
+    let began = Instant::now();
+    let answer = gateway.get(&format!("{SEARCH}1"), "r1").await;
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert_eq!(answer.headers()["missing-parts"], "1");
+    assert_eq!(signatures(answer.headers()).len(), SHARDS - 1);
+    assert!(
+        began.elapsed() < Duration::from_millis(150),
+        "{:?}",
+        began.elapsed()
+    );
+}
+
+#[compio::test]
+async fn a_search_that_lacks_too_many_shards_is_given_up_at_once() {
+    let site = start_site().await;
+    let gateway = ready(&site).await;
+    for shard in 0..2 {
+        for replica in 0..2 {
+            site.report(shard, replica, "draining", 2);
+        }
+    }
+    compio::time::sleep(PROPAGATION).await;
+    let began = Instant::now();
+    let answer = gateway.get(&format!("{SEARCH}1"), "r1").await;
+    assert!(answer.status().is_server_error());
+    assert!(
+        began.elapsed() < Duration::from_millis(100),
+        "{:?}",
+        began.elapsed()
+    );
+}
+
+#[rstest]
+#[case::not_run(Manner::NotRun, READ, StatusCode::OK, 1)]
+#[case::failing(Manner::Failing, READ, StatusCode::OK, 2)]
+#[case::foreign(Manner::Foreign, READ, StatusCode::OK, 2)]
+#[case::write_not_run(Manner::NotRun, WRITE, StatusCode::OK, 1)]
+#[case::write_failing(Manner::Failing, WRITE, StatusCode::INTERNAL_SERVER_ERROR, 1)]
+#[case::write_foreign(Manner::Foreign, WRITE, StatusCode::BAD_GATEWAY, 1)]
+#[compio::test]
+async fn only_what_may_run_again_is_sent_again(
+    #[case] manner: Manner,
+    #[case] prefix: &str,
+    #[case] status: StatusCode,
+    #[case] runs: usize,
+) {
+    let site = start_site().await;
+    let gateway = ready(&site).await;
+    // Whichever of the two is preferred, it answers so for a while.
+    let mut seen = Vec::new();
+    for (at, upstream) in site.shards[0].iter().enumerate() {
+        *upstream.manner.borrow_mut() = manner.clone();
+        for i in 0..2 {
+            let (path, id) = (format!("{prefix}x"), format!("r{at}-{i}"));
+            let sent = gateway.send(Method::POST, &path, &id, Bytes::from("body"));
+            seen.push((sent.await.status(), site.runs(&id)));
+        }
+        *upstream.manner.borrow_mut() = Manner::Well;
+    }
+    assert!(seen.contains(&(status, runs)), "{seen:?}");
+    let is_allowed = |(s, r): &(StatusCode, usize)| {
+        (*s, *r) == (status, runs) || (*s, *r) == (StatusCode::OK, 1)
+    };
+    assert!(seen.iter().all(is_allowed), "{seen:?}");
+}
+
+#[compio::test]
+async fn malformed_requests_get_clear_errors() {
+    let site = start_site().await;
+    let gateway = ready(&site).await;
+    let unknown = gateway.get("/nowhere/", "r1").await;
+    assert_eq!(unknown.status(), StatusCode::NOT_FOUND);
+    let request = Request::get(format!("{READ}1"))
+        .header("host", HOST)
+        .body(Payload::default())
+        .unwrap();
+    assert_eq!(
+        gateway.exchange(request).await.status(),
+        StatusCode::BAD_REQUEST
+    );
+    let large = Bytes::from(vec![0; 300_000]);
+    let answer = gateway
+        .send(Method::POST, &format!("{WRITE}1"), "r2", large)
+        .await;
+    assert_eq!(answer.status(), StatusCode::PAYLOAD_TOO_LARGE);
+    assert_eq!(site.runs("r2"), 0);
+}
+
+#[compio::test]
+async fn nothing_is_sent_to_an_upstream_that_drains_or_is_gone() {
+    let site = start_site().await;
+    let gateway = ready(&site).await;
+    site.report(0, 0, "draining", 2);
+    compio::time::sleep(PROPAGATION).await;
+    let ran_before = site.shards[0][0].ran.borrow().len();
+    for i in 0..10 {
+        let answer = gateway.get(&format!("{READ}{i}"), &format!("r{i}")).await;
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+    assert_eq!(site.shards[0][0].ran.borrow().len(), ran_before);
+    // A report that was written late doesn't bring it back.
+    site.report(0, 0, "ready", 1);
+    site.store.delete("servers/u-0-1");
+    compio::time::sleep(PROPAGATION).await;
+    let refused = gateway.get(&format!("{READ}1"), "last").await;
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refused.headers().contains_key("retry-after"));
+    assert_eq!(site.runs("last"), 0);
+}
+
+#[compio::test]
+async fn a_change_is_in_force_after_the_store_dropped_its_history() {
+    let site = start_site().await;
+    let gateway = ready(&site).await;
+    site::put(&site.store, "servers/foreign", &json!({ "state": 7 }));
+    let mut configuration = site::configuration(SHARDS, 2);
+    configuration["routes"][1]["prefix"] = json!("/moved/");
+    site::put(&site.store, "op/config", &configuration);
+    site.store.compact();
+    let is_moved = async || gateway.get("/moved/1", "r1").await.status() == StatusCode::OK;
+    wait_until(is_moved, PROPAGATION).await;
+    let old = gateway.get(&format!("{READ}1"), "r2").await;
+    assert_eq!(old.status(), StatusCode::NOT_FOUND);
+    // What can't be read changes nothing.
+    site::put(&site.store, "op/config", &json!({ "version": 3 }));
+    compio::time::sleep(PROPAGATION).await;
+    assert!(is_moved().await);
+}
+
+#[compio::test]
+async fn without_the_store_a_daemon_learns_from_its_peers() {
+    let site = start_site().await;
+    let first = ready(&site).await;
+    site.store.is_down.set(true);
+    let answer = first.get(&format!("{SEARCH}1"), "r1").await;
+    assert_eq!(answer.status(), StatusCode::OK);
+    let second = start_gateway(&site, &[first.place]).await;
+    let early = second.get(&format!("{SEARCH}1"), "r2").await;
+    assert_eq!(early.status(), StatusCode::SERVICE_UNAVAILABLE);
+    wait_until(async || second.is_ready().await, Duration::from_secs(5)).await;
+    let answer = second.get(&format!("{SEARCH}1"), "r3").await;
+    assert_eq!(answer.status(), StatusCode::OK);
+}
+
+#[compio::test]
+async fn a_shutdown_cuts_nothing_and_turns_unready_at_once() {
+    let site = start_site().await;
+    let mut gateway = ready(&site).await;
+    for upstream in &site.shards[0] {
+        upstream.service_time.set(Millis(400));
+    }
+    let place = gateway.place;
+    let request = Request::get(format!("{READ}1"))
+        .header("host", HOST)
+        .header("request-id", "r1")
+        .header("deadline-milliseconds", "1000")
+        .body(Payload::default())
+        .unwrap();
+    let running = compio::runtime::spawn(async move {
+        transport::request(place.callers(), request, ANSWER_LIMIT_BYTES, TIMEOUT).await
+    });
+    compio::time::sleep(Duration::from_millis(100)).await;
+    gateway.process.terminate();
+    compio::time::sleep(Duration::from_millis(100)).await;
+    assert!(!gateway.is_ready().await);
+    let answer = running.await.expect("the request's task ends");
+    assert_eq!(answer.expect("it is answered").status(), StatusCode::OK);
+    assert!(!site.store.has("coltsfootgw/instances/"));
+    let code = gateway.process.wait(Duration::from_secs(6)).await;
+    assert_eq!(code, Some(0));
+}
