Choose upstreams by the share that fails there and by stuck requests

Change: the expected time at an upstream grows with the recent share of failures there and with a request that is stuck; another failure domain costs 3 ms and 0.6 of the mean latency.

--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -92,6 +92,11 @@
     upstream.keep(lease);
     note_answer(pool, upstream, reply.notes, started);
     note_outcome(pool, slot, call, &reply.result, started);
+    let now = Millis::now();
+    upstream
+        .health
+        .borrow_mut()
+        .note_outcome(reply.result.is_err(), now);
     reply.result
 }
 
@@ -101,6 +106,7 @@
 fn note_death(pool: &Pool, upstream: &Upstream) -> Failure {
     let now = Millis::now();
     upstream.health.borrow_mut().note_failure(now);
+    upstream.health.borrow_mut().note_outcome(true, now);
     match pool.shared.habits.confirms_crashes {
         true => upstream.note_lost(now),
         false => {
--- a/components/upstreams/src/health.rs
+++ b/components/upstreams/src/health.rs
@@ -13,6 +13,8 @@
 const REFUSED_PAUSE: Millis = Millis(200);
 // A report of bad health is ignored for this long after an answer.
 const SUCCESS_VALIDITY: Millis = Millis(2_000);
+const FAILING_WEIGHT: f64 = 0.15;
+const FAILING_HALF_LIFE: Millis = Millis(2_000);
 const LOAD_VALIDITY: Millis = Millis(2_000);
 
 /// How much an upstream is preferred; lower tiers are used first.
@@ -41,6 +43,9 @@
     pub(crate) reported: ReportedState,
     pub(crate) boot: String,
     pub(crate) holds: Option<Vec<Held>>,
+    /// Share of the last requests that failed, as of `failing_at`.
+    failing: f64,
+    failing_at: Millis,
     load: f64,
     load_at: Millis,
     is_load_answered: bool,
@@ -115,6 +120,21 @@
         self.ejected_until = self.ejected_until.max(now + REFUSED_PAUSE);
     }
 
+    /// Notes whether a request failed, in whatever way.
+    pub(crate) fn note_outcome(&mut self, has_failed: bool, now: Millis) {
+        let outcome = f64::from(u8::from(has_failed));
+        let share = self.failing_share(now);
+        self.failing = share + FAILING_WEIGHT * (outcome - share);
+        self.failing_at = now;
+    }
+
+    /// The share of requests that fail here; what is long ago counts less, so
+    /// that an upstream is tried again.
+    pub(crate) fn failing_share(&self, now: Millis) -> f64 {
+        let halvings = now.since(self.failing_at).0 as f64 / FAILING_HALF_LIFE.0 as f64;
+        self.failing * 0.5_f64.powf(halvings)
+    }
+
     fn eject(&mut self, now: Millis) {
         let doubled = FIRST_EJECTION.0.saturating_mul(1 << self.ejections.min(8));
         let span = Millis(doubled.min(LONGEST_EJECTION.0));
--- a/components/upstreams/src/queue.rs
+++ b/components/upstreams/src/queue.rs
@@ -141,6 +141,7 @@
         // It may have become a suspect while it waited.
         let running = Running {
             fingerprint: ask.fingerprint,
+            since: now,
             is_suspect: self.is_suspect(ask.fingerprint, now),
         };
         let key = self.best_free(ask, running, now)?;
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -17,8 +17,14 @@
 const TRIAL_INTERVAL: Millis = Millis(250);
 /// An upstream that crashed refuses connections this soon.
 const CRASH_CONFIRMATION: Millis = Millis(500);
-/// Waits of up to this time are preferred to another failure domain.
-const DETOUR_MS: f64 = 6.0;
+/// A longer wait, in milliseconds and in mean latencies, is preferred to
+/// another failure domain.
+const DETOUR_MS: f64 = 3.0;
+const DETOUR_SHARE: f64 = 0.6;
+/// A request that runs longer than this many mean latencies is stuck.
+const STUCK_FACTOR: f64 = 3.0;
+/// What a failure costs, in mean latencies.
+const FAILURE_COST: f64 = 8.0;
 
 new_key_type! {
     /// Key of an upstream in its pool.
@@ -61,6 +67,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Running {
     pub(crate) fingerprint: u64,
+    pub(crate) since: Millis,
     /// Whether it was suspected of crashing upstreams when it started.
     pub(crate) is_suspect: bool,
 }
@@ -148,16 +155,28 @@
         self.busy() < self.limit()
     }
 
-    /// The wait that a new request can expect here, in milliseconds.
+    /// The time that a new request can expect here, in milliseconds: longer
+    /// with its load, with a request that is stuck here, with the share of
+    /// requests that fail, and in another failure domain.
     pub(crate) fn expected_ms(&self, now: Millis) -> f64 {
-        let load = self.health.borrow().load(now);
-        let busy = self.busy() as f64;
+        let health = self.health.borrow();
+        let busy = self.busy() as f64 / self.slots.get() as f64;
         let mean = self.latency.borrow().mean_ms();
+        let queued = mean * (1.0 + health.load(now)) * (1.0 + busy);
+        let stuck = self.oldest_ms(now) - mean * STUCK_FACTOR;
+        let failing = mean * FAILURE_COST * health.failing_share(now);
         let detour = match self.is_near {
             true => 0.0,
-            false => DETOUR_MS,
+            false => DETOUR_MS + mean * DETOUR_SHARE,
         };
-        mean * (1.0 + load) * (1.0 + busy / self.slots.get() as f64) + detour
+        queued + stuck.max(0.0) + failing + detour
+    }
+
+    /// How long the oldest request runs here, in milliseconds.
+    fn oldest_ms(&self, now: Millis) -> f64 {
+        let running = self.running.borrow();
+        let oldest = running.iter().map(|r| now.since(r.since).0).max();
+        oldest.unwrap_or(0) as f64
     }
 
     /// Remembers what ran when a connection was lost.
