Reload settings on SIGHUP or a changed file, follow the callers' limits

Cause: SIGHUP ended the process, since nothing handled it; idle connections of callers were closed after a fixed time, whatever the configuration said. Test: settings_are_reloaded_and_bad_ones_change_nothing.

--- a/components/discovery/src/follow.rs
+++ b/components/discovery/src/follow.rs
@@ -14,7 +14,7 @@
 use crate::relay::PeerFeed;
 
 /// Longest wait of one watch; a watch that is silent for longer is dead.
-const WATCH_WAIT: Millis = Millis(2_000);
+const WATCH_WAIT: Millis = Millis(700);
 /// Pause between watches, so that the reports of many upstreams are read in
 /// batches.
 const WATCH_PAUSE: Millis = Millis(700);
@@ -34,7 +34,7 @@
     feed: Rc<dyn Feed>,
     directory: Shared,
     listeners: Wakers,
-    seeds: Vec<SocketAddr>,
+    seeds: RefCell<Vec<SocketAddr>>,
     me: SocketAddr,
     is_loaded: Cell<bool>,
     is_away: Cell<bool>,
@@ -56,7 +56,7 @@
             feed,
             directory,
             listeners: RefCell::default(),
-            seeds,
+            seeds: RefCell::new(seeds),
             me,
             is_loaded: Cell::new(false),
             is_away: Cell::new(false),
@@ -70,6 +70,11 @@
         self.listeners.borrow_mut().push(Box::new(listener));
     }
 
+    /// Takes other peers to ask while no registration is known.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.borrow_mut() = seeds;
+    }
+
     /// The time since the store last answered.
     pub fn store_age(&self, now: Millis) -> Millis {
         now.since(self.last_contact.get())
@@ -185,7 +190,7 @@
     fn choose_peer(&self) -> Option<SocketAddr> {
         let directory = self.directory.borrow();
         let mut peers: Vec<SocketAddr> = directory.instances().map(|i| i.address).collect();
-        peers.extend(&self.seeds);
+        peers.extend(self.seeds.borrow().iter());
         peers.retain(|address| *address != self.me);
         peers.choose(&mut rand::rng()).copied()
     }
--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -19,7 +19,7 @@
 /// Returns the routes for the load balancer.
 pub(crate) fn ready_router(gateway: &Rc<Gateway>) -> Router {
     Router::new()
-        .route(&gateway.settings.ready_path, get(ready))
+        .route(&gateway.settings.borrow().ready_path, get(ready))
         .with_state(App(Local::new(gateway.clone())))
 }
 
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -33,7 +33,7 @@
     table_revision: Cell<u64>,
     daemons: Cell<usize>,
     daemons_at: Cell<Millis>,
-    budgets: Budgets,
+    budgets: Cell<Budgets>,
 }
 
 impl Fleet {
@@ -45,7 +45,7 @@
             table_revision: Cell::new(0),
             daemons: Cell::new(1),
             daemons_at: Cell::new(Millis::ZERO),
-            budgets,
+            budgets: Cell::new(budgets),
         })
     }
 
@@ -54,6 +54,15 @@
         self.table.borrow().clone()
     }
 
+    pub(crate) fn budgets(&self) -> Budgets {
+        self.budgets.get()
+    }
+
+    /// Takes other budgets; they are in force after the next update.
+    pub(crate) fn set_budgets(&self, budgets: Budgets) {
+        self.budgets.set(budgets);
+    }
+
     /// The pool of a service.
     pub(crate) fn find(&self, service: &str) -> Option<Rc<Pool>> {
         self.pools.borrow().get(service).cloned()
@@ -124,7 +133,7 @@
         let endpoints: Vec<Endpoint> = entries.iter().map(endpoint).collect();
         let slots: usize = endpoints.iter().map(|e| e.slots).sum();
         pool.set_queue_limit(slots * QUEUE_PER_SLOT);
-        pool.set_budget_limit(self.budgets.slack * SLACK_SHARE / self.daemons.get() as f64);
+        pool.set_budget_limit(self.budgets.get().slack * SLACK_SHARE / self.daemons.get() as f64);
         pool.install(&endpoints);
     }
 
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -216,7 +216,7 @@
 const RATIO_SHARE: f64 = 0.85;
 
 fn effort(gateway: &Gateway, route: &Route) -> Effort {
-    let percent = (gateway.settings.budgets.ratio * RATIO_SHARE * 100.0) as u8;
+    let percent = (gateway.fleet.budgets().ratio * RATIO_SHARE * 100.0) as u8;
     Effort {
         attempts: route.attempts.max(1),
         hedge_percent: percent,
--- /dev/null
+++ b/components/gateway/src/reload.rs
@@ -0,0 +1,76 @@
+//! Applies changes of the settings while the process runs.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use clock::Millis;
+use slog::{info, warn};
+
+use crate::settings::Settings;
+use crate::state::Gateway;
+
+/// How often it is checked whether there is something to reload.
+const CHECK_INTERVAL: Millis = Millis(250);
+/// The file is read without a signal this often.
+const READ_INTERVAL: Millis = Millis(2_000);
+
+/// Reads the settings again; the error names the place.
+pub type ReadSettings = dyn Fn() -> Result<Settings, String>;
+
+/// Raised by SIGHUP, which must not end the process.
+pub(crate) struct HangupFlag(Arc<AtomicBool>);
+
+impl HangupFlag {
+    /// Installs the handler for the rest of the process's life.
+    pub(crate) fn install() -> std::io::Result<Self> {
+        let flag = Arc::new(AtomicBool::new(false));
+        signal_hook::flag::register(libc::SIGHUP, flag.clone())?;
+        Ok(Self(flag))
+    }
+
+    fn take(&self) -> bool {
+        self.0.swap(false, Ordering::Relaxed)
+    }
+}
+
+/// Reloads the settings on SIGHUP or when their file has changed, until the
+/// task is dropped.
+pub(crate) async fn run(gateway: Rc<Gateway>, hangup: HangupFlag, read: Box<ReadSettings>) {
+    let mut read_at = Millis::now();
+    let mut last_error = None;
+    loop {
+        compio::time::sleep(CHECK_INTERVAL.into()).await;
+        let is_signalled = hangup.take();
+        if !is_signalled && Millis::now().since(read_at) < READ_INTERVAL {
+            continue;
+        }
+        read_at = Millis::now();
+        match read() {
+            Ok(settings) => {
+                last_error = None;
+                apply(&gateway, settings, is_signalled);
+            }
+            Err(detail) if last_error.as_ref() != Some(&detail) => {
+                warn!(gateway.log, "settings not reloaded, the last good ones stay"; "error" => &detail);
+                last_error = Some(detail);
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+/// Addresses stay as they are until the process is started again.
+fn apply(gateway: &Gateway, settings: Settings, is_signalled: bool) {
+    let is_changed = *gateway.settings.borrow() != settings;
+    if is_changed || is_signalled {
+        info!(gateway.log, "settings reloaded"; "changed" => is_changed,
+            "signal" => is_signalled, "grace_ms" => settings.grace.0);
+    }
+    if is_changed {
+        gateway.fleet.set_budgets(settings.budgets);
+        gateway.follower.set_seeds(settings.seeds.clone());
+        gateway.fleet.update(&gateway.directory.borrow());
+        *gateway.settings.borrow_mut() = settings;
+    }
+}
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -6,16 +6,18 @@
 
 use axum::Router;
 use discovery::{Decode, Directory, Feed, Follower, InstanceEntry, Leases, Registration};
+use routes::Limits;
 use slog::{Logger, info};
 use snafu::{ResultExt, Snafu};
 use telemetry::Recorder;
-use transport::{Listener, ServerLimits, Shutdown, serve};
+use transport::{Listener, ServerLimits, Shutdown, serve, serve_within};
 
 use crate::admin;
 use crate::fleet::Fleet;
 use crate::gate::Gate;
 use crate::handler;
 use crate::journal::Journal;
+use crate::reload::{self, HangupFlag, ReadSettings};
 use crate::settings::Settings;
 use crate::shutdown;
 use crate::state::Gateway;
@@ -36,6 +38,12 @@
         /// What the listener said.
         source: transport::Error,
     },
+    /// A signal handler could not be installed.
+    #[snafu(display("could not handle signals: {source}"))]
+    Signal {
+        /// What the operating system said.
+        source: std::io::Error,
+    },
 }
 
 /// The platform as a gateway uses it.
@@ -48,6 +56,14 @@
     pub leases: Rc<dyn Leases>,
     /// Headers of callers and upstreams.
     pub wire: Rc<dyn Wire>,
+    /// Reads the settings again.
+    pub reload: Box<ReadSettings>,
+}
+
+struct Platform {
+    feed: Rc<dyn Feed>,
+    decoder: Rc<dyn Decode>,
+    wire: Rc<dyn Wire>,
 }
 
 /// Runs a gateway until SIGTERM or SIGINT.
@@ -56,6 +72,7 @@
 ///
 /// Fails if an address can't be bound.
 pub async fn run(settings: Settings, parts: Parts, recorder: Recorder, log: Logger) -> Result<()> {
+    let hangup = HangupFlag::install().context(SignalSnafu)?;
     let callers = bind(settings.callers).await?;
     let ready = bind(settings.ready).await?;
     let peers = bind(settings.peers).await?;
@@ -67,19 +84,22 @@
         address: settings.peers,
     };
     let registration = Registration::new(parts.leases.clone(), instance, &log);
-    let gateway = build(settings, parts, recorder, &log);
+    let reload = parts.reload;
+    let platform = Platform {
+        feed: parts.feed,
+        decoder: parts.decoder,
+        wire: parts.wire,
+    };
+    let gateway = build(settings, platform, recorder, &log);
     start_tasks(&gateway, &registration);
+    compio::runtime::spawn(reload::run(gateway.clone(), hangup, reload)).detach();
     start_server(ready, admin::ready_router(&gateway));
     start_server(peers, admin::peer_router(&gateway));
     start_server(metrics, admin::metrics_router(&gateway));
-    let serving = serve(
+    let serving = serve_within(
         callers,
         handler::router(&gateway),
-        ServerLimits {
-            // Callers reuse connections that were idle for this long.
-            header_timeout: clock::Millis(15_000),
-            ..ServerLimits::default()
-        },
+        gateway.caller_limits.clone(),
         gateway.callers_shutdown.clone(),
         gateway.callers_open.clone(),
     );
@@ -93,7 +113,7 @@
     Listener::bind(address).await.context(BindSnafu)
 }
 
-fn build(settings: Settings, parts: Parts, recorder: Recorder, log: &Logger) -> Rc<Gateway> {
+fn build(settings: Settings, parts: Platform, recorder: Recorder, log: &Logger) -> Rc<Gateway> {
     let directory = Rc::new(RefCell::new(Directory::new(parts.decoder)));
     let follower = Follower::new(
         parts.feed,
@@ -109,10 +129,19 @@
     };
     let shared = upstreams::Shared::with_habits(log, habits);
     let fleet = Fleet::new(&shared, settings.budgets);
-    let updated = fleet.clone();
-    follower.add_listener(move |directory| updated.update(directory));
+    let (updated, limits) = (
+        fleet.clone(),
+        Rc::new(Cell::new(server_limits(&Limits::default()))),
+    );
+    let caller_limits = limits.clone();
+    follower.add_listener(move |directory| {
+        updated.update(directory);
+        if let Some(table) = updated.table() {
+            limits.set(server_limits(&table.limits));
+        }
+    });
     Rc::new(Gateway {
-        settings,
+        settings: RefCell::new(settings),
         fleet,
         follower,
         directory,
@@ -121,6 +150,7 @@
         recorder,
         is_leaving: Cell::new(false),
         in_flight: Cell::new(0),
+        caller_limits,
         callers_open: Rc::default(),
         callers_shutdown: Shutdown::default(),
         journal: Journal::new(log),
@@ -128,6 +158,16 @@
     })
 }
 
+/// The HTTP library bounds the time until a request's headers are there,
+/// which includes the time that a connection stays idle before.
+fn server_limits(limits: &Limits) -> ServerLimits {
+    ServerLimits {
+        header_timeout: limits.header_timeout.max(limits.idle_timeout),
+        header_bytes: u32::try_from(limits.header_bytes).unwrap_or(u32::MAX),
+        ..ServerLimits::default()
+    }
+}
+
 fn start_tasks(gateway: &Rc<Gateway>, registration: &Rc<Registration>) {
     let follower = &gateway.follower;
     compio::runtime::spawn(follower.clone().follow_store()).detach();
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -29,7 +29,7 @@
 /// flight; answers tell callers to close their connections meanwhile.
 pub(crate) async fn drain(gateway: &Rc<Gateway>, registration: &Registration) {
     let began = Millis::now();
-    let grace = gateway.settings.grace;
+    let grace = gateway.settings.borrow().grace;
     info!(gateway.log, "leaving"; "in_flight" => gateway.in_flight.get(),
         "connections" => gateway.callers_open.get(), "grace_ms" => grace.0);
     gateway.is_leaving.set(true);
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -1,12 +1,12 @@
 //! What the parts of a gateway share.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use discovery::Follower;
 use slog::Logger;
 use telemetry::Recorder;
-use transport::Shutdown;
+use transport::{ServerLimits, Shutdown};
 
 use crate::fleet::Fleet;
 use crate::gate::Gate;
@@ -16,7 +16,7 @@
 
 /// Everything that a gateway consists of.
 pub(crate) struct Gateway {
-    pub(crate) settings: Settings,
+    pub(crate) settings: RefCell<Settings>,
     pub(crate) fleet: Rc<Fleet>,
     pub(crate) follower: Rc<Follower>,
     pub(crate) directory: discovery::Shared,
@@ -26,6 +26,8 @@
     pub(crate) is_leaving: Cell<bool>,
     pub(crate) in_flight: Cell<usize>,
     pub(crate) callers_open: Rc<Cell<usize>>,
+    /// Limits of new connections of callers.
+    pub(crate) caller_limits: Rc<Cell<ServerLimits>>,
     pub(crate) callers_shutdown: Shutdown,
     pub(crate) journal: Journal,
     pub(crate) log: Logger,
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -14,5 +14,5 @@
 pub use connection::{Connection, Payload, request};
 pub use error::{Error, Result};
 pub use local::{Local, detached, local};
-pub use server::{Listener, ServerLimits, Shutdown, listen, serve};
+pub use server::{Listener, ServerLimits, Shutdown, listen, serve, serve_within};
 pub use timer::RuntimeTimer;
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -21,6 +21,8 @@
 
 // Connections that wait to be accepted; further ones are delayed by the kernel.
 const BACKLOG: i32 = 1_024;
+// The HTTP library takes no smaller buffer.
+const SMALLEST_BUFFER_BYTES: usize = 8_192;
 const ACCEPT_RETRY: Millis = Millis(50);
 
 /// Bounds on what callers can make a server hold.
@@ -127,6 +129,19 @@
     limits: ServerLimits,
     shutdown: Shutdown,
     open: Rc<Cell<usize>>,
+) {
+    let limits = Rc::new(Cell::new(limits));
+    serve_within(listener, router, limits, shutdown, open).await;
+}
+
+/// Serves as [`serve`] does; each new connection gets the limits as they are
+/// then.
+pub async fn serve_within(
+    listener: Listener,
+    router: Router,
+    limits: Rc<Cell<ServerLimits>>,
+    shutdown: Shutdown,
+    open: Rc<Cell<usize>>,
 ) {
     loop {
         let accept = std::pin::pin!(listener.inner.accept());
@@ -136,6 +151,7 @@
             Either::Right(_) => break,
         };
         shutdown.forget_gone();
+        let limits = limits.get();
         match accepted {
             Ok((stream, _)) if open.get() < limits.connections => {
                 let task = serve_connection(stream, router.clone(), limits, shutdown.clone());
@@ -185,7 +201,7 @@
         .http1()
         .timer(RuntimeTimer)
         .header_read_timeout(Some(limits.header_timeout.into()))
-        .max_buf_size(limits.header_bytes as usize);
+        .max_buf_size((limits.header_bytes as usize).max(SMALLEST_BUFFER_BYTES));
     builder
         .http2()
         .timer(RuntimeTimer)
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -16,11 +16,16 @@
     let log = telemetry::bounded_logger(args.log_level, &settings.gateway.instance);
     telemetry::log_panics(&log);
     let store = Rc::new(PlatformStore::new(settings.store));
+    let path = args.settings.clone();
     let parts = Parts {
         feed: store.clone(),
         decoder: Rc::new(PlatformRecords),
         leases: store,
         wire: Rc::new(PlatformWire),
+        reload: Box::new(move || {
+            let settings = platform::load(&path).map_err(|e| e.to_string())?;
+            Ok(settings.gateway)
+        }),
     };
     block_on(gateway::run(settings.gateway, parts, recorder, log))?.context(GatewaySnafu)?;
     Ok(Code::Success)
--- a/standins/src/fleet/process.rs
+++ b/standins/src/fleet/process.rs
@@ -116,6 +116,11 @@
         self.signal(Signal::SIGTERM);
     }
 
+    /// Tells the process that its settings have changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -318,3 +318,22 @@
     let code = gateway.process.wait(Duration::from_secs(6)).await;
     assert_eq!(code, Some(0));
 }
+
+#[compio::test]
+async fn settings_are_reloaded_and_bad_ones_change_nothing() {
+    let site = start_site().await;
+    let mut gateway = ready(&site).await;
+    let path = gateway.dir.join("settings.yaml");
+    let good = std::fs::read_to_string(&path).unwrap();
+    gateway.process.hang_up();
+    gateway.process.wait_for_line("settings reloaded").await;
+    std::fs::write(&path, good.replace("\"grace-s\":6", "\"grace-s\":\"long\"")).unwrap();
+    gateway.process.hang_up();
+    gateway.process.wait_for_line("settings not reloaded").await;
+    // A change is found without a signal, too.
+    std::fs::write(&path, good.replace("\"grace-s\":6", "\"grace-s\":7")).unwrap();
+    gateway.process.wait_for_line("\"grace_ms\":7000").await;
+    assert!(gateway.process.is_running());
+    let answer = gateway.get(&format!("{SEARCH}1"), "r1").await;
+    assert_eq!(answer.status(), StatusCode::OK);
+}
