--- /dev/null
+++ b/components/discovery/tests/directory.rs
@@ -0,0 +1,204 @@
+//! What a directory believes after late, lost, foreign and repeated reports.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use clock::Millis;
+use discovery::{
+    Change, Changes, Decode, Directory, Fact, Lifecycle, Record, Snapshot, UpstreamEntry,
+};
+use routes::Configuration;
+
+const START: Millis = Millis(1_000);
+const LATER: Millis = Millis(60_000);
+
+/// Reads values such as `ready 100 7` (state, start, report) and `config 3`.
+struct Words;
+
+impl Decode for Words {
+    fn decode(&self, record: &Record) -> Result<Fact, String> {
+        let text = std::str::from_utf8(&record.value).map_err(|e| e.to_string())?;
+        let words: Vec<&str> = text.split(' ').collect();
+        let number = |i: usize| words[i].parse::<u64>().map_err(|e| e.to_string());
+        let lifecycle = match words[0] {
+            "foreign" => return Ok(Fact::Foreign),
+            "config" => {
+                let configuration = Configuration {
+                    version: number(1)?,
+                    ..Configuration::default()
+                };
+                return Ok(Fact::Configuration(Rc::new(configuration)));
+            }
+            "ready" => Lifecycle::Ready,
+            "draining" => Lifecycle::Draining,
+            other => return Err(format!("unknown word {other}")),
+        };
+        Ok(Fact::Upstream(UpstreamEntry {
+            id: record.key.clone(),
+            service: "s".to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 80)),
+            domain: "a".to_owned(),
+            slots: 2,
+            lifecycle,
+            cold_for: Millis::ZERO,
+            born: Some(Millis(number(1)?)),
+            report: number(2)?,
+        }))
+    }
+}
+
+fn record(key: &str, value: &str, revision: u64) -> Record {
+    Record {
+        key: key.to_owned(),
+        value: value.as_bytes().to_vec(),
+        revision,
+    }
+}
+
+fn put(key: &str, value: &str, revision: u64) -> Change {
+    Change::Put(record(key, value, revision))
+}
+
+fn delete(key: &str, revision: u64) -> Change {
+    Change::Delete {
+        key: key.to_owned(),
+        revision,
+    }
+}
+
+fn apply(directory: &mut Directory, now: Millis, list: Vec<Change>) -> bool {
+    let revision = list.iter().map(revision_of).max().unwrap_or(0);
+    directory.apply(Changes { list, revision }, now)
+}
+
+fn revision_of(change: &Change) -> u64 {
+    match change {
+        Change::Put(record) => record.revision,
+        Change::Delete { revision, .. } => *revision,
+    }
+}
+
+fn directory(list: Vec<Change>) -> Directory {
+    let mut directory = Directory::new(Rc::new(Words));
+    apply(&mut directory, START, list);
+    directory
+}
+
+fn states(directory: &Directory) -> Vec<Lifecycle> {
+    directory.upstreams().map(|u| u.lifecycle).collect()
+}
+
+#[test]
+fn a_report_written_late_does_not_undo_a_newer_one() {
+    let mut directory = directory(vec![
+        put("u", "ready 100 7", 1),
+        put("u", "draining 100 8", 2),
+    ]);
+    assert!(!apply(
+        &mut directory,
+        START,
+        vec![put("u", "ready 100 6", 3)]
+    ));
+    assert_eq!(states(&directory), [Lifecycle::Draining]);
+    apply(&mut directory, START, vec![delete("u", 4)]);
+    apply(&mut directory, START, vec![put("u", "ready 100 5", 5)]);
+    assert_eq!(states(&directory), []);
+}
+
+#[test]
+fn a_restart_under_the_same_identifier_counts_anew() {
+    let mut directory = directory(vec![put("u", "draining 100 8", 1)]);
+    assert!(apply(
+        &mut directory,
+        START,
+        vec![put("u", "ready 200 1", 2)]
+    ));
+    assert_eq!(states(&directory), [Lifecycle::Ready]);
+    assert!(!apply(
+        &mut directory,
+        START,
+        vec![put("u", "draining 100 9", 3)]
+    ));
+    assert_eq!(states(&directory), [Lifecycle::Ready]);
+}
+
+#[test]
+fn a_new_number_alone_is_no_change() {
+    let mut directory = directory(vec![put("u", "ready 100 1", 1)]);
+    assert!(!apply(
+        &mut directory,
+        START,
+        vec![put("u", "ready 100 2", 2)]
+    ));
+    assert_eq!(directory.revision(), 2);
+}
+
+#[test]
+fn foreign_and_malformed_records_are_ignored_alone() {
+    let mut directory = directory(vec![
+        put("u", "ready 100 1", 1),
+        put("v", "sideways 1 1", 2),
+        put("w", "foreign", 3),
+        put("u", "ready now 1", 4),
+    ]);
+    assert_eq!(states(&directory), [Lifecycle::Ready]);
+    let rejected = directory.take_rejected();
+    assert_eq!(rejected.len(), 2, "{rejected:?}");
+    assert!(rejected[0].starts_with("v: "), "{rejected:?}");
+}
+
+#[test]
+fn the_configuration_never_goes_back_and_survives_nonsense() {
+    let mut directory = directory(vec![put("c", "config 3", 5)]);
+    let version = |d: &Directory| d.configuration().map(|(_, c)| c.version);
+    assert!(!apply(&mut directory, START, vec![put("c", "config 2", 4)]));
+    apply(&mut directory, START, vec![put("c", "config x", 6)]);
+    apply(&mut directory, START, vec![delete("c", 7)]);
+    assert_eq!(version(&directory), Some(3));
+    assert!(apply(&mut directory, START, vec![put("c", "config 4", 8)]));
+    assert_eq!(version(&directory), Some(4));
+}
+
+#[test]
+fn entries_that_lapsed_while_the_store_was_away_get_time_to_return() {
+    let mut directory = directory(vec![put("u", "ready 100 1", 1), put("v", "ready 100 1", 2)]);
+    directory.note_return(START);
+    apply(&mut directory, START, vec![delete("u", 3), delete("v", 4)]);
+    assert_eq!(directory.upstreams().count(), 2);
+    apply(
+        &mut directory,
+        START + Millis(500),
+        vec![put("u", "ready 100 2", 5)],
+    );
+    assert!(!directory.settle(START + Millis(1_900)));
+    assert!(directory.settle(START + Millis(2_500)));
+    let left: Vec<&str> = directory.upstreams().map(|u| u.id.as_str()).collect();
+    assert_eq!(left, ["u"]);
+}
+
+#[test]
+fn in_calm_times_a_deletion_counts_at_once() {
+    let mut directory = directory(vec![put("u", "ready 100 1", 1)]);
+    directory.note_return(START);
+    assert!(apply(&mut directory, LATER, vec![delete("u", 2)]));
+    assert_eq!(directory.upstreams().count(), 0);
+}
+
+#[test]
+fn a_snapshot_brings_deletions_but_not_the_past() {
+    let mut directory = directory(vec![put("u", "ready 100 1", 1), put("v", "ready 100 1", 9)]);
+    let old = Snapshot {
+        records: vec![],
+        revision: 8,
+    };
+    assert!(!directory.replace(old, LATER));
+    assert_eq!(directory.upstreams().count(), 2);
+    let new = Snapshot {
+        records: vec![record("v", "ready 100 1", 9)],
+        revision: 12,
+    };
+    assert!(directory.replace(new, LATER));
+    let left: Vec<&str> = directory.upstreams().map(|u| u.id.as_str()).collect();
+    assert_eq!(left, ["v"]);
+    assert_eq!(directory.snapshot().revision, 12);
+}
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -47,8 +47,8 @@
     })?;
     let result = serve(gateway, job).await;
     let now = Millis::now();
-    let is_in_time = result.is_ok() && now.since(job.arrived) <= route.objective;
-    admitted.finish(is_in_time, route, now);
+    let served_after = result.is_ok().then(|| now.since(job.arrived));
+    admitted.finish(served_after, route, now);
     result
 }
 
--- a/components/gateway/src/gate.rs
+++ b/components/gateway/src/gate.rs
@@ -48,11 +48,11 @@
 }
 
 impl Admitted {
-    /// Notes whether the request was answered within its objective.
-    pub(crate) fn finish(self, is_in_time: bool, route: &Route, now: Millis) {
+    /// Notes when the request was served, or that it was not.
+    pub(crate) fn finish(self, served_after: Option<Millis>, route: &Route, now: Millis) {
         self.is_finished.set(true);
         let mut admission = self.admission.borrow_mut();
-        admission.finish(is_in_time, route.objective, now);
+        admission.finish(served_after, route.objective, now);
     }
 }
 
