--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -126,14 +126,7 @@
     async fn first_slot(&self) -> Result<Slot> {
         let ask = self.ask();
         if ask.candidates.is_empty() {
-            let replicas = self.shard.replicas();
-            let is_held = replicas.iter().any(|&k| self.is_held(k));
-            let reason = if is_held {
-                Reason::NoReplica
-            } else {
-                Reason::SnapshotNotHeld
-            };
-            return Err(Failure::not_run(reason));
+            return Err(Failure::not_run(self.emptiness()));
         }
         self.pool
             .acquire(ask)
@@ -145,6 +138,16 @@
             })
     }
 
+    /// Why there is no candidate.
+    fn emptiness(&self) -> Reason {
+        let mut replicas = self.shard.replicas().into_iter();
+        let is_held = replicas.any(|k| self.is_held(k));
+        match self.call.version {
+            Some(_) if !is_held => Reason::SnapshotNotHeld,
+            _ => Reason::NoReplica,
+        }
+    }
+
     /// Runs an attempt and, if it takes long, a hedge beside it.
     async fn race(&mut self, slot: Slot) -> Result<Answer> {
         let mut steps: FuturesUnordered<LocalBoxFuture<'a, Step>> = FuturesUnordered::new();
