Serve the state and more metrics of a gateway

/metrics counts requests by outcome with their latency, store calls by operation, upstreams by state, queue, connections, age of the store; /state on the same port is the state dump. Test: metrics_and_state_tell_what_is_believed.

--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -2,16 +2,21 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use axum::Router;
 use axum::extract::{Query, State};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
+use clock::Millis;
 use discovery::RelayState;
 use http::StatusCode;
+use telemetry::names;
 use transport::Local;
+use upstreams::{UpstreamState, UpstreamView};
 
 use crate::state::Gateway;
+use crate::view::StateView;
 
 #[derive(Clone)]
 struct App(Local<Rc<Gateway>>);
@@ -34,6 +39,7 @@
 pub(crate) fn metrics_router(gateway: &Rc<Gateway>) -> Router {
     Router::new()
         .route("/metrics", get(metrics))
+        .route("/state", get(state))
         .with_state(App(Local::new(gateway.clone())))
 }
 
@@ -54,5 +60,36 @@
 }
 
 async fn metrics(State(app): State<App>) -> String {
+    refresh_gauges(&app.0);
     app.0.recorder.render()
 }
+
+/// The state of the pools, of what is believed, and how old it is, as JSON.
+async fn state(State(app): State<App>) -> Response {
+    axum::Json(StateView::new(&app.0)).into_response()
+}
+
+fn refresh_gauges(gateway: &Gateway) {
+    let now = Millis::now();
+    let age = Duration::from(gateway.follower.store_age(now)).as_secs_f64();
+    metrics::gauge!(names::STORE_AGE_SECONDS).set(age);
+    metrics::gauge!(names::IN_FLIGHT).set(gateway.in_flight.get() as f64);
+    let version = gateway.fleet.table().map_or(0, |t| t.version);
+    metrics::gauge!(names::REVISION).set(version as f64);
+    let views = gateway.fleet.all();
+    let upstreams: Vec<UpstreamView> = views.iter().flat_map(|p| p.upstream_views()).collect();
+    let queued: usize = views.iter().map(|p| p.queued()).sum();
+    let open: usize = upstreams.iter().map(|u| u.open).sum();
+    let busy: usize = upstreams.iter().map(|u| u.busy).sum();
+    metrics::gauge!(names::QUEUE_LENGTH).set(queued as f64);
+    metrics::gauge!(names::UPSTREAM_CONNECTIONS).set(open as f64);
+    metrics::gauge!(names::SLOTS_USED).set(busy as f64);
+    for state in [
+        UpstreamState::Serving,
+        UpstreamState::Resting,
+        UpstreamState::Leaving,
+    ] {
+        let count = upstreams.iter().filter(|u| u.state() == state).count();
+        metrics::gauge!(names::UPSTREAMS, "state" => state.name()).set(count as f64);
+    }
+}
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -63,6 +63,11 @@
         self.budgets.set(budgets);
     }
 
+    /// Daemons that share the budgets.
+    pub(crate) fn daemons(&self) -> usize {
+        self.daemons.get()
+    }
+
     /// The pool of a service.
     pub(crate) fn find(&self, service: &str) -> Option<Rc<Pool>> {
         self.pools.borrow().get(service).cloned()
--- a/components/gateway/src/gate.rs
+++ b/components/gateway/src/gate.rs
@@ -8,6 +8,7 @@
 use routes::Route;
 
 use crate::admission::Admission;
+use crate::view::LimitView;
 
 /// The admissions by the names of their routes.
 #[derive(Default)]
@@ -35,6 +36,16 @@
         })
     }
 
+    /// Returns the limits in force.
+    pub(crate) fn limits(&self) -> Vec<LimitView> {
+        let routes = self.routes.borrow();
+        let view = |(route, admission): (&String, &Rc<RefCell<Admission>>)| LimitView {
+            route: route.clone(),
+            limit: admission.borrow().limit(),
+        };
+        routes.iter().map(view).collect()
+    }
+
     fn find(&self, route: &str) -> Rc<RefCell<Admission>> {
         if let Some(known) = self.routes.borrow().get(route) {
             return known.clone();
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use axum::Router;
 use axum::body::Body;
@@ -86,10 +87,12 @@
         let id = gateway.wire.terms(request.headers()).map(|t| t.id);
         let id = id.unwrap_or_default();
         let result = serve(&gateway, request).await;
+        let elapsed = Millis::now().since(arrived);
+        note_outcome(&result, elapsed);
         let mut response = match result {
             Ok(response) => response,
             Err(refusal) => {
-                note_refusal(&gateway, &id, &refusal, Millis::now().since(arrived));
+                note_refusal(&gateway, &id, &refusal, elapsed);
                 refusal.to_response()
             }
         };
@@ -124,6 +127,15 @@
     }
 }
 
+fn note_outcome(result: &Result<Response<Bytes>>, elapsed: Millis) {
+    let outcome = match result {
+        Ok(_) => "answered",
+        Err(refusal) => refusal.cause.name(),
+    };
+    let seconds = Duration::from(elapsed).as_secs_f64();
+    metrics::histogram!(names::REQUEST_SECONDS, "outcome" => outcome).record(seconds);
+}
+
 fn note_refusal(gateway: &Gateway, id: &str, refusal: &Refusal, elapsed: Millis) {
     let cause = refusal.cause.name();
     metrics::counter!(names::REFUSALS_TOTAL, "reason" => cause).increment(1);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod settings;
 mod shutdown;
 mod state;
+mod view;
 mod wire;
 
 pub use admission::Admission;
--- /dev/null
+++ b/components/gateway/src/view.rs
@@ -0,0 +1,59 @@
+//! The state of a gateway for operators.
+
+use clock::Millis;
+use serde::Serialize;
+use upstreams::UpstreamView;
+
+use crate::state::Gateway;
+
+/// What a gateway believes, and how old that is.
+#[derive(Serialize)]
+pub(crate) struct StateView {
+    instance: String,
+    leaving: bool,
+    version: u64,
+    revision: u64,
+    store_age_ms: Millis,
+    daemons: usize,
+    in_flight: usize,
+    limits: Vec<LimitView>,
+    services: Vec<ServiceView>,
+}
+
+/// The admission limit of a route.
+#[derive(Serialize)]
+pub(crate) struct LimitView {
+    pub(crate) route: String,
+    pub(crate) limit: f64,
+}
+
+#[derive(Serialize)]
+struct ServiceView {
+    service: String,
+    queued: usize,
+    extra_tokens: f64,
+    upstreams: Vec<UpstreamView>,
+}
+
+impl StateView {
+    pub(crate) fn new(gateway: &Gateway) -> Self {
+        let pools = gateway.fleet.all();
+        let service = |pool: &std::rc::Rc<upstreams::Pool>| ServiceView {
+            service: pool.name.clone(),
+            queued: pool.queued(),
+            extra_tokens: pool.extra_tokens(),
+            upstreams: pool.upstream_views(),
+        };
+        Self {
+            instance: gateway.settings.borrow().instance.clone(),
+            leaving: gateway.is_leaving.get(),
+            version: gateway.fleet.table().map_or(0, |t| t.version),
+            revision: gateway.directory.borrow().revision(),
+            store_age_ms: gateway.follower.store_age(Millis::now()),
+            daemons: gateway.fleet.daemons(),
+            in_flight: gateway.in_flight.get(),
+            limits: gateway.gate.limits(),
+            services: pools.iter().map(service).collect(),
+        }
+    }
+}
--- a/components/telemetry/src/metric.rs
+++ b/components/telemetry/src/metric.rs
@@ -6,6 +6,15 @@
 pub mod names {
     /// Time from a search's arrival to its answer, in seconds.
     pub const SEARCH_SECONDS: &str = "coltsfootgw_search_seconds";
+    /// Time from a request's arrival at a gateway to its answer, by outcome,
+    /// in seconds.
+    pub const REQUEST_SECONDS: &str = "coltsfootgw_request_seconds";
+    /// Requests that a gateway serves now.
+    pub const IN_FLIGHT: &str = "coltsfootgw_in_flight";
+    /// Time since the store last answered, in seconds.
+    pub const STORE_AGE_SECONDS: &str = "coltsfootgw_store_age_seconds";
+    /// Upstreams by state.
+    pub const UPSTREAMS: &str = "coltsfootgw_upstreams";
     /// Share of the asked shards that an answer covers.
     pub const COVERAGE_RATIO: &str = "coltsfootgw_coverage_ratio";
     /// Refused requests, by service and reason.
--- a/components/upstreams/src/lib.rs
+++ b/components/upstreams/src/lib.rs
@@ -38,5 +38,5 @@
 pub use shared::{Habits, OwnsGroup, Shared};
 pub use suspects::{Death, Suspects, Verdict};
 pub use upstream::{Upstream, UpstreamKey};
-pub use view::{PoolView, UpstreamView};
+pub use view::{PoolView, UpstreamState, UpstreamView};
 pub use wire::NativeMessage;
--- a/components/upstreams/src/view.rs
+++ b/components/upstreams/src/view.rs
@@ -1,11 +1,15 @@
 //! The state of pools and upstreams for the state dump.
 
+use std::rc::Rc;
+
 use clock::Millis;
 use serde::Serialize;
 
 use crate::call::HEDGE_QUANTILE;
 use crate::health::{Health, Tier};
+use crate::pool::Pool;
 use crate::service::Service;
+use crate::upstream::{Upstream, UpstreamKey};
 
 /// The state of one service's pool.
 #[derive(Debug, Serialize)]
@@ -31,7 +35,7 @@
 pub struct UpstreamView {
     /// Name of the upstream.
     pub name: String,
-    /// Whether this daemon owns it.
+    /// Whether this daemon owns it; every daemon owns all without owners.
     pub owned: bool,
     /// Whether it takes no new work.
     pub leaving: bool,
@@ -50,22 +54,83 @@
     health: Health,
 }
 
+/// What is asked of an upstream now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamState {
+    /// It gets requests.
+    Serving,
+    /// It failed lately and rests.
+    Resting,
+    /// It takes no new work.
+    Leaving,
+}
+
+impl UpstreamState {
+    /// The name used in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            UpstreamState::Serving => "serving",
+            UpstreamState::Resting => "resting",
+            UpstreamState::Leaving => "leaving",
+        }
+    }
+}
+
+impl UpstreamView {
+    fn new(upstream: &Upstream, is_owned: bool, takes_work: bool, now: Millis) -> Self {
+        let health = upstream.health.borrow().clone();
+        Self {
+            name: upstream.name.clone(),
+            owned: is_owned,
+            leaving: !takes_work,
+            tier: health.tier(now),
+            busy: upstream.busy(),
+            limit: upstream.limit(),
+            open: upstream.open.get(),
+            connections: upstream.connections.get(),
+            mean_ms: upstream.latency.borrow().mean_ms(),
+            health,
+        }
+    }
+
+    /// What is asked of the upstream now.
+    pub fn state(&self) -> UpstreamState {
+        match self.tier {
+            _ if self.leaving => UpstreamState::Leaving,
+            Tier::Ejected => UpstreamState::Resting,
+            Tier::Good | Tier::Poor => UpstreamState::Serving,
+        }
+    }
+}
+
+impl Pool {
+    /// Returns the state of all upstreams.
+    pub fn upstream_views(&self) -> Vec<UpstreamView> {
+        self.views(|_| true)
+    }
+
+    /// Sub-requests that wait for a slot.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Hedges and retries that may be sent now.
+    pub fn extra_tokens(&self) -> f64 {
+        self.hedges.tokens()
+    }
+
+    fn views(&self, is_owned: impl Fn(&Upstream) -> bool) -> Vec<UpstreamView> {
+        let now = Millis::now();
+        let view = |(key, upstream): (UpstreamKey, Rc<Upstream>)| {
+            UpstreamView::new(&upstream, is_owned(&upstream), self.takes_work(key), now)
+        };
+        self.keyed().into_iter().map(view).collect()
+    }
+}
+
 impl Service {
     /// Returns the state of this service.
     pub fn view(&self) -> PoolView {
-        let now = Millis::now();
-        let upstreams = self.upstreams().into_iter().map(|u| UpstreamView {
-            name: u.name.clone(),
-            owned: self.is_owned(&u),
-            leaving: u.is_drained.get() || self.shared.drains.is_leaving(&u.id),
-            tier: u.health.borrow().tier(now),
-            busy: u.busy(),
-            limit: u.limit(),
-            open: u.open.get(),
-            connections: u.connections.get(),
-            mean_ms: u.latency.borrow().mean_ms(),
-            health: u.health.borrow().clone(),
-        });
         PoolView {
             service: self.topology().service.name.clone(),
             queue: self.queue.len(),
@@ -73,7 +138,7 @@
             hedge_ms: self.latency.borrow().quantile(HEDGE_QUANTILE),
             hedge_tokens: self.hedges.tokens(),
             retry_tokens: self.retries.tokens(),
-            upstreams: upstreams.collect(),
+            upstreams: self.views(|u| self.is_owned(u)),
         }
     }
 }
--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -17,6 +17,7 @@
 const CALLERS_PORT: u16 = 8_226;
 const READY_PORT: u16 = 8_227;
 const PEERS_PORT: u16 = 8_224;
+const METRICS_PORT: u16 = 9_464;
 
 /// Host of all routes.
 pub const HOST: &str = "site.example";
@@ -190,6 +191,11 @@
         self.port(PEERS_PORT)
     }
 
+    /// Address of the metrics.
+    pub fn metrics(self) -> SocketAddr {
+        self.port(METRICS_PORT)
+    }
+
     fn port(self, port: u16) -> SocketAddr {
         SocketAddr::from((self.ip, port))
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -101,6 +101,13 @@
         answer.is_ok_and(|a| a.status() == StatusCode::OK)
     }
 
+    async fn metrics(&self, path: &str) -> String {
+        let request = Request::get(path).body(Payload::default()).unwrap();
+        let address = self.place.metrics();
+        let answer = transport::request(address, request, ANSWER_LIMIT_BYTES, TIMEOUT).await;
+        String::from_utf8(answer.expect("metrics are served").into_body().into()).unwrap()
+    }
+
     async fn get(&self, path: &str, id: &str) -> Response<Bytes> {
         self.send(Method::GET, path, id, Bytes::new()).await
     }
@@ -337,3 +344,29 @@
     let answer = gateway.get(&format!("{SEARCH}1"), "r1").await;
     assert_eq!(answer.status(), StatusCode::OK);
 }
+
+#[compio::test]
+async fn metrics_and_state_tell_what_is_believed() {
+    let site = start_site().await;
+    let gateway = ready(&site).await;
+    gateway.get(&format!("{SEARCH}1"), "r1").await;
+    gateway.get("/nowhere/", "r2").await;
+    let metrics = gateway.metrics("/metrics").await;
+    for expected in [
+        "coltsfootgw_request_seconds_count{outcome=\"answered\"} 1",
+        "coltsfootgw_refusals_total{reason=\"no_route\"} 1",
+        "coltsfootgw_upstreams{state=\"serving\"} 8",
+        "coltsfootgw_store_calls_total{operation=\"kv-range\"}",
+    ] {
+        assert!(metrics.contains(expected), "{expected} in {metrics}");
+    }
+    let state: serde_json::Value = serde_json::from_str(&gateway.metrics("/state").await).unwrap();
+    assert_eq!(state["version"], 1);
+    assert_eq!(state["daemons"], 1);
+    assert_eq!(state["services"].as_array().map(Vec::len), Some(SHARDS));
+    let log = gateway.process.wait_for_line("\"r2\"").await;
+    assert_eq!(
+        (&log["cause"], &log["status"]),
+        (&json!("no_route"), &json!(404))
+    );
+}
