Keep unsafe requests within the extra load, and idle connections in time

Change: repeated sends draw on the budget and the attempts; three crashes quarantine on the platform; a connection is used for three quarters of the idle time that its upstream tells.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -75,13 +75,7 @@
     let pool = gateway.fleet.find(service).ok_or_else(none)?;
     let shard = WholeService(&pool);
     let result = match job.entry.route.repeat {
-        Repeat::Idempotent => {
-            let left = job.call.deadline.since(Millis::now());
-            match compio::time::timeout(left.into(), pool.fetch(&shard, &job.call)).await {
-                Ok(result) => result,
-                Err(_) => Err(Failure::unknown(upstreams::Reason::Timeout)),
-            }
-        }
+        Repeat::Idempotent => pool.fetch(&shard, &job.call).await,
         Repeat::AtMostOnce => pool.dispatch(&shard, &job.call).await,
     };
     match result {
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -26,6 +26,10 @@
 /// Single answers are lost without a fault of the upstream.
 const FAILURES_TO_EJECT: u32 = 3;
 
+/// Callers' paths repeat, so that a request that ran beside two crashes by
+/// chance must not be refused.
+const STRIKES_TO_QUARANTINE: usize = 3;
+
 /// Result of running a gateway.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -125,6 +129,7 @@
     let habits = upstreams::Habits {
         failures_to_eject: FAILURES_TO_EJECT,
         confirms_crashes: true,
+        strikes: STRIKES_TO_QUARANTINE,
         domain: Some(settings.domain.clone()),
     };
     let shared = upstreams::Shared::with_habits(log, habits);
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -89,7 +89,7 @@
         upstream.health.borrow_mut().note_failure(Millis::now());
         return reply.result;
     }
-    upstream.keep(lease);
+    upstream.keep(lease, reply.notes.idle_timeout);
     note_answer(pool, upstream, reply.notes, started);
     note_outcome(pool, slot, call, &reply.result, started);
     let now = Millis::now();
--- a/components/upstreams/src/dispatch.rs
+++ b/components/upstreams/src/dispatch.rs
@@ -32,7 +32,13 @@
     pub async fn dispatch(self: &Rc<Self>, shard: &dyn Shard, call: &Call) -> Result<Answer> {
         let mut candidates = shard.replicas();
         let mut last = Failure::not_run(Reason::NoReplica);
+        let mut sends = 0;
+        self.retries.earn(call.effort.retry_percent);
+        self.hedges.earn(call.effort.hedge_percent);
         while !candidates.is_empty() {
+            if sends > 0 && !(sends < call.effort.attempts && self.retries.spend()) {
+                return Err(last);
+            }
             let slot = match self.acquire(self.booking_ask(&candidates, call)?).await {
                 Ok(slot) => slot,
                 Err(Refusal::NoReplica) => return Err(last),
@@ -43,7 +49,10 @@
             let left = call.deadline.since(Millis::now());
             let running = attempt::run(&slot, self, call, shard.name());
             match compio::time::timeout(left.into(), running).await {
-                Ok(Err(failure)) if failure.ran == Ran::No => last = failure,
+                Ok(Err(failure)) if failure.ran == Ran::No => {
+                    sends += usize::from(!failure.is_unsent());
+                    last = failure;
+                }
                 Ok(result) => return result,
                 Err(_) => return Err(Failure::unknown(Reason::Timeout)),
             }
--- a/components/upstreams/src/message.rs
+++ b/components/upstreams/src/message.rs
@@ -49,6 +49,8 @@
     pub boot: String,
     /// How full the upstream is: 1 if all slots are in use, more if requests wait.
     pub load: Option<f64>,
+    /// Time after which the upstream closes the connection if it stays idle.
+    pub idle_timeout: Option<Millis>,
     /// The versions that the upstream holds.
     pub holds: Option<Vec<Held>>,
 }
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -7,7 +7,7 @@
 use slog::Logger;
 
 use crate::drains::Drains;
-use crate::suspects::Suspects;
+use crate::suspects::{STRIKES_TO_QUARANTINE, Suspects};
 
 /// Tells whether this daemon owns a group of a topology.
 pub type OwnsGroup = dyn Fn(&Topology, usize) -> bool;
@@ -20,6 +20,8 @@
     /// Whether a lost connection counts as a crash only once the upstream
     /// refuses connections.
     pub confirms_crashes: bool,
+    /// Crashes after which a request is refused.
+    pub strikes: usize,
     /// Failure domain whose upstreams are preferred.
     pub domain: Option<String>,
 }
@@ -29,6 +31,7 @@
         Self {
             failures_to_eject: 1,
             confirms_crashes: false,
+            strikes: STRIKES_TO_QUARANTINE,
             domain: None,
         }
     }
@@ -60,7 +63,7 @@
     pub fn with_habits(log: &Logger, habits: Habits) -> Rc<Self> {
         Rc::new(Self {
             drains: Drains::default(),
-            suspects: Suspects::default(),
+            suspects: Suspects::new(habits.strikes),
             news: RefCell::default(),
             owns: RefCell::default(),
             habits,
--- a/components/upstreams/src/suspects.rs
+++ b/components/upstreams/src/suspects.rs
@@ -10,7 +10,7 @@
 
 use crate::failure::{Failure, Reason};
 
-const STRIKES_TO_QUARANTINE: usize = 2;
+pub(crate) const STRIKES_TO_QUARANTINE: usize = 2;
 const STRIKE_LIFE: Millis = Millis(60_000);
 const ENTRY_LIMIT: usize = 1_024;
 const STRIKES_KEPT: usize = 8;
@@ -81,23 +81,39 @@
 
     /// Whether the request, and not the loss of one failure domain, explains
     /// the deaths.
-    fn is_convicted(&self, now: Millis) -> bool {
+    fn is_convicted(&self, strikes: usize, now: Millis) -> bool {
         let Some(first) = self.valid(now).next() else {
             return false;
         };
         let is_telling = |d: &Death| d.alone || d.domain != first.domain;
-        self.valid(now).count() >= STRIKES_TO_QUARANTINE && self.valid(now).any(is_telling)
+        self.valid(now).count() >= strikes && self.valid(now).any(is_telling)
     }
 }
 
 /// A bounded table of strikes by request fingerprint.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Suspects {
+    strikes: usize,
     entries: RefCell<HashMap<u64, Entry>>,
     watchers: RefCell<HashMap<u64, Vec<oneshot::Sender<()>>>>,
 }
 
+impl Default for Suspects {
+    fn default() -> Self {
+        Self::new(STRIKES_TO_QUARANTINE)
+    }
+}
+
 impl Suspects {
+    /// Returns an empty table that quarantines a request after some strikes.
+    pub fn new(strikes: usize) -> Self {
+        Self {
+            strikes,
+            entries: RefCell::default(),
+            watchers: RefCell::default(),
+        }
+    }
+
     /// Notes that an upstream crashed while the request ran there.
     ///
     /// Returns `true` if that quarantines the request.
@@ -130,7 +146,7 @@
             }
             None => entry.deaths.push(death),
         }
-        if entry.is_convicted(now) {
+        if entry.is_convicted(self.strikes, now) {
             // Dropping the senders wakes the watchers.
             self.watchers.borrow_mut().remove(&fingerprint);
         }
@@ -144,7 +160,7 @@
         };
         match entry.valid(now).map(|d| now.since(d.at)).max() {
             None => Verdict::Clear,
-            Some(oldest) if entry.is_convicted(now) => Verdict::Quarantined {
+            Some(oldest) if entry.is_convicted(self.strikes, now) => Verdict::Quarantined {
                 expires_in: STRIKE_LIFE - oldest,
             },
             Some(_) => Verdict::Suspect,
@@ -170,7 +186,7 @@
     fn clear_until(&self, fingerprint: u64, at: Millis, now: Millis) {
         let mut entries = self.entries.borrow_mut();
         let entry = entries.get_mut(&fingerprint);
-        if let Some(entry) = entry.filter(|e| !e.is_convicted(now)) {
+        if let Some(entry) = entry.filter(|e| !e.is_convicted(self.strikes, now)) {
             entry.deaths.retain(|d| d.at > at);
             entry.cleared = entry.cleared.max(Some(at));
         }
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -21,6 +21,8 @@
 /// another failure domain.
 const DETOUR_MS: f64 = 3.0;
 const DETOUR_SHARE: f64 = 0.6;
+/// Share of an idle timeout for which a connection is used, as a fraction.
+const IDLE_SHARE: (u64, u64) = (3, 4);
 /// A request that runs longer than this many mean latencies is stuck.
 const STUCK_FACTOR: f64 = 3.0;
 /// What a failure costs, in mean latencies.
@@ -75,6 +77,8 @@
 /// A connection that counts towards its upstream's limit while it is open.
 pub(crate) struct Lease {
     pub(crate) conn: Connection,
+    /// When the upstream may close it, with a margin.
+    usable_until: Millis,
     open: Rc<Cell<usize>>,
 }
 
@@ -203,7 +207,8 @@
 
     fn take_idle(&self) -> Option<Lease> {
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|lease| lease.conn.is_open());
+        let now = Millis::now();
+        idle.retain(|lease| lease.conn.is_open() && now < lease.usable_until);
         idle.pop()
     }
 
@@ -220,12 +225,15 @@
         drop(opening);
         Ok(Lease {
             conn,
+            usable_until: Millis(u64::MAX),
             open: self.open.clone(),
         })
     }
 
     /// Keeps a connection whose last request was answered whole.
-    pub(crate) fn keep(&self, lease: Lease) {
+    pub(crate) fn keep(&self, mut lease: Lease, idle_timeout: Option<Millis>) {
+        let usable = idle_timeout.map(|t| Millis(t.0 / IDLE_SHARE.1 * IDLE_SHARE.0));
+        lease.usable_until = usable.map_or(Millis(u64::MAX), |u| Millis::now() + u);
         let mut idle = self.idle.borrow_mut();
         if lease.conn.is_open() && idle.len() < self.slots.get() {
             idle.push(lease);
@@ -250,7 +258,7 @@
     pub(crate) async fn warm_up(&self) {
         while self.open.get() < self.slots.get() {
             match self.open_lease().await {
-                Ok(lease) => self.keep(lease),
+                Ok(lease) => self.keep(lease, None),
                 Err(_) => return,
             }
         }
--- a/components/upstreams/src/wire.rs
+++ b/components/upstreams/src/wire.rs
@@ -89,6 +89,7 @@
         leaving: text(headers, LEAVING).is_some_and(|v| v == "1"),
         boot: text(headers, BOOT).unwrap_or_default().to_owned(),
         load: text(headers, LOAD).and_then(|v| v.parse().ok()),
+        idle_timeout: None,
         holds: text(headers, HOLDS).map(parse_holds),
     }
 }
--- a/standins/src/platform/upstream.rs
+++ b/standins/src/platform/upstream.rs
@@ -44,6 +44,8 @@
     pub records: usize,
     /// Identifiers of the requests that it ran.
     pub ran: RefCell<Vec<String>>,
+    /// Requests that it refused.
+    pub refused: Cell<usize>,
     busy: Cell<usize>,
 }
 
@@ -57,6 +59,7 @@
             manner: RefCell::new(Manner::Well),
             records,
             ran: RefCell::default(),
+            refused: Cell::new(0),
             busy: Cell::new(0),
         })
     }
@@ -98,6 +101,7 @@
         }
         let manner = upstream.manner.borrow().clone();
         if manner == Manner::NotRun {
+            upstream.refused.set(upstream.refused.get() + 1);
             return (StatusCode::SERVICE_UNAVAILABLE, [("not-executed", "1")]).into_response();
         }
         upstream.ran.borrow_mut().push(request_id.clone());
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -220,6 +220,48 @@
     assert!(seen.iter().all(is_allowed), "{seen:?}");
 }
 
+#[rstest]
+#[case::reads(READ)]
+#[case::writes(WRITE)]
+#[compio::test]
+async fn refused_sends_are_repeated_within_the_budget(#[case] prefix: &str) {
+    const REQUESTS: usize = 40;
+    // Four tokens at the start, and a fifth of one for each request.
+    const EXTRA: usize = 4 + REQUESTS / 5;
+    let site = start_site().await;
+    let gateway = ready(&site).await;
+    site.set_manner(0, &Manner::NotRun);
+    for i in 0..REQUESTS {
+        let (path, id) = (format!("{prefix}x"), format!("r{i}"));
+        let sent = gateway.send(Method::POST, &path, &id, Bytes::new());
+        assert_eq!(sent.await.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(site.runs(&id), 0);
+    }
+    let sends: usize = site.shards[0].iter().map(|u| u.refused.get()).sum();
+    assert!((REQUESTS..=REQUESTS + EXTRA).contains(&sends), "{sends}");
+}
+
+#[compio::test]
+async fn an_upstream_that_refuses_is_seldom_chosen() {
+    const REQUESTS: usize = 60;
+    let site = start_site().await;
+    let gateway = ready(&site).await;
+    for i in 0..10 {
+        gateway
+            .get(&format!("{READ}{i}"), &format!("warm-{i}"))
+            .await;
+    }
+    *site.shards[0][0].manner.borrow_mut() = Manner::NotRun;
+    let mut served = 0;
+    for i in 0..REQUESTS {
+        let answer = gateway.get(&format!("{READ}{i}"), &format!("r{i}")).await;
+        served += usize::from(answer.status() == StatusCode::OK);
+    }
+    assert_eq!(served, REQUESTS);
+    let refused = site.shards[0][0].refused.get();
+    assert!(refused < REQUESTS / 6, "{refused}");
+}
+
 #[compio::test]
 async fn malformed_requests_get_clear_errors() {
     let site = start_site().await;
