Log which upstream failed an attempt, with the request's identifier

Cause: the line of an unsafe request answered 502 said connection_died but not where; on-call could not get from the identifier to the upstream. Change: one bounded line for each failed attempt; the bound on lines about requests moves to telemetry and serves engine and gateway.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -200,7 +200,7 @@
     let records = top_records(parts.answers.iter().map(|a| a.body().as_ref()), gather.top);
     let missing = gather.shards.len() - parts.answers.len();
     if missing > 0 {
-        gateway.journal.note(|| {
+        gateway.fleet.shared().lines.note(|| {
             info!(gateway.log, "partial answer"; "request_id" => &job.forwarded.id,
                 "route" => &job.entry.route.name, "version" => job.version,
                 "missing" => parts.missing(), "total" => gather.shards.len(),
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -139,7 +139,7 @@
 fn note_refusal(gateway: &Gateway, id: &str, refusal: &Refusal, elapsed: Millis) {
     let cause = refusal.cause.name();
     metrics::counter!(names::REFUSALS_TOTAL, "reason" => cause).increment(1);
-    gateway.journal.note(|| {
+    gateway.fleet.shared().lines.note(|| {
         info!(gateway.log, "request not served"; "request_id" => id, "cause" => cause,
             "ran" => ?refusal.ran, "status" => refusal.status().as_u16(),
             "detail" => &refusal.detail, "elapsed_ms" => elapsed.0,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -9,7 +9,6 @@
 mod gate;
 mod gather;
 mod handler;
-mod journal;
 mod merge;
 mod outcome;
 mod reload;
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -16,7 +16,6 @@
 use crate::fleet::Fleet;
 use crate::gate::Gate;
 use crate::handler;
-use crate::journal::Journal;
 use crate::reload::{self, HangupFlag, ReadSettings};
 use crate::settings::Settings;
 use crate::shutdown;
@@ -158,7 +157,6 @@
         caller_limits,
         callers_open: Rc::default(),
         callers_shutdown: Shutdown::default(),
-        journal: Journal::new(log),
         log: log.clone(),
     })
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -10,7 +10,6 @@
 
 use crate::fleet::Fleet;
 use crate::gate::Gate;
-use crate::journal::Journal;
 use crate::settings::Settings;
 use crate::wire::Wire;
 
@@ -29,7 +28,6 @@
     /// Limits of new connections of callers.
     pub(crate) caller_limits: Rc<Cell<ServerLimits>>,
     pub(crate) callers_shutdown: Shutdown,
-    pub(crate) journal: Journal,
     pub(crate) log: Logger,
 }
 
--- a/components/gateway/src/journal.rs
+++ b/components/telemetry/src/lines.rs
@@ -9,16 +9,17 @@
 const LINES_PER_WINDOW: u64 = 50;
 const WINDOW: Millis = Millis(1_000);
 
-/// Lets a bounded number of lines through.
-pub(crate) struct Journal {
+/// Lets a bounded number of lines about requests through.
+pub struct RequestLines {
     window: Cell<Millis>,
     written: Cell<u64>,
     left_out: Cell<u64>,
     log: Logger,
 }
 
-impl Journal {
-    pub(crate) fn new(log: &Logger) -> Self {
+impl RequestLines {
+    /// Returns a bound that nothing was written under yet.
+    pub fn new(log: &Logger) -> Self {
         Self {
             window: Cell::new(Millis::ZERO),
             written: Cell::new(0),
@@ -28,7 +29,7 @@
     }
 
     /// Calls `write` unless this window had its lines.
-    pub(crate) fn note(&self, write: impl FnOnce()) {
+    pub fn note(&self, write: impl FnOnce()) {
         self.turn(Millis::now());
         if self.written.get() >= LINES_PER_WINDOW {
             self.left_out.set(self.left_out.get() + 1);
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -47,6 +47,26 @@
 
 /// Sends a call to the slot's upstream and checks the answer.
 pub(crate) async fn run(slot: &Slot, pool: &Pool, call: &Call, shard: &str) -> Result<Answer> {
+    let began = Millis::now();
+    let result = exchange(slot, pool, call, shard).await;
+    if let Err(failure) = &result {
+        note_failed_attempt(slot, pool, call, failure, Millis::now().since(began));
+    }
+    result
+}
+
+/// Leads from a request's identifier to the upstream that failed it.
+fn note_failed_attempt(slot: &Slot, pool: &Pool, call: &Call, failure: &Failure, elapsed: Millis) {
+    let upstream = &slot.upstream;
+    pool.shared.lines.note(|| {
+        slog::info!(pool.shared.log, "attempt failed"; "request_id" => call.message.id(),
+            "upstream" => &upstream.id, "address" => %upstream.address,
+            "reason" => failure.reason.name(), "ran" => ?failure.ran, "elapsed_ms" => elapsed.0,
+            "busy" => upstream.busy(), "extra_tokens" => pool.hedges.tokens());
+    });
+}
+
+async fn exchange(slot: &Slot, pool: &Pool, call: &Call, shard: &str) -> Result<Answer> {
     let upstream = &slot.upstream;
     let mut lease = match upstream.lease().await {
         Ok(lease) => lease,
--- a/components/upstreams/src/message.rs
+++ b/components/upstreams/src/message.rs
@@ -20,6 +20,9 @@
 
 /// A request in the terms of one wire.
 pub trait Message {
+    /// Identifier of the request.
+    fn id(&self) -> &str;
+
     /// Builds the request that one upstream gets; `budget` is the time that
     /// is left. `None` if a value can't be a header.
     fn to_request(&self, recipient: &Recipient<'_>, budget: Millis) -> Option<Request<Payload>>;
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -5,6 +5,7 @@
 
 use catalog::Topology;
 use slog::Logger;
+use telemetry::RequestLines;
 
 use crate::drains::Drains;
 use crate::suspects::{STRIKES_TO_QUARANTINE, Suspects};
@@ -47,6 +48,8 @@
     pub news: RefCell<Option<Rc<dyn Fn()>>>,
     /// Whether this daemon owns a group, by the key of the group.
     pub owns: RefCell<Option<Rc<OwnsGroup>>>,
+    /// Bounds the lines about single requests.
+    pub lines: RequestLines,
     /// How failures are read.
     pub habits: Habits,
     /// The log.
@@ -66,6 +69,7 @@
             suspects: Suspects::new(habits.strikes),
             news: RefCell::default(),
             owns: RefCell::default(),
+            lines: RequestLines::new(log),
             habits,
             log: log.clone(),
         })
--- a/components/upstreams/src/wire.rs
+++ b/components/upstreams/src/wire.rs
@@ -38,6 +38,10 @@
 }
 
 impl Message for NativeMessage {
+    fn id(&self) -> &str {
+        &self.request_id
+    }
+
     fn to_request(&self, recipient: &Recipient<'_>, budget: Millis) -> Option<Request<Payload>> {
         let path = if self.key.is_some() {
             "/book"
--- a/components/upstreams/tests/patience.rs
+++ b/components/upstreams/tests/patience.rs
@@ -20,6 +20,10 @@
 struct Never;
 
 impl Message for Never {
+    fn id(&self) -> &str {
+        "r"
+    }
+
     fn to_request(&self, _: &Recipient<'_>, _: Millis) -> Option<Request<Payload>> {
         None
     }
