--- a/components/settings/src/reader.rs
+++ b/components/settings/src/reader.rs
@@ -162,7 +162,7 @@
         line,
         column,
         message: format!("unknown key `{path}`"),
-        hint: "see docs/OPERATING.md for the keys and their units".to_owned(),
+        hint: "see docs/OPERATIONS.md for the keys and their units".to_owned(),
     }
 }
 
--- a/components/upstreams/tests/patience.rs
+++ b/components/upstreams/tests/patience.rs
@@ -115,3 +115,12 @@
     assert_eq!((failure.reason, failure.ran), (Reason::NoReplica, Ran::No));
     assert!(Millis::now().since(began) < DEADLINE - Millis(100));
 }
+
+#[compio::test]
+async fn a_service_without_upstreams_has_no_replica() {
+    let log = Logger::root(Discard, o!());
+    let pool = Pool::new(&Shared::new(&log), "s");
+    let result = pool.fetch(&All(pool.clone()), &call(false)).await;
+    let failure = result.expect_err("there is no replica");
+    assert_eq!((failure.reason, failure.ran), (Reason::NoReplica, Ran::No));
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -34,7 +34,8 @@
     /// Run a daemon on the users' platform until SIGTERM.
     #[command(after_help = "Example:\n  coltsfootgw gateway --settings settings.yaml")]
     Gateway(GatewayArgs),
-    /// Check declarations offline; prints every finding with its place.
+    /// Check declarations or a platform's settings offline; prints findings
+    /// with their place.
     #[command(after_help = "Example:\n  coltsfootgw check --file deploy.yaml")]
     Check(CheckArgs),
     /// Show what applying declarations would change.
@@ -99,10 +100,14 @@
 }
 
 #[derive(Debug, Args)]
+#[group(required = true, multiple = false)]
 pub(crate) struct CheckArgs {
     /// The declarations (YAML).
     #[arg(long)]
-    pub(crate) file: PathBuf,
+    pub(crate) file: Option<PathBuf>,
+    /// A settings file of the users' platform.
+    #[arg(long)]
+    pub(crate) platform: Option<PathBuf>,
 }
 
 #[derive(Debug, Args)]
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -1,15 +1,32 @@
-//! `check`: checks declarations offline.
+//! `check`: checks declarations or a platform's settings offline.
+
+use std::path::Path;
 
 use snafu::ResultExt;
 
 use crate::cli::{CheckArgs, Output};
 use crate::cmd::call::{print_json, read};
-use crate::exit::{Code, FindingsSnafu, Result};
+use crate::exit::{Code, FindingsSnafu, PlatformSnafu, Result};
 use crate::messages;
 
 pub(crate) fn run(args: &CheckArgs, output: Output) -> Result<Code> {
-    let file = args.file.display().to_string();
-    let text = read(&args.file)?;
+    match (&args.file, &args.platform) {
+        (Some(file), _) => check_declarations(file, output),
+        (None, Some(file)) => check_platform(file),
+        // The command line asks for one of them.
+        (None, None) => Ok(Code::Failure),
+    }
+}
+
+fn check_platform(file: &Path) -> Result<Code> {
+    let settings = platform::load(file).context(PlatformSnafu)?;
+    println!("{}", messages::checked_platform(file, &settings));
+    Ok(Code::Success)
+}
+
+fn check_declarations(path: &Path, output: Output) -> Result<Code> {
+    let file = path.display().to_string();
+    let text = read(path)?;
     let (declarations, warnings) = match catalog::parse(&text, &file) {
         Err(findings) if output == Output::Json => {
             print_json(&findings.list);
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -1,5 +1,8 @@
 //! The texts that people read, in one place.
 
+use std::path::Path;
+
+use platform::PlatformSettings;
 use schema::apply_reply::Outcome;
 use schema::{ApplyReply, Finding, HistoryEntry, StatusReply};
 
@@ -29,6 +32,18 @@
     format!("{file}: {services} services on {upstreams} upstreams, {warnings} warnings")
 }
 
+pub(crate) fn checked_platform(file: &Path, settings: &PlatformSettings) -> String {
+    let gateway = &settings.gateway;
+    format!(
+        "{}: instance {} in {}, callers at {}, store at {}",
+        file.display(),
+        gateway.instance,
+        gateway.domain,
+        gateway.callers,
+        settings.store
+    )
+}
+
 pub(crate) fn plan_header(revision: u64) -> String {
     format!("changes to revision {revision}:")
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -387,6 +387,26 @@
     assert_eq!(answer.status(), StatusCode::OK);
 }
 
+#[compio::test]
+async fn the_settings_file_is_checked_offline() {
+    let site = start_site().await;
+    let gateway = ready(&site).await;
+    let path = gateway.dir.join("settings.yaml");
+    let check = |name: &str| {
+        let arguments = ["check", "--platform", path.to_str().unwrap()];
+        Process::start(&Binaries::find().gateway, &arguments, &gateway.dir, name)
+    };
+    assert_eq!(check("good").wait(Duration::from_secs(5)).await, Some(0));
+    std::fs::write(&path, "node-name: a\nzone: 7\n").unwrap();
+    let mut bad = check("bad");
+    assert_eq!(bad.wait(Duration::from_secs(5)).await, Some(3));
+    assert!(
+        bad.read_log().contains("settings.yaml: line "),
+        "{}",
+        bad.read_log()
+    );
+}
+
 #[compio::test]
 async fn metrics_and_state_tell_what_is_believed() {
     let site = start_site().await;
