Say truly that a lost task may have run, and send nothing for a caller who left

Found in reading: when the task of an unsafe request ended without an outcome, the answer was 503, which promises that it has not run; it may have. An unsafe request still in the queue was sent after its caller had left. Change: 502 then; nothing is dispatched once the caller is gone. Only malformed requests close the connection, an unknown route does not. Test: a_request_whose_caller_left_is_not_dispatched.

--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -1,6 +1,6 @@
 //! One request of a caller, from its arrival to its answer.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 use slog::info;
 use telemetry::names;
 use transport::{Local, detached, local};
-use upstreams::{Call, Effort};
+use upstreams::{Call, Effort, Ran};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::forward;
@@ -29,6 +29,8 @@
 const ANSWER_MARGIN: Millis = Millis(10);
 /// When a caller should come back to a daemon that has just started.
 const LOADING_WAIT: Millis = Millis(200);
+/// Share of the platform's ratio of extra load that is used.
+const RATIO_SHARE: f64 = 0.85;
 /// Headers that concern only one connection.
 const CONNECTION_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
@@ -117,13 +119,30 @@
     let job = read_job(gateway, &table, entry, terms, arrived, request).await?;
     match job.entry.route.repeat {
         Repeat::Idempotent => forward::run(gateway, &job).await,
-        // It goes on if the caller hangs up: cutting it would not undo it.
-        Repeat::AtMostOnce => {
-            let gateway = gateway.clone();
-            let task = async move { forward::run(&gateway, &job).await };
-            let lost = || Refusal::not_run(Cause::UpstreamFailed, "the request's task ended");
-            detached(task).await.unwrap_or_else(|| Err(lost()))
-        }
+        Repeat::AtMostOnce => run_once(gateway, job).await,
+    }
+}
+
+/// Once it is sent, the request goes on if the caller hangs up: cutting it
+/// would not undo it.
+async fn run_once(gateway: &Rc<Gateway>, job: Job) -> Result<Response<Bytes>> {
+    let gateway = gateway.clone();
+    let _guard = CallerGuard(job.call.caller_left.clone());
+    let task = async move { forward::run(&gateway, &job).await };
+    // A task that panicked may have sent the request.
+    let lost = || Refusal {
+        ran: Ran::Unknown,
+        ..Refusal::not_run(Cause::UpstreamFailed, "the request's task ended")
+    };
+    detached(task).await.unwrap_or_else(|| Err(lost()))
+}
+
+/// Tells a request that its caller is gone, once the handler is dropped.
+struct CallerGuard(Rc<Cell<bool>>);
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        self.0.set(true);
     }
 }
 
@@ -199,6 +218,7 @@
         fingerprint,
         priority: route.priority,
         deadline: arrived + (budget - ANSWER_MARGIN),
+        caller_left: Rc::default(),
         effort: effort(gateway, route),
     };
     Ok(Job {
@@ -224,9 +244,6 @@
     }
 }
 
-/// Extra load may stay this far below the ratio of the platform's rules.
-const RATIO_SHARE: f64 = 0.85;
-
 fn effort(gateway: &Gateway, route: &Route) -> Effort {
     let percent = (gateway.fleet.budgets().ratio * RATIO_SHARE * 100.0) as u8;
     Effort {
--- a/components/gateway/src/outcome.rs
+++ b/components/gateway/src/outcome.rs
@@ -115,7 +115,7 @@
             let seconds = after.0 as f64 / 1_000.0;
             builder = builder.header(header::RETRY_AFTER, format!("{seconds:.3}"));
         }
-        if self.status().is_client_error() {
+        if matches!(self.cause, Cause::BadRequest | Cause::BodyTooLarge) {
             builder = builder.header(header::CONNECTION, "close");
         }
         let body = Bytes::from(format!("{self}\n"));
--- a/components/query/src/serve.rs
+++ b/components/query/src/serve.rs
@@ -78,6 +78,7 @@
             fingerprint: request.fingerprint,
             priority: 0,
             deadline: Millis::now() + Millis(request.budget_ms),
+            caller_left: Rc::default(),
             effort: effort(&topology),
         };
         let outcome = pool.search(&topology, &call, &shards).await;
@@ -127,6 +128,7 @@
             fingerprint: request.fingerprint,
             priority: 0,
             deadline: Millis::now() + Millis(request.budget_ms),
+            caller_left: Rc::default(),
             effort: effort(&topology),
         };
         dispatch_reply(pool.book(&topology, &call, shard).await)
--- a/components/upstreams/src/call.rs
+++ b/components/upstreams/src/call.rs
@@ -1,5 +1,6 @@
 //! A request as the engine runs it, whatever wire it is sent on.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use clock::Millis;
@@ -23,6 +24,8 @@
     pub priority: u8,
     /// Time by which the answer must be there.
     pub deadline: Millis,
+    /// Whether the caller is gone; what was not sent then never is.
+    pub caller_left: Rc<Cell<bool>>,
     /// How hard to try.
     pub effort: Effort,
 }
--- a/components/upstreams/src/dispatch.rs
+++ b/components/upstreams/src/dispatch.rs
@@ -46,6 +46,9 @@
                     return Err(Failure::not_run(Reason::Overloaded));
                 }
             };
+            if call.caller_left.get() {
+                return Err(Failure::not_run(Reason::CallerLeft));
+            }
             let left = call.deadline.since(Millis::now());
             let running = attempt::run(&slot, self, call, shard.name());
             match compio::time::timeout(left.into(), running).await {
--- a/components/upstreams/src/failure.rs
+++ b/components/upstreams/src/failure.rs
@@ -61,6 +61,8 @@
     UpstreamError,
     /// Another process has the upstream's address.
     Misdirected,
+    /// The caller left before the request was sent.
+    CallerLeft,
     /// The request crashes upstreams.
     Quarantined,
     /// The daemon that owns the shard did not answer.
@@ -80,6 +82,7 @@
             Reason::Mismatch => "mismatch",
             Reason::UpstreamError => "upstream_error",
             Reason::Misdirected => "misdirected",
+            Reason::CallerLeft => "caller_left",
             Reason::Quarantined => "quarantined",
             Reason::OwnerUnreachable => "owner_unreachable",
         }
--- a/components/upstreams/tests/patience.rs
+++ b/components/upstreams/tests/patience.rs
@@ -1,4 +1,4 @@
-//! A shard none of whose replicas takes work.
+//! Requests that are never sent: no replica takes work, or the caller left.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -25,7 +25,7 @@
     }
 
     fn to_request(&self, _: &Recipient<'_>, _: Millis) -> Option<Request<Payload>> {
-        None
+        unreachable!("nothing is sent")
     }
 
     fn read(&self, _: &Recipient<'_>, _: Response<Bytes>) -> Reply {
@@ -64,6 +64,7 @@
         fingerprint: 1,
         priority: 0,
         deadline: Millis::now() + DEADLINE,
+        caller_left: Rc::default(),
         effort: Effort {
             attempts: 2,
             hedge_percent: 10,
@@ -124,3 +125,21 @@
     let failure = result.expect_err("there is no replica");
     assert_eq!((failure.reason, failure.ran), (Reason::NoReplica, Ran::No));
 }
+
+#[compio::test]
+async fn a_request_whose_caller_left_is_not_dispatched() {
+    let log = Logger::root(Discard, o!());
+    let pool = Pool::new(&Shared::new(&log), "s");
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    pool.set_queue_limit(8);
+    pool.install(&[Endpoint {
+        address: listener.local_addr().unwrap(),
+        is_drained: false,
+        ..draining("u1")
+    }]);
+    let call = call(false);
+    call.caller_left.set(true);
+    let result = pool.dispatch(&All(pool.clone()), &call).await;
+    let failure = result.expect_err("the caller is gone");
+    assert_eq!((failure.reason, failure.ran), (Reason::CallerLeft, Ran::No));
+}
