Test that a caller who leaves cancels its search, and a log nobody reads

The stand-in upstream counts requests whose caller left; standard output that nobody reads delays no answer by half a second over 2,500 refusals. Open: at a graceful shutdown the process waits for such a log and is ended by the platform at the end of the grace; all requests are answered before.

--- a/standins/src/platform/upstream.rs
+++ b/standins/src/platform/upstream.rs
@@ -46,6 +46,8 @@
     pub ran: RefCell<Vec<String>>,
     /// Requests that it refused.
     pub refused: Cell<usize>,
+    /// Requests whose caller left while they ran.
+    pub cancelled: Cell<usize>,
     busy: Cell<usize>,
 }
 
@@ -60,6 +62,7 @@
             records,
             ran: RefCell::default(),
             refused: Cell::new(0),
+            cancelled: Cell::new(0),
             busy: Cell::new(0),
         })
     }
@@ -76,6 +79,22 @@
     }
 }
 
+/// A request that runs; dropping it unfinished counts it as cancelled.
+struct Running<'a> {
+    upstream: &'a PlatformUpstream,
+    is_finished: bool,
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        let upstream = self.upstream;
+        upstream.busy.set(upstream.busy.get() - 1);
+        if !self.is_finished {
+            upstream.cancelled.set(upstream.cancelled.get() + 1);
+        }
+    }
+}
+
 #[derive(Clone)]
 struct App(Local<Rc<PlatformUpstream>>);
 
@@ -106,12 +125,16 @@
         }
         upstream.ran.borrow_mut().push(request_id.clone());
         upstream.busy.set(upstream.busy.get() + 1);
+        let mut running = Running {
+            upstream,
+            is_finished: false,
+        };
         let load = format!("{},0,{}", upstream.busy.get(), upstream.slots);
         compio::time::sleep(upstream.service_time.get().into()).await;
         if manner == Manner::Silent {
             std::future::pending::<()>().await;
         }
-        upstream.busy.set(upstream.busy.get() - 1);
+        running.is_finished = true;
         let (status, echoed) = match manner {
             Manner::Failing => (StatusCode::INTERNAL_SERVER_ERROR, request_id.clone()),
             Manner::Foreign => (StatusCode::OK, "another".to_owned()),
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -368,6 +368,68 @@
     assert_eq!(code, Some(0));
 }
 
+#[compio::test]
+async fn a_caller_that_leaves_cancels_its_search() {
+    let site = start_site().await;
+    let gateway = ready(&site).await;
+    for upstream in site.shards.iter().flatten() {
+        upstream.service_time.set(Millis(3_000));
+    }
+    let place = gateway.place;
+    let request = Request::get(format!("{SEARCH}1"))
+        .header("host", HOST)
+        .header("request-id", "r1")
+        .header("deadline-milliseconds", "2500")
+        .body(Payload::default())
+        .unwrap();
+    let sent = transport::request(place.callers(), request, ANSWER_LIMIT_BYTES, Millis(100));
+    assert!(sent.await.is_err(), "the caller leaves after 100 ms");
+    let running = site.runs("r1");
+    assert!(running >= SHARDS, "{running}");
+    let cancelled = || -> usize {
+        let all = site.shards.iter().flatten();
+        all.map(|u| u.cancelled.get()).sum()
+    };
+    wait_until(async || cancelled() == running, Duration::from_millis(500)).await;
+}
+
+#[compio::test]
+async fn a_log_that_nobody_reads_delays_nothing() {
+    const REQUESTS: usize = 2_500;
+    let site = start_site().await;
+    let place = place();
+    let settings = site::settings("deaf", place, site.store_address, &[]);
+    let path = std::env::temp_dir().join(format!("coltsfootgw-{}.yaml", Uuid::new_v4()));
+    std::fs::write(&path, settings.to_string()).unwrap();
+    let mut child = std::process::Command::new(Binaries::find().gateway)
+        .args(["gateway", "--settings", path.to_str().unwrap()])
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    let client = transport::Client::new(place.callers());
+    let mut slowest = Duration::ZERO;
+    let unknown = || {
+        Request::get(format!("/nowhere/{}", "x".repeat(2_000)))
+            .header("host", HOST)
+            .header("request-id", "r")
+            .body(Payload::default())
+            .unwrap()
+    };
+    let is_up = async || client.send(unknown(), 4_096, TIMEOUT).await.is_ok();
+    wait_until(is_up, PROPAGATION).await;
+    for _ in 0..REQUESTS {
+        let began = Instant::now();
+        let answer = client.send(unknown(), 4_096, TIMEOUT).await;
+        assert!(answer.is_ok());
+        slowest = slowest.max(began.elapsed());
+        compio::time::sleep(Duration::from_millis(1)).await;
+    }
+    child.kill().unwrap();
+    child.wait().unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert!(slowest < Duration::from_millis(500), "{slowest:?}");
+}
+
 #[compio::test]
 async fn settings_are_reloaded_and_bad_ones_change_nothing() {
     let site = start_site().await;
