--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -31,6 +31,10 @@
 cargo run --quiet --package schemagen -- "$generated"
 diff -r "$generated" components/schema/src/generated
 
+step "deployed binary"
+build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)
+bash -c "$build --quiet"
+
 step "examples"
 cargo build --quiet --bins
 for file in examples/brolga.yaml examples/siyahamba.yaml; do
