Drop a method that only gave back its argument

Admission::wait returned the objective it was given, under a comment that promised more; the gate now says it itself. Behaviour is the same; checked with clippy and the gateway's tests only.

--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -89,12 +89,6 @@
         self.running = self.running.saturating_sub(1);
     }
 
-    /// How long a refused caller should stay away: until about as many
-    /// requests have ended as run now.
-    pub fn wait(&self, objective: Millis) -> Millis {
-        objective
-    }
-
     /// The limit in force.
     pub fn limit(&self) -> f64 {
         self.limit
--- a/components/gateway/src/gate.rs
+++ b/components/gateway/src/gate.rs
@@ -23,12 +23,13 @@
 }
 
 impl Gate {
-    /// Admits a request of a route, or says how long its caller should wait.
+    /// Admits a request of a route, or says how long its caller should wait: what
+    /// runs now ends within about an objective.
     pub(crate) fn admit(&self, route: &Route) -> Result<Admitted, Millis> {
         let admission = self.find(&route.name);
         let is_admitted = admission.borrow_mut().admit();
         if !is_admitted {
-            return Err(admission.borrow().wait(route.objective));
+            return Err(route.objective);
         }
         Ok(Admitted {
             admission,
