Run suspects apart from the failure domain that failed them; untie the engine

Cause: a request whose upstream died runs its next attempt alone, as a suspect, and the death of that upstream then counts as telling. Nothing kept this attempt out of the failure domain of the first death, so that a domain lost bit by bit could strike an innocent search twice and quarantine it. Ruled out: a strike of a bystander in another domain (only domain "a" was killed), strikes that peers send (they carry the same domain and flag).

Change: a suspect goes to an upstream of a domain where nothing died under it, if the shard has one. On the way the two remaining circles of components/upstreams are gone: the queue holds only waiters, slots tell their owner through a trait, placing decides above both, and the probe no longer knows the service.

Tests: placing.rs fails without the rule (mutant run) and passes with it; a_failure_domain_lost_bit_by_bit_quarantines_no_search passed before as well.

--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -7,7 +7,7 @@
 use crate::failure::{Failure, Ran, Reason, Result};
 use crate::message::{Answer, Notes, Recipient};
 use crate::pool::Pool;
-use crate::queue::Slot;
+use crate::slot::Slot;
 use crate::suspects::Death;
 use crate::upstream::{LeaseError, Running, Upstream};
 
--- a/components/upstreams/src/dispatch.rs
+++ b/components/upstreams/src/dispatch.rs
@@ -9,8 +9,9 @@
 use crate::call::{Call, Shard};
 use crate::failure::{Failure, Ran, Reason, Result};
 use crate::message::Answer;
+use crate::placing::Refusal;
 use crate::pool::Pool;
-use crate::queue::{Ask, Refusal};
+use crate::queue::Ask;
 use crate::search::ShardSearch;
 use crate::upstream::UpstreamKey;
 
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -1,7 +1,7 @@
 //! The upstreams of one service, kept across changes of their set.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 use slotmap::SlotMap;
@@ -21,6 +21,8 @@
     upstreams: RefCell<SlotMap<UpstreamKey, Rc<Upstream>>>,
     keys: RefCell<HashMap<String, UpstreamKey>>,
     pub(crate) queue: Queue,
+    /// Fingerprints of suspects that hold a slot.
+    pub(crate) placed_suspects: RefCell<HashSet<u64>>,
     pub(crate) queue_limit: Cell<usize>,
     pub(crate) latency: RefCell<Latency>,
     pub(crate) hedges: Rc<Budget>,
@@ -47,6 +49,7 @@
             upstreams: RefCell::default(),
             keys: RefCell::default(),
             queue: Queue::default(),
+            placed_suspects: RefCell::default(),
             queue_limit: Cell::new(0),
             latency: RefCell::default(),
             hedges,
@@ -54,6 +57,11 @@
         })
     }
 
+    /// What this pool shares with all others.
+    pub fn shared(&self) -> &Rc<Shared> {
+        &self.shared
+    }
+
     /// Bounds the sub-requests that may wait for a slot.
     pub fn set_queue_limit(&self, limit: usize) {
         self.queue_limit.set(limit);
@@ -65,9 +73,7 @@
         self.retries.set_limit(tokens);
     }
 
-    /// Replaces the set of upstreams; those that stay keep their connections
-    /// and what was learned of them.
-    pub fn install(self: &Rc<Self>, endpoints: &[Endpoint]) {
+    pub(crate) fn replace_upstreams(&self, endpoints: &[Endpoint]) {
         let named: HashMap<&str, &Endpoint> =
             endpoints.iter().map(|e| (e.id.as_str(), e)).collect();
         self.upstreams.borrow_mut().retain(|_, u| {
@@ -83,7 +89,6 @@
             upstream.connections.set(endpoint.connections);
             upstream.is_drained.set(endpoint.is_drained);
         }
-        self.clone().pump();
     }
 
     fn ensure(&self, endpoint: &Endpoint) -> Rc<Upstream> {
--- a/components/upstreams/src/probe.rs
+++ b/components/upstreams/src/probe.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 use transport::{Client, Payload};
 
-use crate::service::Service;
+use crate::pool::Pool;
 use crate::upstream::Upstream;
 use crate::wire::{HealthReport, LoadReport, ReportedState};
 
@@ -23,22 +23,26 @@
 // An upstream that this daemon served for another owner stays watched.
 const USE_VALIDITY: Millis = Millis(5_000);
 
-/// Polls an upstream until its service drops it.
-pub(crate) async fn run(service: Weak<Service>, upstream: Rc<Upstream>) {
+/// Polls an upstream of a pool while this daemon owns or uses it.
+pub(crate) async fn run(
+    pool: Weak<Pool>,
+    upstream: Rc<Upstream>,
+    is_owned: impl Fn(&Upstream) -> bool,
+) {
     let client = Client::new(upstream.address);
     pause(FIRST_PAUSE_MS).await;
     loop {
-        let Some(service) = service.upgrade() else {
+        let Some(pool) = pool.upgrade() else {
             return;
         };
         let was_used = Millis::now().since(upstream.last_used.get()) < USE_VALIDITY
             && upstream.last_used.get().0 > 0;
-        if service.is_owned(&upstream) || was_used {
-            poll(&service, &upstream, &client).await;
+        if is_owned(&upstream) || was_used {
+            poll(&pool, &upstream, &client).await;
         } else {
             upstream.cool_down();
         }
-        drop(service);
+        drop(pool);
         pause(POLL_GAP_MS).await;
         let requested = std::pin::pin!(upstream.poll_requested());
         let due = std::pin::pin!(pause(INTERVAL_MS));
@@ -51,9 +55,9 @@
     compio::time::sleep(Millis(ms).into()).await;
 }
 
-async fn poll(service: &Service, upstream: &Upstream, client: &Client) {
+async fn poll(pool: &Rc<Pool>, upstream: &Upstream, client: &Client) {
     if let Some(report) = fetch::<HealthReport>(client, "/health").await {
-        note_health(service, upstream, report);
+        note_health(pool, upstream, report);
         upstream.warm_up().await;
     }
     if let Some(report) = fetch::<LoadReport>(client, "/load").await {
@@ -62,7 +66,7 @@
             .borrow_mut()
             .note_polled_load(report.load, Millis::now());
     }
-    (**service).clone().pump();
+    pool.pump();
 }
 
 async fn fetch<T: DeserializeOwned>(client: &Client, path: &str) -> Option<T> {
@@ -77,7 +81,7 @@
     serde_json::from_slice(response.body()).ok()
 }
 
-fn note_health(pool: &Service, upstream: &Upstream, report: HealthReport) {
+fn note_health(pool: &Pool, upstream: &Upstream, report: HealthReport) {
     let drains = &pool.shared.drains;
     let is_new_process = drains
         .boot_of(&upstream.id)
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -11,8 +11,10 @@
 use crate::call::{Call, HEDGE_QUANTILE, Shard};
 use crate::failure::{Failure, Ran, Reason, Result};
 use crate::message::Answer;
+use crate::placing::Refusal;
 use crate::pool::Pool;
-use crate::queue::{Ask, Refusal, Slot};
+use crate::queue::Ask;
+use crate::slot::Slot;
 use crate::suspects::Verdict;
 use crate::upstream::UpstreamKey;
 
--- a/components/upstreams/src/service.rs
+++ b/components/upstreams/src/service.rs
@@ -128,7 +128,9 @@
         let mut probes = self.probes.borrow_mut();
         probes.retain(|key, _| self.pool.find(*key).is_some());
         for (key, upstream) in self.pool.keyed() {
-            let probe = || probe::run(Rc::downgrade(self), upstream);
+            let service = Rc::downgrade(self);
+            let is_owned = move |u: &Upstream| service.upgrade().is_some_and(|s| s.is_owned(u));
+            let probe = || probe::run(Rc::downgrade(&self.pool), upstream, is_owned);
             probes
                 .entry(key)
                 .or_insert_with(|| compio::runtime::spawn(probe()));
--- a/components/upstreams/src/suspects.rs
+++ b/components/upstreams/src/suspects.rs
@@ -167,6 +167,15 @@
         }
     }
 
+    /// The failure domains in which upstreams crashed while a request ran
+    /// there.
+    pub(crate) fn struck_domains(&self, fingerprint: u64, now: Millis) -> Vec<String> {
+        let entries = self.entries.borrow();
+        let deaths = entries.get(&fingerprint).into_iter();
+        let valid = deaths.flat_map(|e| e.valid(now));
+        valid.map(|d| d.domain.clone()).collect()
+    }
+
     /// Why a request is refused, if it is quarantined; it did not run yet.
     pub fn refusal(&self, fingerprint: u64, now: Millis) -> Option<Failure> {
         match self.verdict(fingerprint, now) {
--- /dev/null
+++ b/components/upstreams/tests/placing.rs
@@ -0,0 +1,128 @@
+//! Where requests run that upstreams died under.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use clock::Millis;
+use http::{Request, Response};
+use slog::{Discard, Logger, o};
+use transport::Payload;
+use upstreams::{
+    Call, Death, Effort, Endpoint, Message, Pool, Recipient, Reply, Shard, Shared, UpstreamKey,
+};
+
+const PATIENCE: Millis = Millis(30);
+
+struct Plain;
+
+impl Message for Plain {
+    fn id(&self) -> &str {
+        "r"
+    }
+
+    fn to_request(&self, _: &Recipient<'_>, _: Millis) -> Option<Request<Payload>> {
+        Request::get("/")
+            .header("host", "upstream")
+            .body(Payload::new(Bytes::new()))
+            .ok()
+    }
+
+    fn read(&self, _: &Recipient<'_>, _: Response<Bytes>) -> Reply {
+        unreachable!("nothing answers")
+    }
+}
+
+struct All(Rc<Pool>);
+
+impl Shard for All {
+    fn name(&self) -> &str {
+        &self.0.name
+    }
+
+    fn replicas(&self) -> Vec<UpstreamKey> {
+        self.0.keys()
+    }
+}
+
+/// Listens without ever answering.
+fn silent() -> TcpListener {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    listener
+}
+
+fn endpoint(id: &str, domain: &str, listener: &TcpListener) -> Endpoint {
+    Endpoint {
+        id: id.to_owned(),
+        address: listener.local_addr().unwrap(),
+        domain: domain.to_owned(),
+        born: None,
+        slots: 2,
+        connections: 2,
+        is_drained: false,
+    }
+}
+
+fn call(fingerprint: u64) -> Call {
+    Call {
+        message: Rc::new(Plain),
+        version: None,
+        fingerprint,
+        priority: 0,
+        deadline: Millis::now() + PATIENCE,
+        caller_left: Rc::default(),
+        effort: Effort {
+            attempts: 1,
+            hedge_percent: 0,
+            retry_percent: 0,
+            is_patient: false,
+            hedge_limit: None,
+        },
+    }
+}
+
+/// Runs one request after another, each after an upstream of domain `a` died
+/// under it.
+async fn run_suspects(pool: &Rc<Pool>) {
+    for fingerprint in 0..8 {
+        let death = Death {
+            upstream: "s/first".to_owned(),
+            domain: "a".to_owned(),
+            alone: false,
+            at: Millis::now(),
+        };
+        pool.shared().suspects.strike(fingerprint, death);
+        let result = pool.fetch(&All(pool.clone()), &call(fingerprint)).await;
+        result.expect_err("nothing answers");
+    }
+}
+
+fn pool() -> Rc<Pool> {
+    let log = Logger::root(Discard, o!());
+    let pool = Pool::new(&Shared::new(&log), "s");
+    pool.set_queue_limit(8);
+    pool
+}
+
+#[compio::test]
+async fn a_suspect_runs_apart_from_the_failure_domain_that_failed_it() {
+    let (same, other) = (silent(), silent());
+    let pool = pool();
+    pool.install(&[endpoint("u1", "a", &same), endpoint("u2", "b", &other)]);
+    run_suspects(&pool).await;
+    assert!(
+        same.accept().is_err(),
+        "the domain may be failing as a whole"
+    );
+    assert!(other.accept().is_ok());
+}
+
+#[compio::test]
+async fn a_suspect_runs_in_the_same_failure_domain_if_there_is_no_other() {
+    let same = silent();
+    let pool = pool();
+    pool.install(&[endpoint("u1", "a", &same)]);
+    run_suspects(&pool).await;
+    assert!(same.accept().is_ok());
+}
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -179,3 +179,29 @@
     assert!(lost.len() > 1, "{lost:?}");
     assert!(refused.is_empty(), "{refused:?}");
 }
+
+/// The upstreams of a failure domain die one after the other: a search that
+/// lost its first one there must not be judged by the next one.
+#[compio::test]
+async fn a_failure_domain_lost_bit_by_bit_quarantines_no_search() {
+    let mut service = ServicePlan::new("jobs", 12);
+    service.replicas = 3;
+    let mut fleet = Fleet::ready(&Binaries::find(), Plan::of(service)).await;
+    let innocents = Innocents::start(&fleet);
+    compio::time::sleep(Duration::from_millis(300)).await;
+    let declared = &fleet.declarations.services[0].upstreams;
+    let in_domain = declared.iter().filter(|u| u.domain == "a");
+    let lost: Vec<String> = in_domain.map(|u| u.name.clone()).collect();
+    for name in &lost {
+        fleet.upstream_process(name).kill();
+        compio::time::sleep(Duration::from_millis(15)).await;
+    }
+    compio::time::sleep(Duration::from_millis(500)).await;
+    let (sent, refused) = innocents.finish().await;
+    println!(
+        "{} upstreams lost, {sent} searches, refused {refused:?}",
+        lost.len()
+    );
+    assert!(lost.len() > 1, "{lost:?}");
+    assert!(refused.is_empty(), "{refused:?}");
+}
