Share connections and saved repeats among many daemons

And of the repeats that a daemon's requests earned it could save up only one, so that a second straggler within three seconds was not hedged. Change: an upstream gets as many requests at a time as this daemon may hold connections to it, at least one. All daemons start with 0.3 of the slack (0.4 before) and may save up 0.6 of it. Tests: daemons_share_the_connections_of_an_upstream, daemons_share_the_budget_of_a_service.

--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -12,12 +12,12 @@
 
 use crate::settings::Budgets;
 
-/// Share of the slack that the buckets of all daemons hold together; a
-/// daemon that is killed comes back with a full one, and some may be unknown.
-const SLACK_SHARE: f64 = 0.4;
-/// Connections that a daemon may hold to an upstream, however many daemons
-/// there are.
-const MIN_CONNECTIONS: usize = 2;
+/// Share of the slack that the daemons may save up together, from repeats
+/// that their requests earned.
+const SAVED_SHARE: f64 = 0.6;
+/// Share of the slack that all daemons start with together. Both are spent
+/// within one window if all daemons restart one after the other.
+const STARTING_SHARE: f64 = 0.3;
 /// Connections for a service that the configuration doesn't name yet.
 const UNNAMED_CONNECTIONS: usize = 16;
 /// Sub-requests that may wait for a slot, for each slot.
@@ -138,13 +138,12 @@
         let endpoints: Vec<Endpoint> = entries.iter().map(endpoint).collect();
         let slots: usize = endpoints.iter().map(|e| e.slots).sum();
         pool.set_queue_limit(slots * QUEUE_PER_SLOT);
-        pool.set_budget_limit(savings_limit(self.slack_share()));
+        pool.set_budget_limit(savings_limit(self.slack(), self.daemons.get()));
         pool.install(&endpoints);
     }
 
-    /// The part of a service's slack that is this daemon's.
-    fn slack_share(&self) -> f64 {
-        self.budgets.get().slack * SLACK_SHARE / self.daemons.get() as f64
+    fn slack(&self) -> f64 {
+        self.budgets.get().slack
     }
 
     /// The connections to one upstream that are this daemon's share.
@@ -152,13 +151,14 @@
         let table = self.table.borrow();
         let limits = table.as_ref().and_then(|t| t.service(service));
         let all = limits.map_or(UNNAMED_CONNECTIONS, |l| l.connections);
-        (all / self.daemons.get()).max(MIN_CONNECTIONS)
+        connection_share(all, self.daemons.get())
     }
 
     fn ensure(&self, service: &str) -> Rc<Pool> {
         let mut pools = self.pools.borrow_mut();
         let create = || {
-            let budget = Rc::new(Budget::starting_with(self.slack_share()));
+            let tokens = starting_tokens(self.slack(), self.daemons.get());
+            let budget = Rc::new(Budget::starting_with(tokens));
             Pool::with_budget(&self.shared, service, budget)
         };
         pools
@@ -168,9 +168,19 @@
     }
 }
 
-/// The tokens that a daemon may save up. Among many daemons the share of the
-/// slack is less than one repeat; then each may still save up one, which its
-/// own requests must earn.
-pub fn savings_limit(slack_share: f64) -> f64 {
-    slack_share.max(1.0)
+/// The tokens that one of some daemons may save up. Where that share of the
+/// slack is less than one repeat, each may still save up one, which its own
+/// requests must earn.
+pub fn savings_limit(slack: f64, daemons: usize) -> f64 {
+    (slack * SAVED_SHARE / daemons as f64).max(1.0)
+}
+
+/// The tokens that one of some daemons starts with.
+pub fn starting_tokens(slack: f64, daemons: usize) -> f64 {
+    slack * STARTING_SHARE / daemons as f64
+}
+
+/// The connections to one upstream that one of some daemons may hold.
+pub fn connection_share(all: usize, daemons: usize) -> usize {
+    (all / daemons).max(1)
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -21,7 +21,7 @@
 mod wire;
 
 pub use admission::Admission;
-pub use fleet::savings_limit;
+pub use fleet::{connection_share, savings_limit, starting_tokens};
 pub use gather::{Progress, Step};
 pub use merge::top_records;
 pub use outcome::{Cause, Refusal, Result};
--- a/components/gateway/tests/decisions.rs
+++ b/components/gateway/tests/decisions.rs
@@ -2,7 +2,10 @@
 //! back.
 
 use clock::Millis;
-use gateway::{Admission, Cause, Progress, Refusal, Step, retry_after, savings_limit, top_records};
+use gateway::{
+    Admission, Cause, Progress, Refusal, Step, connection_share, retry_after, savings_limit,
+    top_records,
+};
 use http::StatusCode;
 use rstest::rstest;
 use upstreams::{Budget, Ran};
@@ -134,10 +137,9 @@
 #[case::more_daemons_than_slack(400, 3_200)]
 fn daemons_share_the_budget_of_a_service(#[case] daemons: usize, #[case] requests: usize) {
     const SLACK: f64 = 206.0;
-    let share = SLACK * 0.4 / daemons as f64;
     let new = || {
-        let budget = Budget::starting_with(share);
-        budget.set_limit(savings_limit(share));
+        let budget = Budget::starting_with(starting_tokens(SLACK, daemons));
+        budget.set_limit(savings_limit(SLACK, daemons));
         budget
     };
     let budgets: Vec<Budget> = (0..daemons).map(|_| new()).collect();
@@ -165,3 +167,14 @@
         "{repeats} of {requests}"
     );
 }
+
+/// An upstream resets connections beyond those that it accepts from all
+/// daemons together.
+#[rstest]
+#[case::few_daemons(560, 7)]
+#[case::hardly_one_each(62, 59)]
+fn daemons_share_the_connections_of_an_upstream(#[case] accepted: usize, #[case] daemons: usize) {
+    let share = connection_share(accepted, daemons);
+    assert!(share >= 1);
+    assert!(share * daemons <= accepted);
+}
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -141,7 +141,10 @@
         let health = self.health.borrow();
         match health.is_failing() {
             true => 1,
-            false => self.slots.get().min(health.ramp.max(1)),
+            false => {
+                let carried = self.slots.get().min(self.connections.get());
+                carried.min(health.ramp.max(1))
+            }
         }
     }
 
