Know slow upstreams from few answers and from requests given up

Cause: among many daemons an upstream gets less than one request a second from each; an answer counted a tenth in its average, so that a daemon took ten seconds to know it as slow, and the slowest answers were never counted, since the hedge won and the attempt was dropped. Change: a pace by upstream. The rarer the answers, the more each counts (0.1 to 0.5); a request that is given up counts as at least its time; without answers the pace goes back to what is usual in the service. The time constants were not varied.

--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -30,7 +30,13 @@
 impl Drop for Attempt<'_> {
     fn drop(&mut self) {
         let now = Millis::now();
-        if !self.is_finished && is_slow(self.pool, now.since(self.started)) {
+        if self.is_finished {
+            return;
+        }
+        let elapsed = now.since(self.started);
+        let usual = self.pool.latency.borrow().mean_ms();
+        self.upstream.note_given_up(elapsed, usual, now);
+        if is_slow(self.pool, elapsed) {
             self.upstream.health.borrow_mut().note_slow(now);
         }
     }
@@ -186,8 +192,8 @@
             let elapsed = now.since(started);
             let mut health = upstream.health.borrow_mut();
             health.note_success(upstream.slots.get(), is_slow(pool, elapsed), now);
-            upstream.latency.borrow_mut().record(elapsed.0 as f64);
             pool.latency.borrow_mut().record(elapsed.0 as f64);
+            upstream.note_pace(elapsed, pool.latency.borrow().mean_ms(), now);
             if slot.running.is_suspect {
                 pool.shared.suspects.clear(call.fingerprint, now);
             }
--- a/components/upstreams/src/placing.rs
+++ b/components/upstreams/src/placing.rs
@@ -104,11 +104,18 @@
         let best = candidates.iter().map(|c| c.tier).min()?;
         let is_free =
             |u: &Upstream| u.has_free_slot() && !(asker.is_suspect && self.runs_suspect(u, now));
+        let usual = self.latency.borrow().mean_ms();
         let mut rng = rand::rng();
         candidates
             .iter()
             .filter(|c| c.is_allowed(best, now) && is_free(&c.upstream))
-            .map(|c| (c.upstream.expected_ms(now), rng.random::<u32>(), c.key))
+            .map(|c| {
+                (
+                    c.upstream.expected_ms(usual, now),
+                    rng.random::<u32>(),
+                    c.key,
+                )
+            })
             .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
             .map(|(_, _, key)| key)
     }
--- a/components/upstreams/src/view.rs
+++ b/components/upstreams/src/view.rs
@@ -77,7 +77,8 @@
 }
 
 impl UpstreamView {
-    fn new(upstream: &Upstream, is_owned: bool, takes_work: bool, now: Millis) -> Self {
+    fn new(upstream: &Upstream, is_owned: bool, takes_work: bool, usual_ms: f64) -> Self {
+        let now = Millis::now();
         let health = upstream.health.borrow().clone();
         Self {
             name: upstream.name.clone(),
@@ -88,7 +89,7 @@
             limit: upstream.limit(),
             open: upstream.open.get(),
             connections: upstream.connections.get(),
-            mean_ms: upstream.latency.borrow().mean_ms(),
+            mean_ms: upstream.pace.get().mean_ms(usual_ms, now),
             health,
         }
     }
@@ -120,9 +121,9 @@
     }
 
     fn views(&self, is_owned: impl Fn(&Upstream) -> bool) -> Vec<UpstreamView> {
-        let now = Millis::now();
+        let usual = self.latency.borrow().mean_ms();
         let view = |(key, upstream): (UpstreamKey, Rc<Upstream>)| {
-            UpstreamView::new(&upstream, is_owned(&upstream), self.takes_work(key), now)
+            UpstreamView::new(&upstream, is_owned(&upstream), self.takes_work(key), usual)
         };
         self.keyed().into_iter().map(view).collect()
     }
