--- a/components/gateway/tests/decisions.rs
+++ b/components/gateway/tests/decisions.rs
@@ -4,7 +4,7 @@
 use clock::Millis;
 use gateway::{
     Admission, Cause, Progress, Refusal, Step, connection_share, retry_after, savings_limit,
-    top_records,
+    starting_tokens, top_records,
 };
 use http::StatusCode;
 use rstest::rstest;
