Test relayed watches with processes; one gateway harness for tests

tests/relay.rs: six daemons make few calls, follow a change with one watcher killed and the other frozen, and serve through an outage of the store. The harness that starts gateways moved from tests/platform.rs to the stand-ins.

--- /dev/null
+++ b/standins/src/platform/gateway.rs
@@ -0,0 +1,133 @@
+//! Gateways of a site: real processes with a settings file each.
+
+use std::cell::Cell;
+use std::net::Ipv4Addr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use clock::Millis;
+use http::{Method, Request, Response, StatusCode};
+use transport::Payload;
+use uuid::Uuid;
+
+use crate::fleet::{Binaries, Process};
+use crate::platform::site::{self, HOST, Place, Site};
+
+const ANSWER_LIMIT_BYTES: usize = 1024 * 1024;
+const TIMEOUT: Millis = Millis(5_000);
+/// A change of the store is in force this soon.
+pub const PROPAGATION: Duration = Duration::from_millis(2_500);
+
+thread_local! {
+    static NEXT_MACHINE: Cell<u8> = const { Cell::new(1) };
+}
+
+/// A running gateway; dropping it ends the process.
+pub struct Gateway {
+    /// The process.
+    pub process: Process,
+    /// Its addresses.
+    pub place: Place,
+    /// Where its settings are.
+    pub dir: PathBuf,
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// A loopback address that no other test of this process uses.
+pub fn place() -> Place {
+    let machine = NEXT_MACHINE.get();
+    NEXT_MACHINE.set(machine + 1);
+    let [high, low] = (std::process::id() as u16).to_be_bytes();
+    Place {
+        ip: Ipv4Addr::new(127, 1 + high % 250, low, machine),
+    }
+}
+
+/// Starts a gateway that asks some peers until it knows others.
+pub async fn start_gateway(site: &Site, seeds: &[Place]) -> Gateway {
+    let place = place();
+    let dir = std::env::temp_dir().join(format!("coltsfootgw-{}", Uuid::new_v4()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let seeds: Vec<_> = seeds.iter().map(|s| s.peers()).collect();
+    let name = format!("gateway-{}", place.ip);
+    let settings = site::settings(&name, place, site.store_address, &seeds);
+    let path = dir.join("settings.yaml");
+    std::fs::write(&path, settings.to_string()).unwrap();
+    let arguments = ["gateway", "--settings", path.to_str().unwrap()];
+    let process = Process::start(&Binaries::find().gateway, &arguments, &dir, "gateway");
+    process.wait_for_line("\"started\"").await;
+    Gateway {
+        process,
+        place,
+        dir,
+    }
+}
+
+/// Starts a gateway and waits until it is ready.
+pub async fn ready(site: &Site) -> Gateway {
+    let gateway = start_gateway(site, &[]).await;
+    wait_until(async || gateway.is_ready().await, PROPAGATION).await;
+    gateway
+}
+
+/// Waits until something is so.
+///
+/// # Panics
+///
+/// Panics if it takes longer than the timeout.
+pub async fn wait_until(mut is_true: impl AsyncFnMut() -> bool, timeout: Duration) {
+    let end = Instant::now() + timeout;
+    while !is_true().await {
+        assert!(Instant::now() < end, "not so after {timeout:?}");
+        compio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+impl Gateway {
+    /// Whether the load balancer would send requests.
+    pub async fn is_ready(&self) -> bool {
+        let request = Request::get("/api/readiness")
+            .body(Payload::default())
+            .unwrap();
+        let answer = transport::request(self.place.ready(), request, 1_024, TIMEOUT).await;
+        answer.is_ok_and(|a| a.status() == StatusCode::OK)
+    }
+
+    /// Reads a page for operators.
+    pub async fn metrics(&self, path: &str) -> String {
+        let request = Request::get(path).body(Payload::default()).unwrap();
+        let address = self.place.metrics();
+        let answer = transport::request(address, request, ANSWER_LIMIT_BYTES, TIMEOUT).await;
+        String::from_utf8(answer.expect("metrics are served").into_body().into()).unwrap()
+    }
+
+    /// Sends a request without a body.
+    pub async fn get(&self, path: &str, id: &str) -> Response<Bytes> {
+        self.send(Method::GET, path, id, Bytes::new()).await
+    }
+
+    /// Sends a request with the usual headers.
+    pub async fn send(&self, method: Method, path: &str, id: &str, body: Bytes) -> Response<Bytes> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", HOST)
+            .header("request-id", id)
+            .header("deadline-milliseconds", "1000")
+            .body(Payload::new(body))
+            .unwrap();
+        self.exchange(request).await
+    }
+
+    /// Sends a request as it is.
+    pub async fn exchange(&self, request: Request<Payload>) -> Response<Bytes> {
+        let sent = transport::request(self.place.callers(), request, ANSWER_LIMIT_BYTES, TIMEOUT);
+        sent.await.expect("the gateway answers")
+    }
+}
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -122,8 +122,14 @@
         self.revision.get()
     }
 
+    /// Counts a call and tells whether it is served.
     fn admit(&self) -> Result<(), StatusCode> {
         self.calls.set(self.calls.get() + 1);
+        self.check()
+    }
+
+    /// Whether calls are served now.
+    fn check(&self) -> Result<(), StatusCode> {
         self.end_leases();
         match self.is_down.get() {
             true => Err(StatusCode::SERVICE_UNAVAILABLE),
@@ -214,8 +220,9 @@
 async fn watch(State(app): State<App>, Query(query): Query<WatchQuery>) -> Response {
     local(async move {
         let end = Millis::now() + Millis(query.wait_ms);
+        let mut served = app.0.admit();
         loop {
-            if let Err(status) = app.0.admit() {
+            if let Err(status) = served {
                 return status.into_response();
             }
             let Some(events) = app.0.events_after(&query.prefix, query.after) else {
@@ -226,6 +233,7 @@
                 return Json(json!({ "events": events, "at": at })).into_response();
             }
             compio::time::sleep(WATCH_CHECK.into()).await;
+            served = app.0.check();
         }
     })
     .await
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,18 +1,16 @@
 //! The gateway on the platform: real processes against a stand-in store and
 //! stand-in upstreams.
 
-use std::cell::Cell;
-use std::net::Ipv4Addr;
-use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use clock::Millis;
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode};
 use rstest::rstest;
 use serde_json::json;
 use standins::fleet::{Binaries, Process};
-use standins::platform::site::{self, HOST, Place, READ, SEARCH, Site, Size, WRITE};
+use standins::platform::gateway::{PROPAGATION, place, ready, start_gateway, wait_until};
+use standins::platform::site::{self, HOST, READ, SEARCH, Site, Size, WRITE};
 use standins::platform::upstream::Manner;
 use transport::Payload;
 use uuid::Uuid;
@@ -20,26 +18,8 @@
 const SHARDS: usize = 4;
 const ANSWER_LIMIT_BYTES: usize = 1024 * 1024;
 const TIMEOUT: Millis = Millis(5_000);
-/// A change of the store is in force this soon.
-const PROPAGATION: Duration = Duration::from_millis(2_500);
 const RECORD_BYTES: usize = 16;
 
-thread_local! {
-    static NEXT_MACHINE: Cell<u8> = const { Cell::new(1) };
-}
-
-struct Gateway {
-    process: Process,
-    place: Place,
-    dir: PathBuf,
-}
-
-impl Drop for Gateway {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.dir);
-    }
-}
-
 async fn start_site() -> Site {
     let size = Size {
         shards: SHARDS,
@@ -49,87 +29,6 @@
     Site::start(size).await.expect("loopback ports are free")
 }
 
-/// A loopback address that no other test of this process uses.
-fn place() -> Place {
-    let machine = NEXT_MACHINE.get();
-    NEXT_MACHINE.set(machine + 1);
-    let [high, low] = (std::process::id() as u16).to_be_bytes();
-    Place {
-        ip: Ipv4Addr::new(127, 1 + high % 250, low, machine),
-    }
-}
-
-async fn start_gateway(site: &Site, seeds: &[Place]) -> Gateway {
-    let place = place();
-    let dir = std::env::temp_dir().join(format!("coltsfootgw-{}", Uuid::new_v4()));
-    std::fs::create_dir_all(&dir).unwrap();
-    let seeds: Vec<_> = seeds.iter().map(|s| s.peers()).collect();
-    let name = format!("gateway-{}", place.ip);
-    let settings = site::settings(&name, place, site.store_address, &seeds);
-    let path = dir.join("settings.yaml");
-    std::fs::write(&path, settings.to_string()).unwrap();
-    let arguments = ["gateway", "--settings", path.to_str().unwrap()];
-    let process = Process::start(&Binaries::find().gateway, &arguments, &dir, "gateway");
-    process.wait_for_line("\"started\"").await;
-    Gateway {
-        process,
-        place,
-        dir,
-    }
-}
-
-async fn ready(site: &Site) -> Gateway {
-    let gateway = start_gateway(site, &[]).await;
-    wait_until(async || gateway.is_ready().await, PROPAGATION).await;
-    gateway
-}
-
-async fn wait_until(mut is_true: impl AsyncFnMut() -> bool, timeout: Duration) {
-    let end = Instant::now() + timeout;
-    while !is_true().await {
-        assert!(Instant::now() < end, "not so after {timeout:?}");
-        compio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
-impl Gateway {
-    async fn is_ready(&self) -> bool {
-        let request = Request::get("/api/readiness")
-            .body(Payload::default())
-            .unwrap();
-        let answer = transport::request(self.place.ready(), request, 1_024, TIMEOUT).await;
-        answer.is_ok_and(|a| a.status() == StatusCode::OK)
-    }
-
-    async fn metrics(&self, path: &str) -> String {
-        let request = Request::get(path).body(Payload::default()).unwrap();
-        let address = self.place.metrics();
-        let answer = transport::request(address, request, ANSWER_LIMIT_BYTES, TIMEOUT).await;
-        String::from_utf8(answer.expect("metrics are served").into_body().into()).unwrap()
-    }
-
-    async fn get(&self, path: &str, id: &str) -> Response<Bytes> {
-        self.send(Method::GET, path, id, Bytes::new()).await
-    }
-
-    async fn send(&self, method: Method, path: &str, id: &str, body: Bytes) -> Response<Bytes> {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", HOST)
-            .header("request-id", id)
-            .header("deadline-milliseconds", "1000")
-            .body(Payload::new(body))
-            .unwrap();
-        self.exchange(request).await
-    }
-
-    async fn exchange(&self, request: Request<Payload>) -> Response<Bytes> {
-        let sent = transport::request(self.place.callers(), request, ANSWER_LIMIT_BYTES, TIMEOUT);
-        sent.await.expect("the gateway answers")
-    }
-}
-
 fn signatures(headers: &HeaderMap) -> Vec<String> {
     let text = headers["part-stamps"].to_str().unwrap();
     text.split(", ").map(str::to_owned).collect()
--- /dev/null
+++ b/tests/relay.rs
@@ -0,0 +1,79 @@
+//! Daemons that leave watching the store to others of their failure domain.
+
+use std::time::Duration;
+
+use clock::Millis;
+use http::StatusCode;
+use serde_json::json;
+use standins::platform::gateway::{Gateway, PROPAGATION, ready, wait_until};
+use standins::platform::site::{self, READ, Site, Size};
+
+const SHARDS: usize = 2;
+const DAEMONS: usize = 6;
+/// Two of them watch the store; without news a call waits for 0.7 s, and the
+/// next one comes 0.7 s later.
+const WATCHES_IN_FOUR_SECONDS: u64 = 2 * 4;
+
+async fn fleet() -> (Site, Vec<Gateway>) {
+    let size = Size {
+        shards: SHARDS,
+        replicas: 2,
+        service_time: Millis(5),
+    };
+    let site = Site::start(size).await.expect("loopback ports are free");
+    let mut fleet = Vec::new();
+    for _ in 0..DAEMONS {
+        fleet.push(ready(&site).await);
+    }
+    // All know all registrations.
+    compio::time::sleep(PROPAGATION).await;
+    (site, fleet)
+}
+
+/// Moves a route and waits until all daemons follow.
+async fn change_route(site: &Site, fleet: &[Gateway], version: u64) {
+    let mut configuration = site::configuration(SHARDS, version);
+    let prefix = format!("/moved-{version}/");
+    configuration["routes"][1]["prefix"] = json!(prefix);
+    site::put(&site.store, "op/config", &configuration);
+    for gateway in fleet {
+        let path = format!("{prefix}1");
+        let is_moved = async || gateway.get(&path, "r").await.status() == StatusCode::OK;
+        wait_until(is_moved, PROPAGATION).await;
+    }
+}
+
+#[compio::test]
+async fn few_calls_reach_the_store_and_changes_reach_all() {
+    let (site, fleet) = fleet().await;
+    let before = site.store.calls.get();
+    compio::time::sleep(Duration::from_secs(4)).await;
+    let calls = site.store.calls.get() - before;
+    // Each renews its lease every three seconds.
+    let renewals = 2 * DAEMONS as u64;
+    assert!(calls <= WATCHES_IN_FOUR_SECONDS + renewals, "{calls}");
+    change_route(&site, &fleet, 2).await;
+}
+
+#[compio::test]
+async fn changes_reach_all_without_the_watchers() {
+    let (site, mut fleet) = fleet().await;
+    // By name, the first two watch.
+    fleet[0].process.kill();
+    fleet[1].process.freeze();
+    change_route(&site, &fleet[2..], 2).await;
+    fleet[1].process.resume();
+}
+
+#[compio::test]
+async fn all_serve_while_the_store_is_away_and_follow_when_it_is_back() {
+    let (site, fleet) = fleet().await;
+    site.store.is_down.set(true);
+    compio::time::sleep(Duration::from_secs(4)).await;
+    for gateway in &fleet {
+        let answer = gateway.get(&format!("{READ}1"), "r").await;
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+    site.store.is_down.set(false);
+    change_route(&site, &fleet, 2).await;
+}
