Histograms by route and service; end in time though nobody reads the log

Cause: with standard output blocked, a daemon that was told to end hung in joining the thread that writes its log, until it was killed. Latency was told by outcome only. Change: the last lines get 0.5 s. Requests are counted by route and outcome, attempts by service and outcome; the terms of a request are read once.

--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -86,11 +86,16 @@
         let gateway: Rc<Gateway> = (*app.0).clone();
         let arrived = Millis::now();
         let counted = InFlight::new(&gateway);
-        let id = gateway.wire.terms(request.headers()).map(|t| t.id);
-        let id = id.unwrap_or_default();
-        let result = serve(&gateway, request).await;
+        let terms = gateway.wire.terms(request.headers());
+        let id = terms.as_ref().map(|t| t.id.clone()).unwrap_or_default();
+        let plan = plan(&gateway, terms, &request);
+        let route = plan.as_ref().map_or("", |p| &p.entry.route.name).to_owned();
+        let result = match plan {
+            Ok(plan) => serve(&gateway, plan, arrived, request).await,
+            Err(refusal) => Err(refusal),
+        };
         let elapsed = Millis::now().since(arrived);
-        note_outcome(&result, elapsed);
+        note_outcome(&result, route, elapsed);
         let mut response = match result {
             Ok(response) => response,
             Err(refusal) => {
@@ -108,15 +113,31 @@
     .await
 }
 
-async fn serve(gateway: &Rc<Gateway>, request: Request) -> Result<Response<Bytes>> {
-    let arrived = Millis::now();
+/// How a request will be served, before its body is read.
+struct Plan {
+    table: Rc<Table>,
+    entry: Rc<Entry>,
+    terms: Terms,
+}
+
+fn plan(gateway: &Gateway, terms: Result<Terms, String>, request: &Request) -> Result<Plan> {
     let table = gateway.fleet.table().ok_or_else(not_loaded)?;
-    let terms = gateway
-        .wire
-        .terms(request.headers())
-        .map_err(|detail| Refusal::not_run(Cause::BadRequest, detail))?;
-    let entry = find_route(&table, &request)?;
-    let job = read_job(gateway, &table, entry, terms, arrived, request).await?;
+    let terms = terms.map_err(|detail| Refusal::not_run(Cause::BadRequest, detail))?;
+    let entry = find_route(&table, request)?;
+    Ok(Plan {
+        table,
+        entry,
+        terms,
+    })
+}
+
+async fn serve(
+    gateway: &Rc<Gateway>,
+    plan: Plan,
+    arrived: Millis,
+    request: Request,
+) -> Result<Response<Bytes>> {
+    let job = read_job(gateway, plan, arrived, request).await?;
     match job.entry.route.repeat {
         Repeat::Idempotent => forward::run(gateway, &job).await,
         Repeat::AtMostOnce => run_once(gateway, job).await,
@@ -146,13 +167,14 @@
     }
 }
 
-fn note_outcome(result: &Result<Response<Bytes>>, elapsed: Millis) {
+fn note_outcome(result: &Result<Response<Bytes>>, route: String, elapsed: Millis) {
     let outcome = match result {
         Ok(_) => "answered",
         Err(refusal) => refusal.cause.name(),
     };
     let seconds = Duration::from(elapsed).as_secs_f64();
-    metrics::histogram!(names::REQUEST_SECONDS, "outcome" => outcome).record(seconds);
+    metrics::histogram!(names::REQUEST_SECONDS, "outcome" => outcome, "route" => route)
+        .record(seconds);
 }
 
 fn note_refusal(gateway: &Gateway, id: &str, refusal: &Refusal, elapsed: Millis) {
@@ -186,14 +208,12 @@
     })
 }
 
-async fn read_job(
-    gateway: &Gateway,
-    table: &Table,
-    entry: Rc<Entry>,
-    terms: Terms,
-    arrived: Millis,
-    request: Request,
-) -> Result<Job> {
+async fn read_job(gateway: &Gateway, plan: Plan, arrived: Millis, request: Request) -> Result<Job> {
+    let Plan {
+        table,
+        entry,
+        terms,
+    } = plan;
     let (head, body) = request.into_parts();
     let body = read_body(body, table.limits.body_bytes).await?;
     let route = &entry.route;
@@ -203,7 +223,7 @@
     };
     let fingerprint = fingerprint(&head.headers, &head.uri, &body);
     let forwarded = Rc::new(Forwarded {
-        id: terms.id.clone(),
+        id: terms.id,
         method: head.method,
         uri: origin_form(&head.uri),
         headers: end_to_end(head.headers),
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -5,5 +5,5 @@
 mod metric;
 
 pub use lines::RequestLines;
-pub use log::{Level, bounded_logger, log_panics, logger};
+pub use log::{Level, LogWriter, bounded_logger, log_panics, logger};
 pub use metric::{Recorder, install, names};
--- a/components/telemetry/src/log.rs
+++ b/components/telemetry/src/log.rs
@@ -2,7 +2,9 @@
 
 use std::io;
 use std::str::FromStr;
-use std::sync::Mutex;
+use std::sync::{Mutex, mpsc};
+use std::thread;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use slog::{Drain, FnValue, Logger, PushFnValue, Record, o};
@@ -64,14 +66,31 @@
 
 /// Returns a logger that writes to standard output and never blocks: lines
 /// that nobody reads are dropped, and a line counts them.
-pub fn bounded_logger(level: Level, instance: &str) -> Logger {
+pub fn bounded_logger(level: Level, instance: &str) -> (Logger, LogWriter) {
     let lines = Mutex::new(json_lines(io::stdout())).fuse();
-    let buffered = slog_async::Async::new(lines)
+    let (buffered, guard) = slog_async::Async::new(lines)
         .chan_size(BUFFERED_LINES)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build();
+        .build_with_guard();
     let filtered = slog::LevelFilter::new(buffered, level.into());
-    Logger::root(filtered.fuse(), o!("instance" => instance.to_owned()))
+    let logger = Logger::root(filtered.fuse(), o!("instance" => instance.to_owned()));
+    (logger, LogWriter(guard))
+}
+
+/// Writes the lines of a bounded logger.
+pub struct LogWriter(slog_async::AsyncGuard);
+
+impl LogWriter {
+    /// Writes the lines that wait, unless nobody reads them in time.
+    pub fn finish(self, timeout: Duration) {
+        let (done, is_done) = mpsc::channel();
+        thread::spawn(move || {
+            // Waits until the last line is written.
+            drop(self.0);
+            let _ = done.send(());
+        });
+        let _ = is_done.recv_timeout(timeout);
+    }
 }
 
 fn json_lines<W: io::Write>(writer: W) -> slog_json::Json<W> {
--- a/components/telemetry/src/metric.rs
+++ b/components/telemetry/src/metric.rs
@@ -6,9 +6,11 @@
 pub mod names {
     /// Time from a search's arrival to its answer, in seconds.
     pub const SEARCH_SECONDS: &str = "coltsfootgw_search_seconds";
-    /// Time from a request's arrival at a gateway to its answer, by outcome,
-    /// in seconds.
+    /// Time from a request's arrival at a gateway to its answer, by route
+    /// and outcome, in seconds.
     pub const REQUEST_SECONDS: &str = "coltsfootgw_request_seconds";
+    /// Time of one attempt at an upstream, by service and outcome, in seconds.
+    pub const ATTEMPT_SECONDS: &str = "coltsfootgw_attempt_seconds";
     /// Requests that a gateway serves now.
     pub const IN_FLIGHT: &str = "coltsfootgw_in_flight";
     /// Time since the store last answered, in seconds.
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -1,5 +1,7 @@
 //! One request to one upstream, in a slot.
 
+use std::time::Duration;
+
 use clock::Millis;
 use telemetry::names;
 
@@ -55,8 +57,14 @@
 pub(crate) async fn run(slot: &Slot, pool: &Pool, call: &Call, shard: &str) -> Result<Answer> {
     let began = Millis::now();
     let result = exchange(slot, pool, call, shard).await;
-    if let Err(failure) = &result {
-        note_failed_attempt(slot, pool, call, failure, Millis::now().since(began));
+    let elapsed = Millis::now().since(began);
+    let seconds = Duration::from(elapsed).as_secs_f64();
+    match &result {
+        Ok(_) => pool.attempt_seconds.answered.record(seconds),
+        Err(failure) => {
+            pool.attempt_seconds.failed.record(seconds);
+            note_failed_attempt(slot, pool, call, failure, elapsed);
+        }
     }
     result
 }
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use slotmap::SlotMap;
+use telemetry::names;
 
 use crate::budget::Budget;
 use crate::endpoint::Endpoint;
@@ -27,6 +28,26 @@
     pub(crate) latency: RefCell<Latency>,
     pub(crate) hedges: Rc<Budget>,
     pub(crate) retries: Rc<Budget>,
+    pub(crate) attempt_seconds: AttemptSeconds,
+}
+
+/// How long attempts took, by outcome.
+pub(crate) struct AttemptSeconds {
+    pub(crate) answered: metrics::Histogram,
+    pub(crate) failed: metrics::Histogram,
+}
+
+impl AttemptSeconds {
+    fn new(service: &str) -> Self {
+        let of = |outcome: &'static str| {
+            let service = service.to_owned();
+            metrics::histogram!(names::ATTEMPT_SECONDS, "service" => service, "outcome" => outcome)
+        };
+        Self {
+            answered: of("answered"),
+            failed: of("failed"),
+        }
+    }
 }
 
 impl Pool {
@@ -54,6 +75,7 @@
             latency: RefCell::default(),
             hedges,
             retries,
+            attempt_seconds: AttemptSeconds::new(name),
         })
     }
 
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -1,6 +1,7 @@
 //! `gateway`: runs a daemon on the users' platform.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use gateway::Parts;
 use platform::{PlatformRecords, PlatformStore, PlatformWire};
@@ -10,10 +11,13 @@
 use crate::cmd::call::block_on;
 use crate::exit::{Code, GatewaySnafu, MetricsSnafu, PlatformSnafu, Result};
 
+/// For how long the last log lines may take.
+const LAST_LINES_TIMEOUT: Duration = Duration::from_millis(500);
+
 pub(crate) fn run(args: &GatewayArgs) -> Result<Code> {
     let settings = platform::load(&args.settings).context(PlatformSnafu)?;
     let recorder = telemetry::install().map_err(|detail| MetricsSnafu { detail }.build())?;
-    let log = telemetry::bounded_logger(args.log_level, &settings.gateway.instance);
+    let (log, writer) = telemetry::bounded_logger(args.log_level, &settings.gateway.instance);
     telemetry::log_panics(&log);
     let store = Rc::new(PlatformStore::new(settings.store));
     let path = args.settings.clone();
@@ -27,6 +31,8 @@
             Ok(settings.gateway)
         }),
     };
-    block_on(gateway::run(settings.gateway, parts, recorder, log))?.context(GatewaySnafu)?;
+    let result = block_on(gateway::run(settings.gateway, parts, recorder, log));
+    writer.finish(LAST_LINES_TIMEOUT);
+    result?.context(GatewaySnafu)?;
     Ok(Code::Success)
 }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 
 pub use plan::{Plan, ServicePlan};
-pub use process::{Binaries, Process};
+pub use process::{Binaries, Process, terminate};
 
 use crate::client::{Answer, Json};
 
--- a/standins/src/fleet/process.rs
+++ b/standins/src/fleet/process.rs
@@ -113,7 +113,7 @@
 
     /// Asks the process to shut down.
     pub fn terminate(&self) {
-        self.signal(Signal::SIGTERM);
+        terminate(self.id());
     }
 
     /// Tells the process that its settings have changed.
@@ -145,11 +145,20 @@
     }
 
     fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).expect("process ids fit");
-        let _ = kill(Pid::from_raw(id), signal);
+        send(self.id(), signal);
     }
 }
 
+/// Asks a process that this one started to shut down.
+pub fn terminate(id: u32) {
+    send(id, Signal::SIGTERM);
+}
+
+fn send(id: u32, signal: Signal) {
+    let id = i32::try_from(id).expect("process ids fit");
+    let _ = kill(Pid::from_raw(id), signal);
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -17,6 +17,8 @@
 
 const SHARDS: usize = 4;
 const ANSWER_LIMIT_BYTES: usize = 1024 * 1024;
+/// A daemon that is told to end has ended after this time.
+const GRACE: Duration = Duration::from_secs(6);
 const TIMEOUT: Millis = Millis(5_000);
 const RECORD_BYTES: usize = 16;
 
@@ -323,10 +325,12 @@
         slowest = slowest.max(began.elapsed());
         compio::time::sleep(Duration::from_millis(1)).await;
     }
-    child.kill().unwrap();
-    child.wait().unwrap();
-    std::fs::remove_file(&path).unwrap();
     assert!(slowest < Duration::from_millis(500), "{slowest:?}");
+    // It ends all the same when it is told to.
+    standins::fleet::terminate(child.id());
+    let has_ended = async || child.try_wait().unwrap().is_some();
+    wait_until(has_ended, GRACE).await;
+    std::fs::remove_file(&path).unwrap();
 }
 
 #[compio::test]
@@ -376,7 +380,7 @@
     gateway.get("/nowhere/", "r2").await;
     let metrics = gateway.metrics("/metrics").await;
     for expected in [
-        "coltsfootgw_request_seconds_count{outcome=\"answered\"} 1",
+        "coltsfootgw_request_seconds_count{outcome=\"answered\",route=\"search\"} 1",
         "coltsfootgw_refusals_total{reason=\"no_route\"} 1",
         "coltsfootgw_upstreams{state=\"serving\"} 8",
         "coltsfootgw_store_calls_total{operation=\"kv-range\"}",
