Save up 0.9 of the slack, earn 0.18 of a repeat

Cause: where 0.2 to 0.4 of all answers are reset for four seconds, the repeats that the budget rule allows (0.2 of the requests of a window and the slack) were not used: daemons could save up 0.6 of the slack and earned 0.17. Ruled out: a wrong count of daemons (all count 59 at once after a restart, now logged), connections (resets over the cap come later, after the loss of power). Change: 0.9 and 0.18. The bound still holds: 0.9 of the slack and 0.18 of the requests within 0.2 and all of the slack; restarts bring 0.3 of the slack more in the worst case, and the test covers saving up before a window.

--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -14,7 +14,7 @@
 
 /// Share of the slack that the daemons may save up together, from repeats
 /// that their requests earned.
-const SAVED_SHARE: f64 = 0.6;
+const SAVED_SHARE: f64 = 0.9;
 /// Share of the slack that all daemons start with together. Both are spent
 /// within one window if all daemons restart one after the other.
 const STARTING_SHARE: f64 = 0.3;
@@ -104,7 +104,11 @@
         let now = Millis::now();
         let seen = seen.max(1);
         let is_remembered = now.since(self.daemons_at.get()) < INSTANCE_MEMORY;
-        if seen >= self.daemons.get() || !is_remembered {
+        let before = self.daemons.get();
+        if seen >= before || !is_remembered {
+            if seen != before {
+                info!(self.shared.log, "daemons counted"; "before" => before, "now" => seen);
+            }
             self.daemons.set(seen);
             self.daemons_at.set(now);
         }
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -30,7 +30,7 @@
 /// When a caller should come back to a daemon that has just started.
 const LOADING_WAIT: Millis = Millis(200);
 /// Share of the platform's ratio of extra load that is used.
-const RATIO_SHARE: f64 = 0.85;
+const RATIO_SHARE: f64 = 0.9;
 /// Headers that concern only one connection.
 const CONNECTION_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
--- a/components/gateway/tests/decisions.rs
+++ b/components/gateway/tests/decisions.rs
@@ -146,7 +146,7 @@
     let run = |count: usize| {
         let repeated = (0..count).filter(|n| {
             let budget = &budgets[n % daemons];
-            budget.earn(17);
+            budget.earn(18);
             budget.spend()
         });
         repeated.count()
@@ -160,7 +160,7 @@
     // What was saved up in quiet times is spent within the next window.
     budgets
         .iter()
-        .for_each(|b| (0..10).for_each(|_| b.earn(17)));
+        .for_each(|b| (0..10).for_each(|_| b.earn(18)));
     let repeats = run(requests);
     assert!(
         (repeats as f64) < requests as f64 * 0.2 + SLACK,
