One wait for stop signals; the gateway's parts no longer in a circle

What stood twice: waiting for SIGTERM or SIGINT, in the daemon and in the gateway; both call transport::stop_signal now. Platform in gateway/src/run.rs was a copy of Parts without one field; build borrows Parts. What was tangled: handler and forward used each other, and gate, view and state formed a circle. A request with its route, and how it is read, are in job.rs; the view of a limit stands beside the gate. Behaviour is as before; no test changed for it.

--- a/components/daemon/src/shutdown.rs
+++ b/components/daemon/src/shutdown.rs
@@ -5,6 +5,7 @@
 use clock::Millis;
 use futures_util::future::{Either, select};
 use slog::info;
+use transport::stop_signal;
 
 use crate::state::Daemon;
 
@@ -12,22 +13,16 @@
 
 /// Waits until this daemon is told to leave, by a signal or an operator.
 pub(crate) async fn wait_for_departure(daemon: &Daemon) {
-    let signal = std::pin::pin!(wait_for_signal());
+    let signal = std::pin::pin!(stop_signal());
     let wish = std::pin::pin!(daemon.departure.wait());
     select(signal, wish).await;
 }
 
-async fn wait_for_signal() {
-    let term = std::pin::pin!(compio::signal::unix::signal(libc::SIGTERM));
-    let int = std::pin::pin!(compio::signal::unix::signal(libc::SIGINT));
-    select(term, int).await;
-}
-
 /// Announces the departure, serves for the grace, then finishes what is in
 /// flight; a second signal ends all at once.
 pub(crate) async fn drain(daemon: Rc<Daemon>) {
     let graceful = std::pin::pin!(drain_gracefully(&daemon));
-    let second = std::pin::pin!(wait_for_signal());
+    let second = std::pin::pin!(stop_signal());
     if let Either::Right(_) = select(graceful, second).await {
         info!(daemon.log, "stopped at once"; "in_flight" => daemon.root.in_flight());
     }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -12,7 +12,7 @@
 use upstreams::{Answer, Failure, Pool, Ran, Shard, UpstreamKey};
 
 use crate::gather::{Progress, Step, answer_within};
-use crate::handler::{Job, end_to_end, with_retry_after};
+use crate::job::{Job, end_to_end, with_retry_after};
 use crate::merge::top_records;
 use crate::outcome::{Cause, Refusal, Result};
 use crate::state::Gateway;
--- a/components/gateway/src/gate.rs
+++ b/components/gateway/src/gate.rs
@@ -6,9 +6,9 @@
 
 use clock::Millis;
 use routes::Route;
+use serde::Serialize;
 
 use crate::admission::Admission;
-use crate::view::LimitView;
 
 /// The admissions by the names of their routes.
 #[derive(Default)]
@@ -22,6 +22,13 @@
     is_finished: Cell<bool>,
 }
 
+/// The admission limit of a route.
+#[derive(Serialize)]
+pub(crate) struct LimitView {
+    route: String,
+    limit: f64,
+}
+
 impl Gate {
     /// Admits a request of a route, or says how long its caller should wait: what
     /// runs now ends within about an objective.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod gate;
 mod gather;
 mod handler;
+mod job;
 mod merge;
 mod outcome;
 mod reload;
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -63,12 +63,6 @@
     pub reload: Box<ReadSettings>,
 }
 
-struct Platform {
-    feed: Rc<dyn Feed>,
-    decoder: Rc<dyn Decode>,
-    wire: Rc<dyn Wire>,
-}
-
 /// Runs a gateway until SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -88,15 +82,9 @@
         domain: settings.domain.clone(),
     };
     let registration = Registration::new(parts.leases.clone(), instance, &log);
-    let reload = parts.reload;
-    let platform = Platform {
-        feed: parts.feed,
-        decoder: parts.decoder,
-        wire: parts.wire,
-    };
-    let gateway = build(settings, platform, recorder, &log);
+    let gateway = build(settings, &parts, recorder, &log);
     start_tasks(&gateway, &registration);
-    compio::runtime::spawn(reload::run(gateway.clone(), hangup, reload)).detach();
+    compio::runtime::spawn(reload::run(gateway.clone(), hangup, parts.reload)).detach();
     start_server(ready, admin::ready_router(&gateway));
     start_server(peers, admin::peer_router(&gateway));
     start_server(metrics, admin::metrics_router(&gateway));
@@ -108,7 +96,7 @@
         gateway.callers_open.clone(),
     );
     compio::runtime::spawn(serving).detach();
-    shutdown::wait_for_signal().await;
+    transport::stop_signal().await;
     shutdown::drain(&gateway, &registration).await;
     Ok(())
 }
@@ -117,10 +105,10 @@
     Listener::bind(address).await.context(BindSnafu)
 }
 
-fn build(settings: Settings, parts: Platform, recorder: Recorder, log: &Logger) -> Rc<Gateway> {
-    let directory = Rc::new(RefCell::new(Directory::new(parts.decoder)));
+fn build(settings: Settings, parts: &Parts, recorder: Recorder, log: &Logger) -> Rc<Gateway> {
+    let directory = Rc::new(RefCell::new(Directory::new(parts.decoder.clone())));
     let follower = Follower::new(
-        parts.feed,
+        parts.feed.clone(),
         directory.clone(),
         settings.seeds.clone(),
         settings.peers,
@@ -151,7 +139,7 @@
         follower,
         directory,
         gate: Gate::default(),
-        wire: parts.wire,
+        wire: parts.wire.clone(),
         recorder,
         is_leaving: Cell::new(false),
         in_flight: Cell::new(0),
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -4,7 +4,6 @@
 
 use clock::Millis;
 use discovery::Registration;
-use futures_util::future::select;
 use slog::info;
 
 use crate::state::Gateway;
@@ -18,13 +17,6 @@
 /// Time for answers that still run after connections are told to close.
 const CLOSE_RESERVE: Millis = Millis(1_500);
 
-/// Waits for SIGTERM or SIGINT.
-pub(crate) async fn wait_for_signal() {
-    let term = std::pin::pin!(compio::signal::unix::signal(libc::SIGTERM));
-    let int = std::pin::pin!(compio::signal::unix::signal(libc::SIGINT));
-    select(term, int).await;
-}
-
 /// Serves until the load balancer has noticed, then finishes what is in
 /// flight; answers tell callers to close their connections meanwhile.
 pub(crate) async fn drain(gateway: &Rc<Gateway>, registration: &Registration) {
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 use upstreams::UpstreamView;
 
+use crate::gate::LimitView;
 use crate::state::Gateway;
 
 /// What a gateway believes, and how old that is.
@@ -20,13 +21,6 @@
     services: Vec<ServiceView>,
 }
 
-/// The admission limit of a route.
-#[derive(Serialize)]
-pub(crate) struct LimitView {
-    pub(crate) route: String,
-    pub(crate) limit: f64,
-}
-
 #[derive(Serialize)]
 struct ServiceView {
     service: String,
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod local;
 mod server;
+mod signal;
 mod timer;
 
 pub use channel::{Channel, PeerClient, operator_client, peer_client};
@@ -15,4 +16,5 @@
 pub use error::{Error, Result};
 pub use local::{Local, detached, local};
 pub use server::{Listener, ServerLimits, Shutdown, listen, serve, serve_within};
+pub use signal::stop_signal;
 pub use timer::RuntimeTimer;
