Keep the pace of an upstream like its health; one place notes an outcome

Two methods of Upstream copied the pace out, changed it and copied it back: it is in a RefCell like health beside it, and takes a time as its callers have it. The default budget is the one that starts with the initial tokens, not a second copy. The share of failures is noted with the rest of an answer's outcome. The tests of patience and placing share their pool, shard and call. Behaviour is as before; the tests keep their assertions and figures.

--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -37,7 +37,8 @@
         }
         let elapsed = now.since(self.started);
         let usual = self.pool.latency.borrow().mean_ms();
-        self.upstream.note_given_up(elapsed, usual, now);
+        let mut pace = self.upstream.pace.borrow_mut();
+        pace.note_given_up(elapsed, usual, now);
         if is_slow(self.pool, elapsed) {
             self.upstream.health.borrow_mut().note_slow(now);
         }
@@ -126,11 +127,6 @@
     upstream.keep(lease, reply.notes.idle_timeout);
     note_answer(pool, upstream, reply.notes, started);
     note_outcome(pool, slot, call, &reply.result, started);
-    let now = Millis::now();
-    upstream
-        .health
-        .borrow_mut()
-        .note_outcome(reply.result.is_err(), now);
     reply.result
 }
 
@@ -201,7 +197,8 @@
             let mut health = upstream.health.borrow_mut();
             health.note_success(upstream.slots.get(), is_slow(pool, elapsed), now);
             pool.latency.borrow_mut().record(elapsed.0 as f64);
-            upstream.note_pace(elapsed, pool.latency.borrow().mean_ms(), now);
+            let usual = pool.latency.borrow().mean_ms();
+            upstream.pace.borrow_mut().note(elapsed, usual, now);
             if slot.running.is_suspect {
                 pool.shared.suspects.clear(call.fingerprint, now);
             }
@@ -220,4 +217,6 @@
         Err(f) if f.ran == Ran::Unknown => upstream.health.borrow_mut().note_failure(now),
         Err(_) => {}
     }
+    let mut health = upstream.health.borrow_mut();
+    health.note_outcome(result.is_err(), now);
 }
--- a/components/upstreams/src/budget.rs
+++ b/components/upstreams/src/budget.rs
@@ -14,10 +14,7 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        Self {
-            tokens: Cell::new(INITIAL),
-            limit: Cell::new(FULL),
-        }
+        Self::starting_with(INITIAL)
     }
 }
 
--- a/components/upstreams/src/pace.rs
+++ b/components/upstreams/src/pace.rs
@@ -13,28 +13,28 @@
 const FORGETTING: Millis = Millis(4_000);
 
 /// A moving average over time: the rarer the answers, the more each counts.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct Pace {
     last: Option<(Millis, f64)>,
 }
 
 impl Pace {
-    /// Notes that a request took `ms` milliseconds; `usual_ms` is what is
+    /// Notes that a request took some time; `usual_ms` is what is
     /// usual in the service.
-    pub fn note(&mut self, ms: f64, usual_ms: f64, now: Millis) {
+    pub fn note(&mut self, elapsed: Millis, usual_ms: f64, now: Millis) {
         let weight = match self.last {
             None => MOST_WEIGHT,
             Some((at, _)) => share_of_time(now.since(at), MEMORY).clamp(LEAST_WEIGHT, MOST_WEIGHT),
         };
         let mean = self.mean_ms(usual_ms, now);
-        self.last = Some((now, mean + weight * (ms - mean)));
+        self.last = Some((now, mean + weight * (elapsed.0 as f64 - mean)));
     }
 
-    /// Notes that a request was given up after `ms` milliseconds: it would
-    /// have taken longer still.
-    pub fn note_given_up(&mut self, ms: f64, usual_ms: f64, now: Millis) {
-        if ms > self.mean_ms(usual_ms, now) {
-            self.note(ms, usual_ms, now);
+    /// Notes that a request was given up after some time: it would have taken
+    /// longer still.
+    pub fn note_given_up(&mut self, elapsed: Millis, usual_ms: f64, now: Millis) {
+        if elapsed.0 as f64 > self.mean_ms(usual_ms, now) {
+            self.note(elapsed, usual_ms, now);
         }
     }
 
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -53,7 +53,7 @@
     pub(crate) open: Rc<Cell<usize>>,
     idle: RefCell<Vec<Lease>>,
     pub(crate) health: RefCell<Health>,
-    pub(crate) pace: Cell<Pace>,
+    pub(crate) pace: RefCell<Pace>,
     /// Whether it is in the preferred failure domain.
     is_near: bool,
     /// What ran when connections were lost, until it is known whether the
@@ -122,7 +122,7 @@
             health: RefCell::new(Health::new(habits.failures_to_eject)),
             is_near,
             lost: RefCell::default(),
-            pace: Cell::default(),
+            pace: RefCell::default(),
             running: RefCell::default(),
             last_used: Cell::new(Millis::ZERO),
             poll_request: RefCell::default(),
@@ -169,7 +169,7 @@
     pub(crate) fn expected_ms(&self, usual_ms: f64, now: Millis) -> f64 {
         let health = self.health.borrow();
         let busy = self.busy() as f64 / self.slots.get() as f64;
-        let mean = self.pace.get().mean_ms(usual_ms, now);
+        let mean = self.pace.borrow().mean_ms(usual_ms, now);
         let queued = mean * (1.0 + health.load(now)) * (1.0 + busy);
         let stuck = self.oldest_ms(now) - mean * STUCK_FACTOR;
         let failing = mean * FAILURE_COST * health.failing_share(now);
@@ -187,20 +187,6 @@
         oldest.unwrap_or(0) as f64
     }
 
-    /// Notes how long an answer took.
-    pub(crate) fn note_pace(&self, elapsed: Millis, usual_ms: f64, now: Millis) {
-        let mut pace = self.pace.get();
-        pace.note(elapsed.0 as f64, usual_ms, now);
-        self.pace.set(pace);
-    }
-
-    /// Notes after what time a request was given up.
-    pub(crate) fn note_given_up(&self, elapsed: Millis, usual_ms: f64, now: Millis) {
-        let mut pace = self.pace.get();
-        pace.note_given_up(elapsed.0 as f64, usual_ms, now);
-        self.pace.set(pace);
-    }
-
     /// Remembers what ran when a connection was lost.
     pub(crate) fn note_lost(&self, now: Millis) {
         let running = self.running.borrow().clone();
--- a/components/upstreams/src/view.rs
+++ b/components/upstreams/src/view.rs
@@ -89,7 +89,7 @@
             limit: upstream.limit(),
             open: upstream.open.get(),
             connections: upstream.connections.get(),
-            mean_ms: upstream.pace.get().mean_ms(usual_ms, now),
+            mean_ms: upstream.pace.borrow().mean_ms(usual_ms, now),
             health,
         }
     }
--- a/components/upstreams/tests/pace.rs
+++ b/components/upstreams/tests/pace.rs
@@ -13,7 +13,7 @@
     let mut now = START;
     for _ in 0..20 {
         now = now + gap;
-        pace.note(USUAL, USUAL, now);
+        pace.note(Millis(10), USUAL, now);
     }
     (pace, now)
 }
@@ -25,7 +25,7 @@
     let (mut pace, mut now) = steady(gap);
     for _ in 0..answers {
         now = now + gap;
-        pace.note(50.0, USUAL, now);
+        pace.note(Millis(50), USUAL, now);
     }
     let mean = pace.mean_ms(USUAL, now);
     assert!(mean > 2.0 * USUAL, "{mean}");
@@ -35,10 +35,10 @@
 fn a_request_that_was_given_up_counts_as_at_least_its_time() {
     let (mut pace, now) = steady(Millis(1_000));
     let now = now + Millis(1_000);
-    pace.note_given_up(60.0, USUAL, now);
+    pace.note_given_up(Millis(60), USUAL, now);
     let mean = pace.mean_ms(USUAL, now);
     assert!(mean > 2.0 * USUAL, "{mean}");
-    pace.note_given_up(1.0, USUAL, now);
+    pace.note_given_up(Millis(1), USUAL, now);
     assert!((pace.mean_ms(USUAL, now) - mean).abs() < 0.1);
 }
 
@@ -46,7 +46,7 @@
 fn what_was_learned_is_forgotten() {
     let mut pace = Pace::default();
     assert!((pace.mean_ms(USUAL, START) - USUAL).abs() < 0.1);
-    pace.note(200.0, USUAL, START);
+    pace.note(Millis(200), USUAL, START);
     assert!(pace.mean_ms(USUAL, START) > 5.0 * USUAL);
     let later = START + Millis(15_000);
     assert!(pace.mean_ms(USUAL, later) < 1.5 * USUAL);
--- a/components/upstreams/tests/patience.rs
+++ b/components/upstreams/tests/patience.rs
@@ -7,12 +7,13 @@
 use bytes::Bytes;
 use clock::Millis;
 use http::{Request, Response};
-use slog::{Discard, Logger, o};
 use transport::Payload;
-use upstreams::{
-    Call, Effort, Endpoint, Message, Pool, Ran, Reason, Recipient, Reply, Shard, Shared,
-    UpstreamKey,
-};
+use upstreams::{Call, Effort, Endpoint, Message, Pool, Ran, Reason, Recipient, Reply};
+
+#[path = "support/engine.rs"]
+mod engine;
+
+use engine::{All, empty_pool};
 
 const DEADLINE: Millis = Millis(300);
 const TICK: Millis = Millis(10);
@@ -33,18 +34,6 @@
     }
 }
 
-struct All(Rc<Pool>);
-
-impl Shard for All {
-    fn name(&self) -> &str {
-        &self.0.name
-    }
-
-    fn replicas(&self) -> Vec<UpstreamKey> {
-        self.0.keys()
-    }
-}
-
 fn draining(id: &str) -> Endpoint {
     Endpoint {
         id: id.to_owned(),
@@ -58,27 +47,18 @@
 }
 
 fn call(is_patient: bool) -> Call {
-    Call {
-        message: Rc::new(Never),
-        version: None,
-        fingerprint: 1,
-        priority: 0,
-        deadline: Millis::now() + DEADLINE,
-        caller_left: Rc::default(),
-        effort: Effort {
-            attempts: 2,
-            hedge_percent: 10,
-            retry_percent: 10,
-            is_patient,
-            hedge_limit: None,
-        },
-    }
+    let effort = Effort {
+        attempts: 2,
+        hedge_percent: 10,
+        retry_percent: 10,
+        is_patient,
+        hedge_limit: None,
+    };
+    engine::call(Never, DEADLINE, effort)
 }
 
 fn pool() -> Rc<Pool> {
-    let log = Logger::root(Discard, o!());
-    let pool = Pool::new(&Shared::new(&log), "s");
-    pool.set_queue_limit(8);
+    let pool = empty_pool();
     pool.install(&[draining("u1"), draining("u2")]);
     pool
 }
@@ -119,8 +99,7 @@
 
 #[compio::test]
 async fn a_service_without_upstreams_has_no_replica() {
-    let log = Logger::root(Discard, o!());
-    let pool = Pool::new(&Shared::new(&log), "s");
+    let pool = empty_pool();
     let result = pool.fetch(&All(pool.clone()), &call(false)).await;
     let failure = result.expect_err("there is no replica");
     assert_eq!((failure.reason, failure.ran), (Reason::NoReplica, Ran::No));
@@ -128,10 +107,8 @@
 
 #[compio::test]
 async fn a_request_whose_caller_left_is_not_dispatched() {
-    let log = Logger::root(Discard, o!());
-    let pool = Pool::new(&Shared::new(&log), "s");
+    let pool = empty_pool();
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    pool.set_queue_limit(8);
     pool.install(&[Endpoint {
         address: listener.local_addr().unwrap(),
         is_drained: false,
--- a/components/upstreams/tests/placing.rs
+++ b/components/upstreams/tests/placing.rs
@@ -6,11 +6,13 @@
 use bytes::Bytes;
 use clock::Millis;
 use http::{Request, Response};
-use slog::{Discard, Logger, o};
 use transport::Payload;
-use upstreams::{
-    Call, Death, Effort, Endpoint, Message, Pool, Recipient, Reply, Shard, Shared, UpstreamKey,
-};
+use upstreams::{Call, Death, Effort, Endpoint, Message, Pool, Recipient, Reply};
+
+#[path = "support/engine.rs"]
+mod engine;
+
+use engine::{All, empty_pool};
 
 const PATIENCE: Millis = Millis(30);
 
@@ -33,18 +35,6 @@
     }
 }
 
-struct All(Rc<Pool>);
-
-impl Shard for All {
-    fn name(&self) -> &str {
-        &self.0.name
-    }
-
-    fn replicas(&self) -> Vec<UpstreamKey> {
-        self.0.keys()
-    }
-}
-
 /// Listens without ever answering.
 fn silent() -> TcpListener {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -65,20 +55,16 @@
 }
 
 fn call(fingerprint: u64) -> Call {
+    let effort = Effort {
+        attempts: 1,
+        hedge_percent: 0,
+        retry_percent: 0,
+        is_patient: false,
+        hedge_limit: None,
+    };
     Call {
-        message: Rc::new(Plain),
-        version: None,
         fingerprint,
-        priority: 0,
-        deadline: Millis::now() + PATIENCE,
-        caller_left: Rc::default(),
-        effort: Effort {
-            attempts: 1,
-            hedge_percent: 0,
-            retry_percent: 0,
-            is_patient: false,
-            hedge_limit: None,
-        },
+        ..engine::call(Plain, PATIENCE, effort)
     }
 }
 
@@ -98,17 +84,10 @@
     }
 }
 
-fn pool() -> Rc<Pool> {
-    let log = Logger::root(Discard, o!());
-    let pool = Pool::new(&Shared::new(&log), "s");
-    pool.set_queue_limit(8);
-    pool
-}
-
 #[compio::test]
 async fn a_suspect_runs_apart_from_the_failure_domain_that_failed_it() {
     let (same, other) = (silent(), silent());
-    let pool = pool();
+    let pool = empty_pool();
     pool.install(&[endpoint("u1", "a", &same), endpoint("u2", "b", &other)]);
     run_suspects(&pool).await;
     assert!(
@@ -121,7 +100,7 @@
 #[compio::test]
 async fn a_suspect_runs_in_the_same_failure_domain_if_there_is_no_other() {
     let same = silent();
-    let pool = pool();
+    let pool = empty_pool();
     pool.install(&[endpoint("u1", "a", &same)]);
     run_suspects(&pool).await;
     assert!(same.accept().is_ok());
