Log each request that a gateway cuts at its exit

Change: the gateway lists its requests in flight with identifier, route and arrival; at the exit each that is left is logged as `request cut`, within the limit on lines about requests.

--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -75,7 +75,7 @@
     let now = Millis::now();
     let age = Duration::from(gateway.follower.store_age(now)).as_secs_f64();
     metrics::gauge!(names::STORE_AGE_SECONDS).set(age);
-    metrics::gauge!(names::IN_FLIGHT).set(gateway.in_flight.get() as f64);
+    metrics::gauge!(names::IN_FLIGHT).set(gateway.in_flight.count() as f64);
     let version = gateway.fleet.table().map_or(0, |t| t.version);
     metrics::gauge!(names::REVISION).set(version as f64);
     let pools = gateway.fleet.pools();
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -17,6 +17,7 @@
 use upstreams::Ran;
 
 use crate::forward;
+use crate::in_flight::InFlightRequest;
 use crate::refusal::{Cause, Refusal, Result};
 use crate::routed_request::{ResolvedRoute, RoutedRequest, read_request};
 use crate::state::Gateway;
@@ -35,27 +36,10 @@
         .with_state(App(Local::new(gateway.clone())))
 }
 
-/// Counts a request as in flight until it is dropped.
-struct InFlight(Rc<Gateway>);
-
-impl InFlight {
-    fn new(gateway: &Rc<Gateway>) -> Self {
-        gateway.in_flight.set(gateway.in_flight.get() + 1);
-        Self(gateway.clone())
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
-
 async fn handle(State(app): State<App>, request: Request) -> Response<Body> {
     local(async move {
         let gateway: Rc<Gateway> = (*app.0).clone();
         let arrived = Millis::now();
-        let counted = InFlight::new(&gateway);
         let context = gateway.wire.request_context(request.headers());
         let id = context.as_ref().map(|c| c.id.clone()).unwrap_or_default();
         let resolved = resolve(&gateway, context, &request);
@@ -63,6 +47,11 @@
             .as_ref()
             .map_or("", |r| &r.entry.route.name)
             .to_owned();
+        let in_flight = gateway.in_flight.begin(InFlightRequest {
+            id: id.clone(),
+            route: route.clone(),
+            arrived,
+        });
         let result = match resolved {
             Ok(resolved) => serve(&gateway, resolved, arrived, request).await,
             Err(refusal) => Err(refusal),
@@ -80,7 +69,7 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
-        drop(counted);
+        drop(in_flight);
         response.map(Body::from)
     })
     .await
@@ -158,7 +147,7 @@
             "ran" => ?refusal.ran, "status" => refusal.status().as_u16(),
             "detail" => &refusal.detail, "elapsed_ms" => elapsed.0,
             "retry_after_ms" => refusal.retry_after.map(|r| r.0),
-            "in_flight" => gateway.in_flight.get(),
+            "in_flight" => gateway.in_flight.count(),
             "store_age_ms" => gateway.follower.store_age(Millis::now()).0);
     });
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod gather;
 mod handler;
+mod in_flight;
 mod merge;
 mod refusal;
 mod reload;
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -153,7 +153,7 @@
         wire: adapters.wire.clone(),
         recorder,
         is_leaving: Cell::new(false),
-        in_flight: Cell::new(0),
+        in_flight: Rc::default(),
         caller_limits,
         caller_connections: Rc::default(),
         caller_shutdown: Shutdown::default(),
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -4,7 +4,7 @@
 
 use clock::Millis;
 use discovery::Registration;
-use slog::info;
+use slog::{info, warn};
 
 use crate::state::Gateway;
 
@@ -25,7 +25,7 @@
 pub(crate) async fn drain(gateway: &Rc<Gateway>, registration: &Registration) {
     let started = Millis::now();
     let grace_period = gateway.settings.borrow().grace_period;
-    info!(gateway.log, "leaving"; "in_flight" => gateway.in_flight.get(),
+    info!(gateway.log, "leaving"; "in_flight" => gateway.in_flight.count(),
         "connections" => gateway.caller_connections.get(), "grace_ms" => grace_period.0);
     gateway.is_leaving.set(true);
     let end = started + (grace_period - EXIT_RESERVE);
@@ -40,11 +40,25 @@
     })
     .await;
     gateway.caller_shutdown.begin();
-    wait_until(|| Millis::now() >= end || (all_closed() && gateway.in_flight.get() == 0)).await;
-    info!(gateway.log, "stopped"; "cut" => gateway.in_flight.get(),
+    wait_until(|| Millis::now() >= end || (all_closed() && gateway.in_flight.count() == 0)).await;
+    log_cut_requests(gateway, started);
+    info!(gateway.log, "stopped"; "cut" => gateway.in_flight.count(),
         "after_ms" => Millis::now().since(started).0);
 }
 
+/// Logs the requests that get no answer because the process exits; `started` is
+/// the time of the stop signal.
+fn log_cut_requests(gateway: &Gateway, started: Millis) {
+    let now = Millis::now();
+    for request in gateway.in_flight.list() {
+        gateway.fleet.shared().log_limiter.write(|| {
+            warn!(gateway.log, "request cut"; "request_id" => &request.id,
+                "route" => &request.route, "elapsed_ms" => now.since(request.arrived).0,
+                "arrived_after_stop_ms" => request.arrived.since(started).0);
+        });
+    }
+}
+
 async fn wait_until(is_done: impl Fn() -> bool) {
     while !is_done() {
         compio::time::sleep(CHECK_INTERVAL.into()).await;
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -9,6 +9,7 @@
 use transport::{ServerLimits, Shutdown};
 
 use crate::fleet::Fleet;
+use crate::in_flight::InFlight;
 use crate::route_limiters::RouteLimiters;
 use crate::settings::Settings;
 use crate::wire::WireFormat;
@@ -23,7 +24,7 @@
     pub(crate) wire: Rc<dyn WireFormat>,
     pub(crate) recorder: Recorder,
     pub(crate) is_leaving: Cell<bool>,
-    pub(crate) in_flight: Cell<usize>,
+    pub(crate) in_flight: Rc<InFlight>,
     pub(crate) caller_connections: Rc<Cell<usize>>,
     /// Limits for new connections from callers.
     pub(crate) caller_limits: Rc<Cell<ServerLimits>>,
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -45,7 +45,7 @@
             revision: gateway.directory.borrow().revision(),
             store_age_ms: gateway.follower.store_age(Millis::now()),
             daemons: gateway.fleet.daemons(),
-            in_flight: gateway.in_flight.get(),
+            in_flight: gateway.in_flight.count(),
             limits: gateway.limiters.limits(),
             services: pools.iter().map(service).collect(),
         }
