--- a/standins/src/platform/upstream.rs
+++ b/standins/src/platform/upstream.rs
@@ -44,6 +44,8 @@
     pub records: usize,
     /// Identifiers of the requests that it ran.
     pub ran: RefCell<Vec<String>>,
+    /// Time left, in milliseconds, that came with each request that it ran.
+    pub deadlines: RefCell<Vec<u64>>,
     /// Number of requests that it refused.
     pub refused: Cell<usize>,
     /// Number of requests whose caller disconnected while they ran.
@@ -61,6 +63,7 @@
             mode: RefCell::new(Mode::Normal),
             records,
             ran: RefCell::default(),
+            deadlines: RefCell::default(),
             refused: Cell::new(0),
             cancelled: Cell::new(0),
             busy: Cell::new(0),
@@ -124,6 +127,11 @@
             return (StatusCode::SERVICE_UNAVAILABLE, [("not-executed", "1")]).into_response();
         }
         upstream.ran.borrow_mut().push(request_id.clone());
+        let deadline = text(&headers, "deadline-milliseconds").parse();
+        upstream
+            .deadlines
+            .borrow_mut()
+            .push(deadline.unwrap_or(u64::MAX));
         upstream.busy.set(upstream.busy.get() + 1);
         let mut running = Running {
             upstream,
--- /dev/null
+++ b/tests/gateway_shutdown.rs
@@ -0,0 +1,140 @@
+//! The shutdown of a gateway: each request that it takes gets an answer before
+//! the process exits.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use clock::Millis;
+use futures_util::future::join;
+use http::{Method, Request, Response, StatusCode};
+use serde_json::json;
+use standins::platform::gateway::{Gateway, ready};
+use standins::platform::site::{self, HOST, READ, SEARCH, Site, Size, WRITE};
+use standins::platform::upstream::Mode;
+use transport::{Client, Payload, Result};
+
+const ANSWER_LIMIT_BYTES: usize = 1024 * 1024;
+/// The grace period in the settings of the site's gateways.
+const GRACE_PERIOD: Duration = Duration::from_secs(6);
+/// Time after SIGTERM at which callers send on connections that they kept.
+const LATE_ARRIVAL: Duration = Duration::from_millis(3_200);
+/// A refusal that needs no upstream takes less.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(200);
+const CALLER_TIMEOUT: Millis = Millis(8_000);
+const CALLER_PATIENCE: Millis = Millis(10_000);
+
+/// Starts a site whose reads and writes may take longer than the grace period.
+async fn start_site(read_objective: Millis) -> Site {
+    let size = Size {
+        shards: 2,
+        replicas: 2,
+        service_time: Millis(5),
+    };
+    let site = Site::start(size).await.expect("loopback ports are free");
+    let mut configuration = site::configuration(size.shards, 2);
+    for route in [1, 2] {
+        configuration["routes"][route]["timeout-ms"] = json!(CALLER_TIMEOUT);
+    }
+    configuration["routes"][1]["target-latency-ms"] = json!(read_objective);
+    site::put(&site.store, "op/config", &configuration);
+    site
+}
+
+/// Returns a caller that keeps an idle connection to the gateway.
+async fn connect(gateway: &Gateway) -> Client {
+    let caller = Client::new(gateway.endpoints.callers());
+    let answer = send(&caller, Method::GET, SEARCH, "warm").await;
+    assert_eq!(answer.unwrap().status(), StatusCode::OK);
+    caller
+}
+
+async fn send(caller: &Client, method: Method, prefix: &str, id: &str) -> Result<Response<Bytes>> {
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("{prefix}x"))
+        .header("host", HOST)
+        .header("request-id", id)
+        .header("deadline-milliseconds", CALLER_TIMEOUT.0)
+        .body(Payload::default())
+        .unwrap();
+    caller
+        .send(request, ANSWER_LIMIT_BYTES, CALLER_PATIENCE)
+        .await
+}
+
+/// Sends a read and a write, and waits for both answers.
+async fn read_and_write(reader: &Client, writer: &Client) -> [Result<Response<Bytes>>; 2] {
+    let read = send(reader, Method::GET, READ, "read");
+    let write = send(writer, Method::POST, WRITE, "write");
+    join(read, write).await.into()
+}
+
+/// Checks that both requests ran and were answered, and that the gateway exits
+/// with no request in flight.
+async fn assert_none_cut(
+    site: &Site,
+    gateway: &mut Gateway,
+    answers: [Result<Response<Bytes>>; 2],
+) {
+    for answer in answers {
+        let answer = answer.expect("the gateway answers before it exits");
+        assert_eq!(answer.status(), StatusCode::GATEWAY_TIMEOUT);
+    }
+    assert!(site.runs("read") >= 1);
+    assert_eq!(site.runs("write"), 1);
+    assert_eq!(gateway.process.wait(GRACE_PERIOD).await, Some(0));
+    let stopped = gateway.process.wait_for_line("\"stopped\"").await;
+    assert_eq!(stopped["cut"], 0, "{stopped}");
+}
+
+#[compio::test]
+async fn a_request_that_is_in_flight_at_the_stop_signal_is_answered_before_the_exit() {
+    let site = start_site(Millis(100)).await;
+    let mut gateway = ready(&site).await;
+    let (reader, writer) = (connect(&gateway).await, connect(&gateway).await);
+    site.set_mode(0, &Mode::Hanging);
+    let stop = async {
+        compio::time::sleep(Duration::from_millis(300)).await;
+        gateway.process.terminate();
+    };
+    let (answers, ()) = join(read_and_write(&reader, &writer), stop).await;
+    assert_none_cut(&site, &mut gateway, answers).await;
+}
+
+#[compio::test]
+async fn a_request_that_arrives_while_leaving_is_answered_before_the_exit() {
+    let site = start_site(Millis(100)).await;
+    let mut gateway = ready(&site).await;
+    let (reader, writer) = (connect(&gateway).await, connect(&gateway).await);
+    site.set_mode(0, &Mode::Hanging);
+    gateway.process.terminate();
+    compio::time::sleep(LATE_ARRIVAL).await;
+    let answers = read_and_write(&reader, &writer).await;
+    assert_none_cut(&site, &mut gateway, answers).await;
+    let left = Millis::from(GRACE_PERIOD - LATE_ARRIVAL).0;
+    for upstream in &site.shards[0] {
+        let deadlines = upstream.deadlines.borrow();
+        assert!(deadlines.iter().all(|d| *d < left), "{deadlines:?}");
+    }
+}
+
+#[compio::test]
+async fn a_leaving_gateway_refuses_at_once_what_it_cannot_finish() {
+    let site = start_site(Millis(3_000)).await;
+    let gateway = ready(&site).await;
+    let (reader, searcher) = (connect(&gateway).await, connect(&gateway).await);
+    gateway.process.terminate();
+    compio::time::sleep(LATE_ARRIVAL).await;
+    let started = Instant::now();
+    let refused = send(&reader, Method::GET, READ, "read").await.unwrap();
+    assert!(started.elapsed() < REFUSAL_LIMIT, "{:?}", started.elapsed());
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refused.headers().contains_key("retry-after"));
+    assert_eq!(refused.headers()["connection"], "close");
+    assert_eq!(site.runs("read"), 0);
+    // A route with a shorter objective is still served.
+    let served = send(&searcher, Method::GET, SEARCH, "search")
+        .await
+        .unwrap();
+    assert_eq!(served.status(), StatusCode::OK);
+}
