Answer each request before a leaving gateway exits

Cause: after a stop signal requests kept their whole deadline, though the process exits 0.4 s before the end of the grace period, whatever is in flight. Any request whose deadline is later than the exit could be lost: one of 4 s that arrived from 1.6 s after SIGTERM on, and one of over 5.6 s that was in flight. Change: a schedule of the shutdown (drain.rs) bounds the deadline of each request that arrives while leaving, and that of its sub-requests; a request whose route's objective does not fit is refused at once as not run; requests that are still left 0.7 s before the end of the grace period, from before the signal too, are answered, 503 only if no attempt has started. Shutdown waits on one shared future, so that each request can wait for it without a list to clean up. Ruled out: the graceful close of connections (4.1 s after SIGTERM, leaves requests in flight alone) and SIGKILL (6 s).

--- /dev/null
+++ b/components/gateway/src/drain.rs
@@ -0,0 +1,57 @@
+//! The times of a graceful shutdown, and which requests are still accepted. They
+//! answer callers that keep their connections, or that the load balancer still
+//! sends, while the process has little time left. No I/O.
+
+use clock::Millis;
+
+/// Time until the load balancer sends no new connections: it needs two failed
+/// readiness checks, one second apart, and some time to distribute the change.
+const BALANCER_DELAY: Millis = Millis(2_500);
+/// Part of the grace period that is reserved for the exit of the process.
+const EXIT_RESERVE: Millis = Millis(400);
+/// Part of the grace period that is reserved for requests that still run when
+/// connections are closed.
+const CLOSE_RESERVE: Millis = Millis(1_500);
+/// Time reserved for writing the last answers and reading them on a slow link.
+const ANSWER_RESERVE: Millis = Millis(300);
+/// Requests end by themselves this long before those that are left are refused,
+/// so that the answer of a request comes from its own state.
+const REQUEST_MARGIN: Millis = Millis(100);
+
+/// The times of a graceful shutdown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrainSchedule {
+    /// Time before which the load balancer may send new connections.
+    pub balanced_at: Millis,
+    /// Time at which connections are closed, those with a request in flight
+    /// after its answer.
+    pub close_at: Millis,
+    /// Deadline of all requests.
+    pub request_deadline: Millis,
+    /// Time at which the requests that are left are refused.
+    pub answer_by: Millis,
+    /// Time at which the process exits.
+    pub exit_at: Millis,
+}
+
+impl DrainSchedule {
+    /// Returns the schedule after a stop signal at `started` if the process is
+    /// killed `grace_period` later.
+    pub fn new(started: Millis, grace_period: Millis) -> Self {
+        let exit_at = started + (grace_period - EXIT_RESERVE);
+        let before_exit = |reserve: Millis| started.max(exit_at - reserve);
+        Self {
+            balanced_at: started + BALANCER_DELAY,
+            close_at: before_exit(CLOSE_RESERVE),
+            request_deadline: before_exit(ANSWER_RESERVE + REQUEST_MARGIN),
+            answer_by: before_exit(ANSWER_RESERVE),
+            exit_at,
+        }
+    }
+
+    /// Returns whether a request can be expected to end in time, which takes
+    /// about the objective of its route. Another daemon can serve the others.
+    pub fn accepts(&self, now: Millis, objective: Millis) -> bool {
+        now + objective <= self.request_deadline
+    }
+}
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -30,9 +30,10 @@
     }
 }
 
-/// Serves a routed request, subject to quarantine and to the route's
-/// concurrency limit.
+/// Serves a routed request, subject to the time left of a shutdown, to
+/// quarantine and to the route's concurrency limit.
 pub(crate) async fn run(gateway: &Gateway, request: &RoutedRequest) -> Result<Response<Bytes>> {
+    check_time_left(gateway, request)?;
     let crashes = &gateway.fleet.shared().crashes;
     if let Some(failure) = crashes.quarantine_failure(request.call.fingerprint, Millis::now()) {
         let refusal = Refusal::from_failure(&failure);
@@ -54,6 +55,19 @@
     result
 }
 
+/// Refuses a request that this daemon would probably not finish before it exits.
+fn check_time_left(gateway: &Gateway, request: &RoutedRequest) -> Result<()> {
+    let objective = request.entry.route.objective;
+    match gateway.drain.get() {
+        Some(drain) if !drain.accepts(Millis::now(), objective) => {
+            let detail = "less time than the objective of the route is left before the exit";
+            let refusal = Refusal::not_run(Cause::ShuttingDown, detail);
+            Err(with_retry_after(refusal, Millis::ZERO, &request.call))
+        }
+        _ => Ok(()),
+    }
+}
+
 async fn serve(gateway: &Gateway, request: &RoutedRequest) -> Result<Response<Bytes>> {
     match &request.entry.route.target {
         Target::Service(service) => forward_to_service(gateway, request, service).await,
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -9,6 +9,7 @@
 use axum::extract::{Request, State};
 use bytes::Bytes;
 use clock::Millis;
+use futures_util::future::{Either, select};
 use http::{HeaderValue, Response, header};
 use routes::{Delivery, Entry, Table};
 use slog::info;
@@ -53,7 +54,7 @@
             arrived,
         });
         let result = match resolved {
-            Ok(resolved) => serve(&gateway, resolved, arrived, request).await,
+            Ok(resolved) => serve_before_exit(&gateway, resolved, arrived, request).await,
             Err(refusal) => Err(refusal),
         };
         let elapsed = Millis::now().since(arrived);
@@ -65,7 +66,7 @@
                 refusal.to_response()
             }
         };
-        if gateway.is_leaving.get() {
+        if gateway.is_leaving() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
@@ -87,9 +88,32 @@
         table,
         entry,
         context,
+        is_sent: Rc::default(),
     })
 }
 
+/// Serves a request, or refuses it when the process is about to exit.
+async fn serve_before_exit(
+    gateway: &Rc<Gateway>,
+    resolved: ResolvedRoute,
+    arrived: Millis,
+    request: Request,
+) -> Result<Response<Bytes>> {
+    let is_sent = resolved.is_sent.clone();
+    let served = std::pin::pin!(serve(gateway, resolved, arrived, request));
+    let due = std::pin::pin!(gateway.answers_due.wait());
+    match select(served, due).await {
+        Either::Left((result, _)) => result,
+        Either::Right(_) => Err(Refusal {
+            ran: match is_sent.get() {
+                true => Ran::Unknown,
+                false => Ran::No,
+            },
+            ..Refusal::not_run(Cause::ShuttingDown, "the request outlasts the shutdown")
+        }),
+    }
+}
+
 async fn serve(
     gateway: &Rc<Gateway>,
     resolved: ResolvedRoute,
@@ -147,7 +171,7 @@
             "ran" => ?refusal.ran, "status" => refusal.status().as_u16(),
             "detail" => &refusal.detail, "elapsed_ms" => elapsed.0,
             "retry_after_ms" => refusal.retry_after.map(|r| r.0),
-            "in_flight" => gateway.in_flight.count(),
+            "in_flight" => gateway.in_flight.count(), "leaving" => gateway.is_leaving(),
             "store_age_ms" => gateway.follower.store_age(Millis::now()).0);
     });
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod admin;
 mod concurrency;
+mod drain;
 mod fleet;
 mod forward;
 mod gather;
@@ -22,6 +23,7 @@
 mod wire;
 
 pub use concurrency::ConcurrencyLimiter;
+pub use drain::DrainSchedule;
 pub use fleet::{connection_share, initial_tokens, token_limit};
 pub use gather::{Progress, Step, partial_answer_after};
 pub use merge::top_records;
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -32,6 +32,8 @@
     UpstreamFailed,
     /// No answer arrived in time.
     Timeout,
+    /// This daemon exits before the request could be served.
+    ShuttingDown,
 }
 
 impl Cause {
@@ -48,6 +50,7 @@
             Cause::Coverage => "coverage",
             Cause::UpstreamFailed => "upstream_failed",
             Cause::Timeout => "timeout",
+            Cause::ShuttingDown => "shutting_down",
         }
     }
 }
@@ -102,7 +105,7 @@
             (Cause::NoRoute, _) => StatusCode::NOT_FOUND,
             (Cause::BodyTooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
             (_, Ran::No) => StatusCode::SERVICE_UNAVAILABLE,
-            (Cause::Timeout, _) => StatusCode::GATEWAY_TIMEOUT,
+            (Cause::Timeout | Cause::ShuttingDown, _) => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::BAD_GATEWAY,
         }
     }
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -1,6 +1,6 @@
 //! A caller's request with its route, prepared for the upstreams.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use axum::body::Body;
@@ -42,6 +42,8 @@
     pub(crate) table: Rc<Table>,
     pub(crate) entry: Rc<Entry>,
     pub(crate) context: RequestContext,
+    /// Whether an upstream may have run the request.
+    pub(crate) is_sent: Rc<Cell<bool>>,
 }
 
 /// A complete request with its route.
@@ -65,6 +67,7 @@
         table,
         entry,
         context,
+        is_sent,
     } = resolved;
     let (head, body) = request.into_parts();
     let body = read_body(body, table.limits.body_bytes).await?;
@@ -91,8 +94,9 @@
         version: None,
         fingerprint,
         priority: route.priority,
-        deadline: arrived + (timeout - ANSWER_MARGIN),
+        deadline: bounded_deadline(gateway, arrived + (timeout - ANSWER_MARGIN)),
         caller_left: Rc::default(),
+        is_sent,
         policy: retry_policy(gateway, route),
     };
     Ok(RoutedRequest {
@@ -104,6 +108,13 @@
     })
 }
 
+/// Returns the deadline, or the one of all requests if this daemon is leaving
+/// and that one is earlier.
+fn bounded_deadline(gateway: &Gateway, deadline: Millis) -> Millis {
+    let drain = gateway.drain.get();
+    drain.map_or(deadline, |d| deadline.min(d.request_deadline))
+}
+
 async fn read_body(body: Body, limit: usize) -> Result<Bytes> {
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -6,46 +6,51 @@
 use discovery::Registration;
 use slog::{info, warn};
 
+use crate::drain::DrainSchedule;
 use crate::state::Gateway;
 
 const CHECK_INTERVAL: Millis = Millis(20);
-/// Time until the load balancer sends no new connections: it needs two failed
-/// readiness checks, one second apart, and some time to distribute the change.
-const BALANCER_DELAY: Millis = Millis(2_500);
-/// Part of the grace period that is reserved for the exit of the process.
-const EXIT_RESERVE: Millis = Millis(400);
-/// Part of the grace period that is reserved for requests that still run when
-/// connections are closed.
-const CLOSE_RESERVE: Millis = Millis(1_500);
+/// Longest wait for the removal of the registration.
+const REGISTRATION_TIMEOUT: Millis = Millis(1_500);
 
 /// Serves until the load balancer has removed this daemon and all callers'
 /// connections are closed, or until little of the grace period is left; then
-/// finishes the requests in flight. Meanwhile responses carry `Connection: close`,
-/// so that callers close their connections.
+/// finishes the requests in flight, and refuses those that outlast the schedule.
+/// Meanwhile responses carry `Connection: close`, so that callers close their
+/// connections.
 pub(crate) async fn drain(gateway: &Rc<Gateway>, registration: &Registration) {
     let started = Millis::now();
     let grace_period = gateway.settings.borrow().grace_period;
+    let schedule = DrainSchedule::new(started, grace_period);
     info!(gateway.log, "leaving"; "in_flight" => gateway.in_flight.count(),
         "connections" => gateway.caller_connections.get(), "grace_ms" => grace_period.0);
-    gateway.is_leaving.set(true);
-    let end = started + (grace_period - EXIT_RESERVE);
-    let close_at = started + (grace_period - EXIT_RESERVE - CLOSE_RESERVE);
-    compio::time::timeout(CLOSE_RESERVE.into(), registration.end())
+    gateway.drain.set(Some(schedule));
+    compio::time::timeout(REGISTRATION_TIMEOUT.into(), registration.end())
         .await
         .ok();
     let all_closed = || gateway.caller_connections.get() == 0;
-    wait_until(|| {
-        let now = Millis::now();
-        now >= close_at || (now >= started + BALANCER_DELAY && all_closed())
+    let is_idle = || all_closed() && gateway.in_flight.count() == 0;
+    wait_until(schedule.close_at, || {
+        Millis::now() >= schedule.balanced_at && all_closed()
     })
     .await;
     gateway.caller_shutdown.begin();
-    wait_until(|| Millis::now() >= end || (all_closed() && gateway.in_flight.count() == 0)).await;
+    wait_until(schedule.answer_by, is_idle).await;
+    let outlasting = gateway.in_flight.count();
+    gateway.answers_due.begin();
+    wait_until(schedule.exit_at, is_idle).await;
     log_cut_requests(gateway, started);
-    info!(gateway.log, "stopped"; "cut" => gateway.in_flight.count(),
+    info!(gateway.log, "stopped"; "refused" => outlasting, "cut" => gateway.in_flight.count(),
         "after_ms" => Millis::now().since(started).0);
 }
 
+/// Waits until the condition holds, at most until `latest`.
+async fn wait_until(latest: Millis, is_done: impl Fn() -> bool) {
+    while Millis::now() < latest && !is_done() {
+        compio::time::sleep(CHECK_INTERVAL.into()).await;
+    }
+}
+
 /// Logs the requests that get no answer because the process exits; `started` is
 /// the time of the stop signal.
 fn log_cut_requests(gateway: &Gateway, started: Millis) {
@@ -58,9 +63,3 @@
         });
     }
 }
-
-async fn wait_until(is_done: impl Fn() -> bool) {
-    while !is_done() {
-        compio::time::sleep(CHECK_INTERVAL.into()).await;
-    }
-}
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -8,6 +8,7 @@
 use telemetry::Recorder;
 use transport::{ServerLimits, Shutdown};
 
+use crate::drain::DrainSchedule;
 use crate::fleet::Fleet;
 use crate::in_flight::InFlight;
 use crate::route_limiters::RouteLimiters;
@@ -23,7 +24,10 @@
     pub(crate) limiters: RouteLimiters,
     pub(crate) wire: Rc<dyn WireFormat>,
     pub(crate) recorder: Recorder,
-    pub(crate) is_leaving: Cell<bool>,
+    /// The times of the shutdown, from the stop signal on.
+    pub(crate) drain: Cell<Option<DrainSchedule>>,
+    /// Begins when all requests in flight must be answered at once.
+    pub(crate) answers_due: Shutdown,
     pub(crate) in_flight: Rc<InFlight>,
     pub(crate) caller_connections: Rc<Cell<usize>>,
     /// Limits for new connections from callers.
@@ -33,11 +37,16 @@
 }
 
 impl Gateway {
+    /// Whether a stop signal has arrived.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.drain.get().is_some()
+    }
+
     /// Returns why this daemon should get no new connections; `None` if it is
     /// ready.
     pub(crate) fn unready_reason(&self) -> Option<&'static str> {
         match () {
-            () if self.is_leaving.get() => Some("this daemon is shutting down"),
+            () if self.is_leaving() => Some("this daemon is shutting down"),
             () if self.fleet.table().is_none() => Some("no configuration is in force yet"),
             () => None,
         }
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -40,7 +40,7 @@
         };
         Self {
             instance: gateway.settings.borrow().instance.clone(),
-            leaving: gateway.is_leaving.get(),
+            leaving: gateway.is_leaving(),
             version: gateway.fleet.table().map_or(0, |t| t.version),
             revision: gateway.directory.borrow().revision(),
             store_age_ms: gateway.follower.store_age(Millis::now()),
--- a/components/gateway/tests/decisions.rs
+++ b/components/gateway/tests/decisions.rs
@@ -85,6 +85,8 @@
 #[case(Cause::Overloaded, Ran::No, StatusCode::SERVICE_UNAVAILABLE)]
 #[case(Cause::Timeout, Ran::No, StatusCode::SERVICE_UNAVAILABLE)]
 #[case(Cause::Timeout, Ran::Unknown, StatusCode::GATEWAY_TIMEOUT)]
+#[case(Cause::ShuttingDown, Ran::No, StatusCode::SERVICE_UNAVAILABLE)]
+#[case(Cause::ShuttingDown, Ran::Unknown, StatusCode::GATEWAY_TIMEOUT)]
 #[case(Cause::Coverage, Ran::Yes, StatusCode::BAD_GATEWAY)]
 #[case(Cause::UpstreamFailed, Ran::Unknown, StatusCode::BAD_GATEWAY)]
 #[case(Cause::NoRoute, Ran::No, StatusCode::NOT_FOUND)]
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -10,7 +10,7 @@
 use compio::net::{TcpListener, TcpSocket, TcpStream};
 use cyper_core::{CompioExecutor, HyperStream};
 use futures_channel::oneshot;
-use futures_util::future::{Either, select};
+use futures_util::future::{Either, FutureExt, Shared, select};
 use hyper::body::Incoming;
 use hyper_util::server::conn::auto::Builder;
 use snafu::ResultExt;
@@ -52,39 +52,37 @@
 
 /// Signal for a server loop to stop accepting connections and to finish the
 /// requests in flight.
-#[derive(Clone, Default)]
-pub struct Shutdown(Rc<ShutdownState>);
+#[derive(Clone)]
+pub struct Shutdown {
+    /// Dropping the sender begins the shutdown.
+    sender: Rc<RefCell<Option<oneshot::Sender<()>>>>,
+    begun: Shared<oneshot::Receiver<()>>,
+}
 
-#[derive(Default)]
-struct ShutdownState {
-    begun: Cell<bool>,
-    waiters: RefCell<Vec<oneshot::Sender<()>>>,
+impl Default for Shutdown {
+    fn default() -> Self {
+        let (sender, receiver) = oneshot::channel();
+        Self {
+            sender: Rc::new(RefCell::new(Some(sender))),
+            begun: receiver.shared(),
+        }
+    }
 }
 
 impl Shutdown {
     /// Begins the shutdown.
     pub fn begin(&self) {
-        self.0.begun.set(true);
-        self.0.waiters.borrow_mut().clear();
+        self.sender.take();
     }
 
     /// Whether the shutdown has begun.
     pub fn has_begun(&self) -> bool {
-        self.0.begun.get()
+        self.sender.borrow().is_none()
     }
 
     /// Waits until the shutdown begins.
     pub async fn wait(&self) {
-        if self.has_begun() {
-            return;
-        }
-        let (sender, receiver) = oneshot::channel();
-        self.0.waiters.borrow_mut().push(sender);
-        let _ = receiver.await;
-    }
-
-    fn remove_cancelled(&self) {
-        self.0.waiters.borrow_mut().retain(|s| !s.is_canceled());
+        let _ = self.begun.clone().await;
     }
 }
 
@@ -153,7 +151,6 @@
             Either::Left((accepted, _)) => accepted,
             Either::Right(_) => break,
         };
-        shutdown.remove_cancelled();
         let limits = limits.get();
         match accepted {
             Ok((stream, _)) if open.get() < limits.connections => {
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -60,6 +60,7 @@
 /// Sends a call to the slot's upstream and checks the answer.
 pub(crate) async fn run(slot: &Slot, pool: &Pool, call: &Call, shard: &str) -> Result<Answer> {
     let began = Millis::now();
+    call.is_sent.set(true);
     let result = exchange(slot, pool, call, shard).await;
     let elapsed = Millis::now().since(began);
     let seconds = Duration::from(elapsed).as_secs_f64();
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use clock::Millis;
-use futures_util::future::join;
+use futures_util::future::{join, join_all};
 use http::{Method, Request, Response, StatusCode};
 use serde_json::json;
 use standins::platform::gateway::{Gateway, ready};
@@ -118,6 +118,33 @@
     }
 }
 
+#[compio::test]
+async fn writes_that_outlast_the_shutdown_are_refused_as_not_run_only_if_they_were_not_sent() {
+    let site = start_site(Millis(100)).await;
+    let gateway = ready(&site).await;
+    site.set_mode(0, &Mode::Hanging);
+    let slots: usize = site.shards[0].iter().map(|u| u.slots).sum();
+    let caller = Client::new(gateway.endpoints.callers());
+    let writes = (0..2 * slots).map(async |n| {
+        let id = format!("write-{n}");
+        let answer = send(&caller, Method::POST, WRITE, &id).await;
+        (answer.unwrap().status(), site.runs(&id))
+    });
+    let stop = async {
+        compio::time::sleep(Duration::from_millis(300)).await;
+        gateway.process.terminate();
+    };
+    let (outcomes, ()) = join(join_all(writes), stop).await;
+    let (sent, unsent) = (
+        (StatusCode::GATEWAY_TIMEOUT, 1),
+        (StatusCode::SERVICE_UNAVAILABLE, 0),
+    );
+    assert!(outcomes.contains(&sent), "{outcomes:?}");
+    assert!(outcomes.contains(&unsent), "{outcomes:?}");
+    let is_true = |o: &(StatusCode, usize)| *o == sent || *o == unsent;
+    assert!(outcomes.iter().all(is_true), "{outcomes:?}");
+}
+
 #[compio::test]
 async fn a_leaving_gateway_refuses_at_once_what_it_cannot_finish() {
     let site = start_site(Millis(3_000)).await;
