Keep draining when a second stop signal arrives

Callers saw: a gateway that got SIGTERM twice ended at once and closed the connections of the requests in flight. Cause: the listener of the first signal was dropped, which restored the default action of the signal, the end of the process. Change: stop_signal returns a guard whose handlers stay installed; they follow the first listener without a gap.

--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -102,7 +102,7 @@
         gateway.caller_connections.clone(),
     );
     compio::runtime::spawn(serving).detach();
-    transport::stop_signal().await;
+    let _guard = transport::stop_signal().await;
     shutdown::drain(&gateway, &registration).await;
     Ok(())
 }
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -16,5 +16,5 @@
 pub use error::{Error, Result};
 pub use local::{Local, detached, local};
 pub use server::{Listener, ServerLimits, Shutdown, listen, serve, serve_with_shared_limits};
-pub use signal::stop_signal;
+pub use signal::{StopSignalGuard, stop_signal};
 pub use timer::RuntimeTimer;
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -165,3 +165,22 @@
         .unwrap();
     assert_eq!(served.status(), StatusCode::OK);
 }
+
+#[compio::test]
+async fn a_second_stop_signal_cuts_no_request() {
+    let site = start_site(Millis(100)).await;
+    let mut gateway = ready(&site).await;
+    let reader = connect(&gateway).await;
+    for upstream in &site.shards[0] {
+        upstream.service_time.set(Millis(1_500));
+    }
+    let stop = async {
+        for _ in 0..2 {
+            compio::time::sleep(Duration::from_millis(200)).await;
+            gateway.process.terminate();
+        }
+    };
+    let (answer, ()) = join(send(&reader, Method::GET, READ, "read"), stop).await;
+    assert_eq!(answer.unwrap().status(), StatusCode::OK);
+    assert_eq!(gateway.process.wait(GRACE_PERIOD).await, Some(0));
+}
