Keep the schedule of a shutdown whatever the store and the machine do

Cause: the schedule waited up to 1.5 s for the removal of the registration, longer than a short grace period; on a late machine the last refusals and the exit came in one step; a request that could still meet its own deadline was refused if its route's objective was longer; a request counted as sent before its connection to the upstream was made, and still after it was known not to have run. Change: the registration is removed beside the schedule, and the last answers always get 100 ms. ShutdownSchedule (formerly DrainSchedule) gives the deadline of a request or refuses it, in one function. A request may have run only once it is written; one whose caller has left is not written. The line `stopped` has the requests that outlasted the shutdown and the open connections. Measured: the tests of gateway_shutdown, with tighter bounds on upstreams' deadlines and on the exit, and the new ones of the schedule pass.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -30,23 +30,22 @@
     }
 }
 
-/// Serves a routed request, subject to the time left of a shutdown, to
-/// quarantine and to the route's concurrency limit.
+/// Serves a routed request, subject to quarantine and to the route's
+/// concurrency limit.
 pub(crate) async fn run(gateway: &Gateway, request: &RoutedRequest) -> Result<Response<Bytes>> {
-    check_time_left(gateway, request)?;
     let crashes = &gateway.fleet.shared().crashes;
     if let Some(failure) = crashes.quarantine_failure(request.call.fingerprint, Millis::now()) {
         let refusal = Refusal::from_failure(&failure);
         return Err(with_retry_after(
             refusal,
             failure.retry_after,
-            &request.call,
+            request.call.deadline,
         ));
     }
     let route = &request.entry.route;
     let permit = gateway.limiters.admit(route).map_err(|wait| {
         let refusal = Refusal::not_run(Cause::Overloaded, "the limit of the route is reached");
-        with_retry_after(refusal, wait, &request.call)
+        with_retry_after(refusal, wait, request.call.deadline)
     })?;
     let result = serve(gateway, request).await;
     let now = Millis::now();
@@ -55,19 +54,6 @@
     result
 }
 
-/// Refuses a request that this daemon would probably not finish before it exits.
-fn check_time_left(gateway: &Gateway, request: &RoutedRequest) -> Result<()> {
-    let objective = request.entry.route.objective;
-    match gateway.drain.get() {
-        Some(drain) if !drain.accepts(Millis::now(), objective) => {
-            let detail = "less time than the objective of the route is left before the exit";
-            let refusal = Refusal::not_run(Cause::ShuttingDown, detail);
-            Err(with_retry_after(refusal, Millis::ZERO, &request.call))
-        }
-        _ => Ok(()),
-    }
-}
-
 async fn serve(gateway: &Gateway, request: &RoutedRequest) -> Result<Response<Bytes>> {
     match &request.entry.route.target {
         Target::Service(service) => forward_to_service(gateway, request, service).await,
@@ -118,7 +104,7 @@
     match failure.ran {
         Ran::No => {
             let wait = Millis(pool.expected_wait(&pool.keys(), 1) as u64);
-            with_retry_after(refusal, wait, &request.call)
+            with_retry_after(refusal, wait, request.call.deadline)
         }
         Ran::Yes | Ran::Unknown => refusal,
     }
@@ -279,5 +265,5 @@
     let wait = known_pools
         .map(|p| p.expected_wait(&p.keys(), 1))
         .fold(0.0, f64::max);
-    with_retry_after(refusal, Millis(wait as u64), &request.call)
+    with_retry_after(refusal, Millis(wait as u64), request.call.deadline)
 }
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -20,7 +20,9 @@
 use crate::forward;
 use crate::in_flight::InFlightRequest;
 use crate::refusal::{Cause, Refusal, Result};
-use crate::routed_request::{ResolvedRoute, RoutedRequest, read_request};
+use crate::routed_request::{
+    ResolvedRoute, RoutedRequest, deadline, read_request, with_retry_after,
+};
 use crate::state::Gateway;
 use crate::wire::RequestContext;
 
@@ -43,7 +45,7 @@
         let arrived = Millis::now();
         let context = gateway.wire.request_context(request.headers());
         let id = context.as_ref().map(|c| c.id.clone()).unwrap_or_default();
-        let resolved = resolve(&gateway, context, &request);
+        let resolved = resolve(&gateway, context, &request, arrived);
         let route = resolved
             .as_ref()
             .map_or("", |r| &r.entry.route.name)
@@ -54,7 +56,7 @@
             arrived,
         });
         let result = match resolved {
-            Ok(resolved) => serve_before_exit(&gateway, resolved, arrived, request).await,
+            Ok(resolved) => serve_before_exit(&gateway, resolved, request).await,
             Err(refusal) => Err(refusal),
         };
         let elapsed = Millis::now().since(arrived);
@@ -80,15 +82,18 @@
     gateway: &Gateway,
     context: Result<RequestContext, String>,
     request: &Request,
+    arrived: Millis,
 ) -> Result<ResolvedRoute> {
     let table = gateway.fleet.table().ok_or_else(not_loaded)?;
     let context = context.map_err(|detail| Refusal::not_run(Cause::BadRequest, detail))?;
     let entry = find_route(&table, request)?;
     Ok(ResolvedRoute {
+        deadline: deadline(&entry.route, &context, arrived),
         table,
         entry,
         context,
-        is_sent: Rc::default(),
+        arrived,
+        may_have_run: Rc::default(),
     })
 }
 
@@ -96,31 +101,35 @@
 async fn serve_before_exit(
     gateway: &Rc<Gateway>,
     resolved: ResolvedRoute,
-    arrived: Millis,
     request: Request,
 ) -> Result<Response<Bytes>> {
-    let is_sent = resolved.is_sent.clone();
-    let served = std::pin::pin!(serve(gateway, resolved, arrived, request));
+    let (deadline, may_have_run) = (resolved.deadline, resolved.may_have_run.clone());
+    let served = std::pin::pin!(serve(gateway, resolved, request));
     let due = std::pin::pin!(gateway.answers_due.wait());
     match select(served, due).await {
         Either::Left((result, _)) => result,
-        Either::Right(_) => Err(Refusal {
-            ran: match is_sent.get() {
-                true => Ran::Unknown,
-                false => Ran::No,
-            },
-            ..Refusal::not_run(Cause::ShuttingDown, "the request outlasts the shutdown")
-        }),
+        Either::Right(_) => Err(outlasts_shutdown(may_have_run.get(), deadline)),
+    }
+}
+
+fn outlasts_shutdown(may_have_run: bool, deadline: Millis) -> Refusal {
+    let detail = "the request outlasts the shutdown of this daemon";
+    let refusal = Refusal::not_run(Cause::ShuttingDown, detail);
+    match may_have_run {
+        true => Refusal {
+            ran: Ran::Unknown,
+            ..refusal
+        },
+        false => with_retry_after(refusal, Millis::ZERO, deadline),
     }
 }
 
 async fn serve(
     gateway: &Rc<Gateway>,
     resolved: ResolvedRoute,
-    arrived: Millis,
     request: Request,
 ) -> Result<Response<Bytes>> {
-    let routed = read_request(gateway, resolved, arrived, request).await?;
+    let routed = read_request(gateway, resolved, request).await?;
     match routed.entry.route.delivery {
         Delivery::Idempotent => forward::run(gateway, &routed).await,
         Delivery::AtMostOnce => run_once(gateway, routed).await,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,7 +3,6 @@
 
 mod admin;
 mod concurrency;
-mod drain;
 mod fleet;
 mod forward;
 mod gather;
@@ -18,12 +17,12 @@
 mod run;
 mod settings;
 mod shutdown;
+mod shutdown_schedule;
 mod state;
 mod view;
 mod wire;
 
 pub use concurrency::ConcurrencyLimiter;
-pub use drain::DrainSchedule;
 pub use fleet::{connection_share, initial_tokens, token_limit};
 pub use gather::{Progress, Step, partial_answer_after};
 pub use merge::top_records;
@@ -32,4 +31,5 @@
 pub use retry_after::retry_after;
 pub use run::{Error, PlatformAdapters, run};
 pub use settings::{RetryBudget, Settings};
+pub use shutdown_schedule::ShutdownSchedule;
 pub use wire::{ForwardedRequest, Purpose, RequestContext, WireFormat};
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -42,8 +42,11 @@
     pub(crate) table: Rc<Table>,
     pub(crate) entry: Rc<Entry>,
     pub(crate) context: RequestContext,
+    pub(crate) arrived: Millis,
+    /// Time by which the answer must have arrived.
+    pub(crate) deadline: Millis,
     /// Whether an upstream may have run the request.
-    pub(crate) is_sent: Rc<Cell<bool>>,
+    pub(crate) may_have_run: Rc<Cell<bool>>,
 }
 
 /// A complete request with its route.
@@ -60,18 +63,20 @@
 pub(crate) async fn read_request(
     gateway: &Gateway,
     resolved: ResolvedRoute,
-    arrived: Millis,
     request: Request,
 ) -> Result<RoutedRequest> {
     let ResolvedRoute {
         table,
         entry,
         context,
-        is_sent,
+        arrived,
+        deadline,
+        may_have_run,
     } = resolved;
     let (head, body) = request.into_parts();
     let body = read_body(body, table.limits.body_bytes).await?;
     let route = &entry.route;
+    let deadline = deadline_before_exit(gateway, route, deadline)?;
     let purpose = match route.target {
         Target::Gather(_) => Purpose::Part,
         Target::Service(_) | Target::Split(_) => Purpose::Whole,
@@ -86,17 +91,14 @@
         purpose,
         error_response: RefCell::default(),
     });
-    let timeout = context
-        .timeout
-        .map_or(route.timeout, |t| t.min(route.timeout));
     let call = Call {
         message: gateway.wire.message(forwarded.clone()),
         version: None,
         fingerprint,
         priority: route.priority,
-        deadline: bounded_deadline(gateway, arrived + (timeout - ANSWER_MARGIN)),
+        deadline,
         caller_left: Rc::default(),
-        is_sent,
+        may_have_run,
         policy: retry_policy(gateway, route),
     };
     Ok(RoutedRequest {
@@ -108,11 +110,24 @@
     })
 }
 
-/// Returns the deadline, or the one of all requests if this daemon is leaving
-/// and that one is earlier.
-fn bounded_deadline(gateway: &Gateway, deadline: Millis) -> Millis {
-    let drain = gateway.drain.get();
-    drain.map_or(deadline, |d| deadline.min(d.request_deadline))
+/// Returns the time by which a request of a route must be answered.
+pub(crate) fn deadline(route: &Route, context: &RequestContext, arrived: Millis) -> Millis {
+    let timeout = context.timeout.unwrap_or(route.timeout);
+    arrived + (timeout.min(route.timeout) - ANSWER_MARGIN)
+}
+
+/// Returns the deadline of a request, which is earlier if this daemon exits
+/// before it, or a refusal if too little time is left before the exit.
+fn deadline_before_exit(gateway: &Gateway, route: &Route, deadline: Millis) -> Result<Millis> {
+    let Some(schedule) = gateway.shutdown.get() else {
+        return Ok(deadline);
+    };
+    let bounded = schedule.deadline(Millis::now(), route.objective, deadline);
+    bounded.ok_or_else(|| {
+        let detail = "less time than the objective of the route is left before the exit";
+        let refusal = Refusal::not_run(Cause::ShuttingDown, detail);
+        with_retry_after(refusal, Millis::ZERO, deadline)
+    })
 }
 
 async fn read_body(body: Body, limit: usize) -> Result<Bytes> {
@@ -182,8 +197,8 @@
 }
 
 /// Adds to a refusal the time after which the caller should retry.
-pub(crate) fn with_retry_after(refusal: Refusal, wait: Millis, call: &Call) -> Refusal {
-    let left = call.deadline.since(Millis::now());
+pub(crate) fn with_retry_after(refusal: Refusal, wait: Millis, deadline: Millis) -> Refusal {
+    let left = deadline.since(Millis::now());
     Refusal {
         retry_after: Some(retry_after(wait, left, rand::random())),
         ..refusal
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -103,7 +103,7 @@
     );
     compio::runtime::spawn(serving).detach();
     let _guard = transport::stop_signal().await;
-    shutdown::drain(&gateway, &registration).await;
+    shutdown::drain(&gateway, registration).await;
     Ok(())
 }
 
@@ -152,7 +152,7 @@
         limiters: RouteLimiters::default(),
         wire: adapters.wire.clone(),
         recorder,
-        drain: Cell::new(None),
+        shutdown: Cell::new(None),
         answers_due: Shutdown::default(),
         in_flight: Rc::default(),
         caller_limits,
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -6,41 +6,42 @@
 use discovery::Registration;
 use slog::{info, warn};
 
-use crate::drain::DrainSchedule;
+use crate::shutdown_schedule::ShutdownSchedule;
 use crate::state::Gateway;
 
 const CHECK_INTERVAL: Millis = Millis(20);
-/// Longest wait for the removal of the registration.
-const REGISTRATION_TIMEOUT: Millis = Millis(1_500);
+/// Shortest time for writing the last answers, if the schedule is late because
+/// the machine was busy.
+const MIN_ANSWER_TIME: Millis = Millis(100);
 
 /// Serves until the load balancer has removed this daemon and all callers'
 /// connections are closed, or until little of the grace period is left; then
 /// finishes the requests in flight, and refuses those that outlast the schedule.
 /// Meanwhile responses carry `Connection: close`, so that callers close their
 /// connections.
-pub(crate) async fn drain(gateway: &Rc<Gateway>, registration: &Registration) {
+pub(crate) async fn drain(gateway: &Rc<Gateway>, registration: Rc<Registration>) {
     let started = Millis::now();
     let grace_period = gateway.settings.borrow().grace_period;
-    let schedule = DrainSchedule::new(started, grace_period);
+    let schedule = ShutdownSchedule::new(started, grace_period);
     info!(gateway.log, "leaving"; "in_flight" => gateway.in_flight.count(),
         "connections" => gateway.caller_connections.get(), "grace_ms" => grace_period.0);
-    gateway.drain.set(Some(schedule));
-    compio::time::timeout(REGISTRATION_TIMEOUT.into(), registration.end())
-        .await
-        .ok();
+    gateway.shutdown.set(Some(schedule));
+    compio::runtime::spawn(async move { registration.end().await }).detach();
     let all_closed = || gateway.caller_connections.get() == 0;
-    let is_idle = || all_closed() && gateway.in_flight.count() == 0;
+    let all_answered = || all_closed() && gateway.in_flight.count() == 0;
     wait_until(schedule.close_at, || {
-        Millis::now() >= schedule.balanced_at && all_closed()
+        Millis::now() >= schedule.unlisted_at && all_closed()
     })
     .await;
     gateway.caller_shutdown.begin();
-    wait_until(schedule.answer_by, is_idle).await;
+    wait_until(schedule.answer_by, all_answered).await;
     let outlasting = gateway.in_flight.count();
     gateway.answers_due.begin();
-    wait_until(schedule.exit_at, is_idle).await;
+    let exit_at = schedule.exit_at.max(Millis::now() + MIN_ANSWER_TIME);
+    wait_until(exit_at, all_answered).await;
     log_cut_requests(gateway, started);
-    info!(gateway.log, "stopped"; "refused" => outlasting, "cut" => gateway.in_flight.count(),
+    info!(gateway.log, "stopped"; "outlasting" => outlasting, "cut" => gateway.in_flight.count(),
+        "connections" => gateway.caller_connections.get(),
         "after_ms" => Millis::now().since(started).0);
 }
 
--- a/components/gateway/src/drain.rs
+++ b/components/gateway/src/shutdown_schedule.rs
@@ -1,4 +1,4 @@
-//! The times of a graceful shutdown, and which requests are still accepted. They
+//! The times of a graceful shutdown, and the deadlines of requests meanwhile. They
 //! answer callers that keep their connections, or that the load balancer still
 //! sends, while the process has little time left. No I/O.
 
@@ -14,19 +14,19 @@
 const CLOSE_RESERVE: Millis = Millis(1_500);
 /// Time reserved for writing the last answers and reading them on a slow link.
 const ANSWER_RESERVE: Millis = Millis(300);
-/// Requests end by themselves this long before those that are left are refused,
-/// so that the answer of a request comes from its own state.
-const REQUEST_MARGIN: Millis = Millis(100);
+/// Requests time out this long before those that are left are refused, so that
+/// their answers tell what is known of them.
+const TIMEOUT_MARGIN: Millis = Millis(100);
 
 /// The times of a graceful shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct DrainSchedule {
-    /// Time before which the load balancer may send new connections.
-    pub balanced_at: Millis,
+pub struct ShutdownSchedule {
+    /// Time until which the load balancer may send new connections.
+    pub unlisted_at: Millis,
     /// Time at which connections are closed, those with a request in flight
     /// after its answer.
     pub close_at: Millis,
-    /// Deadline of all requests.
+    /// Latest deadline of a request.
     pub request_deadline: Millis,
     /// Time at which the requests that are left are refused.
     pub answer_by: Millis,
@@ -34,24 +34,27 @@
     pub exit_at: Millis,
 }
 
-impl DrainSchedule {
+impl ShutdownSchedule {
     /// Returns the schedule after a stop signal at `started` if the process is
     /// killed `grace_period` later.
     pub fn new(started: Millis, grace_period: Millis) -> Self {
         let exit_at = started + (grace_period - EXIT_RESERVE);
         let before_exit = |reserve: Millis| started.max(exit_at - reserve);
         Self {
-            balanced_at: started + BALANCER_DELAY,
+            unlisted_at: started + BALANCER_DELAY,
             close_at: before_exit(CLOSE_RESERVE),
-            request_deadline: before_exit(ANSWER_RESERVE + REQUEST_MARGIN),
+            request_deadline: before_exit(ANSWER_RESERVE + TIMEOUT_MARGIN),
             answer_by: before_exit(ANSWER_RESERVE),
             exit_at,
         }
     }
 
-    /// Returns whether a request can be expected to end in time, which takes
-    /// about the objective of its route. Another daemon can serve the others.
-    pub fn accepts(&self, now: Millis, objective: Millis) -> bool {
-        now + objective <= self.request_deadline
+    /// Returns the deadline of a request that would else have to end by
+    /// `deadline`; `None` if it is to be refused, because the time that such a
+    /// request usually takes at most, its route's objective, is not left. Another
+    /// daemon can serve it.
+    pub fn deadline(&self, now: Millis, objective: Millis, deadline: Millis) -> Option<Millis> {
+        let usual_end = deadline.min(now + objective);
+        (usual_end <= self.request_deadline).then(|| deadline.min(self.request_deadline))
     }
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -8,11 +8,11 @@
 use telemetry::Recorder;
 use transport::{ServerLimits, Shutdown};
 
-use crate::drain::DrainSchedule;
 use crate::fleet::Fleet;
 use crate::in_flight::InFlight;
 use crate::route_limiters::RouteLimiters;
 use crate::settings::Settings;
+use crate::shutdown_schedule::ShutdownSchedule;
 use crate::wire::WireFormat;
 
 /// The components and the state of a gateway.
@@ -25,9 +25,10 @@
     pub(crate) wire: Rc<dyn WireFormat>,
     pub(crate) recorder: Recorder,
     /// The times of the shutdown, from the stop signal on.
-    pub(crate) drain: Cell<Option<DrainSchedule>>,
+    pub(crate) shutdown: Cell<Option<ShutdownSchedule>>,
     /// Begins when all requests in flight must be answered at once.
     pub(crate) answers_due: Shutdown,
+    /// Requests that are not answered yet.
     pub(crate) in_flight: Rc<InFlight>,
     pub(crate) caller_connections: Rc<Cell<usize>>,
     /// Limits for new connections from callers.
@@ -39,7 +40,7 @@
 impl Gateway {
     /// Whether a stop signal has arrived.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.drain.get().is_some()
+        self.shutdown.get().is_some()
     }
 
     /// Returns why this daemon should get no new connections; `None` if it is
--- a/components/query/src/server.rs
+++ b/components/query/src/server.rs
@@ -83,7 +83,7 @@
             priority: 0,
             deadline: Millis::now() + Millis(request.budget_ms),
             caller_left: Rc::default(),
-            is_sent: Rc::default(),
+            may_have_run: Rc::default(),
             policy: retry_policy(&topology),
         };
         let outcome = pool.search(&topology, &call, &shards).await;
@@ -134,7 +134,7 @@
             priority: 0,
             deadline: Millis::now() + Millis(request.budget_ms),
             caller_left: Rc::default(),
-            is_sent: Rc::default(),
+            may_have_run: Rc::default(),
             policy: retry_policy(&topology),
         };
         dispatch_reply(pool.book(&topology, &call, shard).await)
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -50,8 +50,8 @@
     }
 }
 
-/// Signal for a server loop to stop accepting connections and to finish the
-/// requests in flight.
+/// An event that begins once, such as the shutdown of a server loop, which then
+/// accepts no more connections and finishes the requests in flight.
 #[derive(Clone)]
 pub struct Shutdown {
     /// Dropping the sender begins the shutdown.
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -60,7 +60,6 @@
 /// Sends a call to the slot's upstream and checks the answer.
 pub(crate) async fn run(slot: &Slot, pool: &Pool, call: &Call, shard: &str) -> Result<Answer> {
     let began = Millis::now();
-    call.is_sent.set(true);
     let result = exchange(slot, pool, call, shard).await;
     let elapsed = Millis::now().since(began);
     let seconds = Duration::from(elapsed).as_secs_f64();
@@ -95,6 +94,9 @@
             return Err(Failure::not_run(Reason::NoReplica));
         }
     };
+    if call.caller_left.get() {
+        return Err(Failure::not_run(Reason::CallerLeft));
+    }
     let started = Millis::now();
     let budget = call.deadline.since(started);
     let recipient = Recipient {
@@ -112,6 +114,7 @@
         started,
         is_finished: false,
     };
+    call.may_have_run.set(true);
     let sent = lease.conn.send(request, ANSWER_LIMIT_BYTES).await;
     attempt.is_finished = true;
     let response = match sent {
--- a/components/upstreams/src/call.rs
+++ b/components/upstreams/src/call.rs
@@ -27,9 +27,8 @@
     /// Whether the caller has disconnected; a request that
     /// [`crate::Pool::dispatch`] has not sent yet is then never sent.
     pub caller_left: Rc<Cell<bool>>,
-    /// Whether an attempt has started, so that an upstream may have run the
-    /// request.
-    pub is_sent: Rc<Cell<bool>>,
+    /// Whether an upstream may have run the request.
+    pub may_have_run: Rc<Cell<bool>>,
     /// Limits for attempts, hedges and retries.
     pub policy: RetryPolicy,
 }
--- a/components/upstreams/src/dispatch.rs
+++ b/components/upstreams/src/dispatch.rs
@@ -47,13 +47,11 @@
                     return Err(Failure::not_run(Reason::Overloaded));
                 }
             };
-            if call.caller_left.get() {
-                return Err(Failure::not_run(Reason::CallerLeft));
-            }
             let left = call.deadline.since(Millis::now());
             let running = attempt::run(&slot, self, call, shard.name());
             match compio::time::timeout(left.into(), running).await {
-                Ok(Err(failure)) if failure.ran == Ran::No => {
+                Ok(Err(failure)) if failure.ran == Ran::No && !call.caller_left.get() => {
+                    call.may_have_run.set(false);
                     sends += usize::from(!failure.is_unsent());
                     last = failure;
                 }
--- a/components/upstreams/tests/support/test_pool.rs
+++ b/components/upstreams/tests/support/test_pool.rs
@@ -36,7 +36,7 @@
         priority: 0,
         deadline: Millis::now() + within,
         caller_left: Rc::default(),
-        is_sent: Rc::default(),
+        may_have_run: Rc::default(),
         policy,
     }
 }
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -18,6 +18,8 @@
 const GRACE_PERIOD: Duration = Duration::from_secs(6);
 /// Time after SIGTERM at which callers send on connections that they kept.
 const LATE_ARRIVAL: Duration = Duration::from_millis(3_200);
+/// Time that the last answers need to reach their callers.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
 /// A refusal that needs no upstream takes less.
 const REFUSAL_LIMIT: Duration = Duration::from_millis(200);
 const CALLER_TIMEOUT: Millis = Millis(8_000);
@@ -70,11 +72,12 @@
 }
 
 /// Checks that both requests ran and were answered, and that the gateway exits
-/// with no request in flight.
+/// within the grace period with no request in flight.
 async fn assert_none_cut(
     site: &Site,
     gateway: &mut Gateway,
     answers: [Result<Response<Bytes>>; 2],
+    signalled: Instant,
 ) {
     for answer in answers {
         let answer = answer.expect("the gateway answers before it exits");
@@ -83,6 +86,7 @@
     assert!(site.runs("read") >= 1);
     assert_eq!(site.runs("write"), 1);
     assert_eq!(gateway.process.wait(GRACE_PERIOD).await, Some(0));
+    assert!(signalled.elapsed() < GRACE_PERIOD);
     let stopped = gateway.process.wait_for_line("\"stopped\"").await;
     assert_eq!(stopped["cut"], 0, "{stopped}");
 }
@@ -96,9 +100,10 @@
     let stop = async {
         compio::time::sleep(Duration::from_millis(300)).await;
         gateway.process.terminate();
+        Instant::now()
     };
-    let (answers, ()) = join(read_and_write(&reader, &writer), stop).await;
-    assert_none_cut(&site, &mut gateway, answers).await;
+    let (answers, signalled) = join(read_and_write(&reader, &writer), stop).await;
+    assert_none_cut(&site, &mut gateway, answers, signalled).await;
 }
 
 #[compio::test]
@@ -108,13 +113,15 @@
     let (reader, writer) = (connect(&gateway).await, connect(&gateway).await);
     site.set_mode(0, &Mode::Hanging);
     gateway.process.terminate();
+    let signalled = Instant::now();
     compio::time::sleep(LATE_ARRIVAL).await;
     let answers = read_and_write(&reader, &writer).await;
-    assert_none_cut(&site, &mut gateway, answers).await;
-    let left = Millis::from(GRACE_PERIOD - LATE_ARRIVAL).0;
+    assert_none_cut(&site, &mut gateway, answers, signalled).await;
+    // Upstreams stop work before the last answers are due.
+    let longest = Millis::from(GRACE_PERIOD - LATE_ARRIVAL - ANSWER_TIME).0;
     for upstream in &site.shards[0] {
         let deadlines = upstream.deadlines.borrow();
-        assert!(deadlines.iter().all(|d| *d < left), "{deadlines:?}");
+        assert!(deadlines.iter().all(|d| *d <= longest), "{deadlines:?}");
     }
 }
 
