Finish a write whose caller disconnected before a leaving gateway exits

Cause: a request that must not be repeated runs in a task of its own, but only requests with a caller kept a leaving gateway running. A write whose caller had disconnected was cut at the upstream 2.5 s after SIGTERM. Change: the gateway lists these tasks and waits for them as for callers' requests, until the last answers are due. Measured: the new test failed without the wait (the upstream saw one request cancelled), and passes.

--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -141,7 +141,16 @@
 async fn run_once(gateway: &Rc<Gateway>, routed: RoutedRequest) -> Result<Response<Bytes>> {
     let gateway = gateway.clone();
     let _guard = DisconnectGuard(routed.call.caller_left.clone());
-    let task = async move { forward::run(&gateway, &routed).await };
+    let running = gateway.detached.begin(InFlightRequest {
+        id: routed.forwarded.id.clone(),
+        route: routed.entry.route.name.clone(),
+        arrived: routed.arrived,
+    });
+    let task = async move {
+        let result = forward::run(&gateway, &routed).await;
+        drop(running);
+        result
+    };
     // A task that panicked may already have sent the request.
     let task_ended = || Refusal {
         ran: Ran::Unknown,
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -155,6 +155,7 @@
         shutdown: Cell::new(None),
         answers_due: Shutdown::default(),
         in_flight: Rc::default(),
+        detached: Rc::default(),
         caller_limits,
         caller_connections: Rc::default(),
         caller_shutdown: Shutdown::default(),
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -29,12 +29,13 @@
     compio::runtime::spawn(async move { registration.end().await }).detach();
     let all_closed = || gateway.caller_connections.get() == 0;
     let all_answered = || all_closed() && gateway.in_flight.count() == 0;
+    let all_ended = || all_answered() && gateway.detached.count() == 0;
     wait_until(schedule.close_at, || {
         Millis::now() >= schedule.unlisted_at && all_closed()
     })
     .await;
     gateway.caller_shutdown.begin();
-    wait_until(schedule.answer_by, all_answered).await;
+    wait_until(schedule.answer_by, all_ended).await;
     let outlasting = gateway.in_flight.count();
     gateway.answers_due.begin();
     let exit_at = schedule.exit_at.max(Millis::now() + MIN_ANSWER_TIME);
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -30,6 +30,9 @@
     pub(crate) answers_due: Shutdown,
     /// Requests that are not answered yet.
     pub(crate) in_flight: Rc<InFlight>,
+    /// Requests that run in tasks of their own, so that they continue if their
+    /// callers disconnect.
+    pub(crate) detached: Rc<InFlight>,
     pub(crate) caller_connections: Rc<Cell<usize>>,
     /// Limits for new connections from callers.
     pub(crate) caller_limits: Rc<Cell<ServerLimits>>,
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -191,3 +191,30 @@
     assert_eq!(answer.unwrap().status(), StatusCode::OK);
     assert_eq!(gateway.process.wait(GRACE_PERIOD).await, Some(0));
 }
+
+#[compio::test]
+async fn a_write_whose_caller_disconnected_is_finished_before_the_exit() {
+    const SERVICE_TIME: Millis = Millis(4_500);
+    let site = start_site(Millis(100)).await;
+    let mut gateway = ready(&site).await;
+    for upstream in &site.shards[0] {
+        upstream.service_time.set(SERVICE_TIME);
+    }
+    let address = gateway.endpoints.callers();
+    let request = Request::post(format!("{WRITE}x"))
+        .header("host", HOST)
+        .header("request-id", "write")
+        .header("deadline-milliseconds", CALLER_TIMEOUT.0)
+        .body(Payload::default())
+        .unwrap();
+    let sent = transport::request(address, request, ANSWER_LIMIT_BYTES, Millis(200));
+    assert!(sent.await.is_err(), "the caller disconnects after 200 ms");
+    gateway.process.terminate();
+    assert_eq!(gateway.process.wait(GRACE_PERIOD).await, Some(0));
+    assert_eq!(site.runs("write"), 1);
+    let cancelled: usize = site.shards[0].iter().map(|u| u.cancelled.get()).sum();
+    assert_eq!(
+        cancelled, 0,
+        "the gateway exited before the write had ended"
+    );
+}
