Bound the arrival of a request's body by its deadline

Cause: the deadline of a request began to count only for its upstreams. A body that did not arrive held the request, and a leaving gateway, without bound. Change: a body that does not arrive by the deadline is refused as not run.

--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -74,7 +74,7 @@
         may_have_run,
     } = resolved;
     let (head, body) = request.into_parts();
-    let body = read_body(body, table.limits.body_bytes).await?;
+    let body = read_body(body, table.limits.body_bytes, deadline).await?;
     let route = &entry.route;
     let deadline = deadline_before_exit(gateway, route, deadline)?;
     let purpose = match route.target {
@@ -130,8 +130,14 @@
     })
 }
 
-async fn read_body(body: Body, limit: usize) -> Result<Bytes> {
-    match Limited::new(body, limit).collect().await {
+async fn read_body(body: Body, limit: usize, deadline: Millis) -> Result<Bytes> {
+    let time_left = deadline.since(Millis::now());
+    let reading = Limited::new(body, limit).collect();
+    let Ok(read) = compio::time::timeout(time_left.into(), reading).await else {
+        let detail = "the body did not arrive before the deadline";
+        return Err(Refusal::not_run(Cause::Timeout, detail));
+    };
+    match read {
         Ok(body) => Ok(body.to_bytes()),
         Err(e) if e.is::<LengthLimitError>() => Err(Refusal::not_run(
             Cause::BodyTooLarge,
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -5,6 +5,9 @@
 
 use bytes::Bytes;
 use clock::Millis;
+use compio::buf::BufResult;
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::TcpStream;
 use futures_util::future::{join, join_all};
 use http::{Method, Request, Response, StatusCode};
 use serde_json::json;
@@ -192,6 +195,26 @@
     assert_eq!(gateway.process.wait(GRACE_PERIOD).await, Some(0));
 }
 
+#[compio::test]
+async fn a_body_that_does_not_arrive_is_refused_by_the_deadline() {
+    let site = start_site(Millis(100)).await;
+    let gateway = ready(&site).await;
+    let head = format!(
+        "POST {WRITE}x HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: partial\r\n\
+         deadline-milliseconds: 500\r\ncontent-length: 10\r\n\r\nhalf"
+    );
+    let mut stream = TcpStream::connect(gateway.endpoints.callers())
+        .await
+        .unwrap();
+    stream.write_all(head).await.0.unwrap();
+    let started = Instant::now();
+    let BufResult(read, answer) = stream.read(vec![0; 1_024]).await;
+    assert!(started.elapsed() < Duration::from_millis(1_000));
+    let answer = String::from_utf8_lossy(&answer[..read.unwrap()]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert_eq!(site.runs("partial"), 0);
+}
+
 #[compio::test]
 async fn a_write_whose_caller_disconnected_is_finished_before_the_exit() {
     const SERVICE_TIME: Millis = Millis(4_500);
