--- /dev/null
+++ b/tests/gateway_registration.rs
@@ -0,0 +1,33 @@
+//! The registration of a gateway in the store: real processes against a
+//! stand-in store.
+
+use std::time::Duration;
+
+use clock::Millis;
+use standins::platform::gateway::ready;
+use standins::platform::site::{Site, Size};
+
+const INSTANCES: &str = "coltsfootgw/instances/";
+/// A gateway exits within this time after SIGTERM.
+const EXIT_LIMIT: Duration = Duration::from_secs(6);
+/// The renewal after this time falls between the stop signal and the exit.
+const PART_OF_RENEWAL_INTERVAL: Duration = Duration::from_millis(1_500);
+
+#[compio::test]
+async fn a_gateway_does_not_register_again_after_sigterm() {
+    let size = Size {
+        shards: 1,
+        replicas: 1,
+        service_time: Millis(5),
+    };
+    let site = Site::start(size).await.expect("loopback ports are free");
+    let mut gateway = ready(&site).await;
+    gateway.process.wait_for_line("\"registered\"").await;
+    compio::time::sleep(PART_OF_RENEWAL_INTERVAL).await;
+    assert!(site.store.has(INSTANCES));
+    gateway.process.terminate();
+    assert_eq!(gateway.process.wait(EXIT_LIMIT).await, Some(0));
+    assert!(!site.store.has(INSTANCES));
+    let log = gateway.process.read_log();
+    assert_eq!(log.matches("\"registered\"").count(), 1, "{log}");
+}
