Don't register a gateway again after the end of its registration

Cause: `Registration::end` took the lease out of the registration, and the task of `Registration::run` found none at its next renewal and registered again. `Leases::register` granted the lease and wrote the record in one step, so the lease was unknown while the call ran and after a lost answer, and could not be ended; an end that failed or was cut was not repeated. Change: an ended registration stays ended. Granting a lease and writing the record are two calls, so that the lease is known before the record can exist: `end` ends it while the write runs (the store then refuses the write), and a write without an answer is repeated under the same lease. A failed end is repeated after 1 s, and `run` ends a lease that was granted late or whose end was cut. The tests' leases in memory follow the new calls; a test of a late grant is added.

--- a/components/discovery/src/registration.rs
+++ b/components/discovery/src/registration.rs
@@ -1,10 +1,11 @@
 //! The registration of this daemon under a lease.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use async_trait::async_trait;
 use clock::Millis;
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 
 use crate::entry::InstanceEntry;
 use crate::feed::{Error, Result};
@@ -14,24 +15,48 @@
 const RENEWAL_INTERVAL: Millis = Millis(3_000);
 const RETRY_DELAY: Millis = Millis(1_000);
 
-/// Registrations that last as long as their lease is renewed.
+/// Leases and the registrations that they hold.
 #[async_trait(?Send)]
 pub trait Leases {
-    /// Registers an instance under a new lease and returns the lease.
-    async fn register(&self, instance: &InstanceEntry, ttl: Millis) -> Result<u64>;
+    /// Returns a new lease that expires unless it is renewed within `ttl`.
+    async fn grant(&self, ttl: Millis) -> Result<u64>;
+
+    /// Registers an instance until the lease ends; fails with
+    /// [`Error::LeaseEnded`] if it is gone.
+    async fn register(&self, lease: u64, instance: &InstanceEntry) -> Result<()>;
 
     /// Renews a lease; fails with [`Error::LeaseEnded`] if it is gone.
     async fn renew(&self, lease: u64) -> Result<()>;
 
-    /// Ends a lease, which removes the registration.
+    /// Ends a lease, which removes the registration; fails with
+    /// [`Error::LeaseEnded`] if it is gone.
     async fn end(&self, lease: u64) -> Result<()>;
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// There is no lease.
+    Unregistered,
+    /// The registration was not written, or its answer was lost.
+    Granted(u64),
+    Registered(u64),
+}
+
+impl State {
+    fn lease(self) -> Option<u64> {
+        match self {
+            State::Unregistered => None,
+            State::Granted(lease) | State::Registered(lease) => Some(lease),
+        }
+    }
+}
+
 /// The registration of this daemon.
 pub struct Registration {
     leases: Rc<dyn Leases>,
     instance: InstanceEntry,
-    lease: std::cell::Cell<Option<u64>>,
+    state: Cell<State>,
+    is_ended: Cell<bool>,
     log: Logger,
 }
 
@@ -41,52 +66,87 @@
         Rc::new(Self {
             leases,
             instance,
-            lease: std::cell::Cell::new(None),
+            state: Cell::new(State::Unregistered),
+            is_ended: Cell::new(false),
             log: log.clone(),
         })
     }
 
-    /// Registers and renews until the task is dropped.
+    /// Registers and renews until [`Registration::end`] is called; then ends the
+    /// lease if that call has left one.
     pub async fn run(self: Rc<Self>) {
-        loop {
-            let pause = match self.register_or_renew().await {
+        while !self.is_ended.get() {
+            let delay = match self.register_or_renew().await {
+                _ if self.is_ended.get() => break,
                 Ok(()) => RENEWAL_INTERVAL,
                 Err(_) => RETRY_DELAY,
             };
-            compio::time::sleep(pause.into()).await;
+            compio::time::sleep(delay.into()).await;
         }
+        self.end_lease().await;
     }
 
     async fn register_or_renew(&self) -> Result<()> {
-        let result = match self.lease.get() {
-            Some(lease) => self.leases.renew(lease).await,
-            None => self.register().await,
+        let result = match self.state.get() {
+            State::Unregistered => self.register_anew().await,
+            State::Granted(lease) => self.register_again(lease).await,
+            State::Registered(lease) => self.leases.renew(lease).await,
         };
         match &result {
             Err(Error::LeaseEnded) => {
-                warn!(self.log, "registration expired, registering again"; "lease" => self.lease.get());
-                self.lease.set(None);
+                let lease = self.state.replace(State::Unregistered).lease();
+                if !self.is_ended.get() {
+                    warn!(self.log, "registration expired, registering again"; "lease" => lease);
+                }
             }
-            Err(e) => slog::debug!(self.log, "registration not made or renewed"; "error" => %e),
+            Err(e) => debug!(self.log, "registration not made or renewed"; "error" => %e),
             Ok(()) => {}
         }
         result
     }
 
-    async fn register(&self) -> Result<()> {
-        let lease = self.leases.register(&self.instance, LEASE_TTL).await?;
-        self.lease.set(Some(lease));
-        info!(self.log, "registered"; "lease" => lease, "ttl_ms" => LEASE_TTL.0);
+    async fn register_anew(&self) -> Result<()> {
+        let lease = self.leases.grant(LEASE_TTL).await?;
+        self.state.set(State::Granted(lease));
+        self.register(lease).await
+    }
+
+    /// Repeats a registration without an answer. It keeps its lease, so that a
+    /// late execution of the first call changes nothing.
+    async fn register_again(&self, lease: u64) -> Result<()> {
+        self.leases.renew(lease).await?;
+        self.register(lease).await
+    }
+
+    async fn register(&self, lease: u64) -> Result<()> {
+        if self.is_ended.get() {
+            return Ok(());
+        }
+        self.leases.register(lease, &self.instance).await?;
+        if !self.is_ended.get() {
+            self.state.set(State::Registered(lease));
+            info!(self.log, "registered"; "lease" => lease, "ttl_ms" => LEASE_TTL.0);
+        }
         Ok(())
     }
 
-    /// Removes the registration.
+    /// Removes the registration; from now on it is not made again. Repeats failed
+    /// calls; [`Registration::run`] continues if this call is dropped.
     pub async fn end(&self) {
-        let Some(lease) = self.lease.take() else {
-            return;
-        };
-        if let Err(e) = self.leases.end(lease).await {
-            info!(self.log, "registration not removed, it expires with its lease"; "error" => %e);
+        self.is_ended.set(true);
+        self.end_lease().await;
+    }
+
+    async fn end_lease(&self) {
+        while let Some(lease) = self.state.get().lease() {
+            match self.leases.end(lease).await {
+                Ok(()) | Err(Error::LeaseEnded) => self.state.set(State::Unregistered),
+                Err(e) => {
+                    info!(self.log, "registration not removed, it expires with its lease";
+                        "lease" => lease, "error" => %e);
+                    compio::time::sleep(RETRY_DELAY.into()).await;
+                }
+            }
         }
     }
 }
--- a/components/discovery/tests/registration.rs
+++ b/components/discovery/tests/registration.rs
@@ -34,8 +34,10 @@
 #[derive(Default)]
 struct FakeLeases {
     granted: Cell<u64>,
+    live: RefCell<BTreeSet<u64>>,
     /// Leases that hold a registration.
     registered: RefCell<BTreeSet<u64>>,
+    grant_fault: Cell<Fault>,
     register_fault: Cell<Fault>,
     end_fault: Cell<Fault>,
 }
@@ -69,25 +71,39 @@
 
 #[async_trait(?Send)]
 impl Leases for FakeLeases {
-    async fn register(&self, _: &InstanceEntry, _: Millis) -> Result<u64> {
+    async fn grant(&self, _: Millis) -> Result<u64> {
         let execute = || {
             let lease = self.granted.get() + 1;
             self.granted.set(lease);
-            self.registered.borrow_mut().insert(lease);
+            self.live.borrow_mut().insert(lease);
             lease
         };
-        call(self.register_fault.take(), execute).await
+        call(self.grant_fault.take(), execute).await
+    }
+
+    async fn register(&self, lease: u64, _: &InstanceEntry) -> Result<()> {
+        let execute = || match self.live.borrow().contains(&lease) {
+            true => {
+                self.registered.borrow_mut().insert(lease);
+                Ok(())
+            }
+            false => Err(Error::LeaseEnded),
+        };
+        call(self.register_fault.take(), execute).await?
     }
 
     async fn renew(&self, lease: u64) -> Result<()> {
-        match self.registered.borrow().contains(&lease) {
+        match self.live.borrow().contains(&lease) {
             true => Ok(()),
             false => Err(Error::LeaseEnded),
         }
     }
 
     async fn end(&self, lease: u64) -> Result<()> {
-        let execute = || self.registered.borrow_mut().remove(&lease);
+        let execute = || {
+            self.registered.borrow_mut().remove(&lease);
+            self.live.borrow_mut().remove(&lease)
+        };
         match call(self.end_fault.take(), execute).await? {
             true => Ok(()),
             false => Err(Error::LeaseEnded),
@@ -132,6 +148,18 @@
     assert!(!leases.is_registered());
 }
 
+#[compio::test]
+async fn a_lease_that_is_granted_after_the_end_is_ended() {
+    let leases = Rc::new(FakeLeases::default());
+    leases.grant_fault.set(Fault::Late);
+    let registration = start(&leases).await;
+    registration.end().await;
+    compio::time::sleep(2 * CALL_DELAY).await;
+    assert_eq!(leases.granted.get(), 1);
+    assert!(leases.live.borrow().is_empty());
+    assert!(!leases.is_registered());
+}
+
 #[compio::test]
 async fn a_registration_whose_answer_was_lost_is_ended() {
     let leases = Rc::new(FakeLeases::default());
