Renew leases in the stand-in of the platform's store

Cause: the stand-in answered a renewal with a constant term and left the end of the lease as it was, so that each gateway lost its registration 10 s after it was made and registered again; tests that run longer than a lease were not true. Change: a renewal starts the lease's own term again and returns this term.

--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -55,12 +55,27 @@
     }
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    ttl: Millis,
+    expires_at: Millis,
+}
+
+impl Lease {
+    fn new(ttl: Millis) -> Self {
+        Self {
+            ttl,
+            expires_at: Millis::now() + ttl,
+        }
+    }
+}
+
 /// State of the store; tests write to it in place of operators and upstreams.
 #[derive(Default)]
 pub struct PlatformStore {
     items: RefCell<BTreeMap<String, Item>>,
     history: RefCell<Vec<Event>>,
-    leases: RefCell<HashMap<u64, Millis>>,
+    leases: RefCell<HashMap<u64, Lease>>,
     revision: Cell<u64>,
     /// Whether every call is refused with status 503.
     pub is_down: Cell<bool>,
@@ -141,7 +156,7 @@
         let now = Millis::now();
         let expired: Vec<u64> = {
             let leases = self.leases.borrow();
-            let expired = leases.iter().filter(|(_, end)| **end <= now);
+            let expired = leases.iter().filter(|(_, l)| l.expires_at <= now);
             expired.map(|(lease, _)| *lease).collect()
         };
         for lease in expired {
@@ -274,8 +289,8 @@
     }
     let ttl = body["ttl-ms"].as_u64().unwrap_or(1_000);
     let lease = app.0.next_revision();
-    let end = Millis::now() + Millis(ttl);
-    app.0.leases.borrow_mut().insert(lease, end);
+    let granted = Lease::new(Millis(ttl));
+    app.0.leases.borrow_mut().insert(lease, granted);
     Json(json!({ "lease": lease, "ttl-ms": ttl })).into_response()
 }
 
@@ -283,9 +298,12 @@
     if let Err(status) = app.0.admit() {
         return status.into_response();
     }
-    match app.0.leases.borrow().contains_key(&lease) {
-        true => Json(json!({ "ttl-ms": 10_000 })).into_response(),
-        false => StatusCode::NOT_FOUND.into_response(),
+    match app.0.leases.borrow_mut().get_mut(&lease) {
+        Some(renewed) => {
+            *renewed = Lease::new(renewed.ttl);
+            Json(json!({ "ttl-ms": renewed.ttl })).into_response()
+        }
+        None => StatusCode::NOT_FOUND.into_response(),
     }
 }
 
