Test that daemons poll another watcher when theirs leaves

Cause: a watcher that registered again while it was leaving stayed the choice of the daemons that polled it, until it exited; these then watched the store themselves for 3 to 6 s. Change: a test in which both watchers of a domain get SIGTERM; the daemons that polled them must make no watch call of their own.

--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -12,6 +12,8 @@
 
 const SHARDS: usize = 2;
 const DAEMONS: usize = 6;
+/// A gateway exits within this time after SIGTERM.
+const EXIT_LIMIT: Duration = Duration::from_secs(6);
 /// Limit for the two daemons that watch the store: without a change, a watch
 /// call lasts 0.7 s and the next one starts 0.7 s later.
 const WATCHES_IN_FOUR_SECONDS: u64 = 2 * 4;
@@ -79,3 +81,32 @@
     site.store.is_down.set(false);
     change_route(&site, &fleet, 2).await;
 }
+
+async fn watch_calls(gateway: &Gateway) -> u64 {
+    let metrics = gateway.metrics("/metrics").await;
+    let name = "coltsfootgw_store_calls_total{operation=\"kv-watch\"} ";
+    let line = metrics.lines().find_map(|l| l.strip_prefix(name));
+    line.map_or(0, |count| count.parse().expect("a whole number"))
+}
+
+#[compio::test]
+async fn daemons_poll_another_watcher_when_theirs_leaves() {
+    let (_site, mut fleet) = fleet().await;
+    let others = fleet.split_off(4);
+    let mut before = Vec::new();
+    for gateway in &others {
+        before.push(watch_calls(gateway).await);
+    }
+    // The next two daemons by name become the watchers.
+    let mut leaving: Vec<Gateway> = fleet.drain(..2).collect();
+    leaving.iter().for_each(|g| g.process.terminate());
+    for gateway in &mut leaving {
+        assert_eq!(gateway.process.wait(EXIT_LIMIT).await, Some(0));
+    }
+    compio::time::sleep(PROPAGATION).await;
+    let mut after = Vec::new();
+    for gateway in &others {
+        after.push(watch_calls(gateway).await);
+    }
+    assert_eq!(after, before);
+}
