Use one word for a delay in discovery, and correct the doc of the seeds

Cause: the same thing was called pause, retry or delay; the time until which a daemon watches the store itself had another name than its length; the settings said that seeds are contacted while no registration is known, but they are polled besides the registered daemons whenever the store does not answer. Change: names and docs only: `WATCH_DELAY`, `RELAY_DELAY`, `STORE_RETRY_DELAY_MS`, `RELAY_RETRY_DELAY_MS`, `DIRECT_PERIOD_MS` beside `direct_until`. Measured: the tests of discovery and gateway pass; clippy is clean.

--- a/components/discovery/src/follow.rs
+++ b/components/discovery/src/follow.rs
@@ -18,21 +18,21 @@
 /// Longest wait of one watch; a watch that does not respond soon after has
 /// failed.
 const WATCH_WAIT: Millis = Millis(700);
-/// Pause between watches, so that the reports of many upstreams are read in
+/// Delay between watches, so that the reports of many upstreams are read in
 /// batches.
-const WATCH_PAUSE: Millis = Millis(700);
-const STORE_RETRY_MS: std::ops::Range<u64> = 150..350;
+const WATCH_DELAY: Millis = Millis(700);
+const STORE_RETRY_DELAY_MS: std::ops::Range<u64> = 150..350;
 /// Peers are polled if the store has not answered for longer.
 const STORE_SILENCE: Millis = Millis(1_500);
 /// A watcher is given up if the store has not answered it for longer; peers are
 /// polled if the store has not answered through a watcher for longer.
 const RELAY_SILENCE: Millis = Millis(2_500);
-/// Pause between polls of a watcher.
-const RELAY_PAUSE: Millis = Millis(300);
-/// Pause between attempts if neither the watcher nor the store is reachable.
-const RELAY_RETRY_MS: std::ops::Range<u64> = 700..1_300;
+/// Delay between polls of a watcher.
+const RELAY_DELAY: Millis = Millis(300);
+/// Delay between attempts if neither the watcher nor the store is reachable.
+const RELAY_RETRY_DELAY_MS: std::ops::Range<u64> = 700..1_300;
 /// For how long a daemon watches the store itself when its watcher fails.
-const DIRECT_WATCH_MS: std::ops::Range<u64> = 3_000..6_000;
+const DIRECT_PERIOD_MS: std::ops::Range<u64> = 3_000..6_000;
 const PEER_INTERVAL_MS: std::ops::Range<u64> = 300..500;
 
 /// Functions that are called with the directory after it has changed.
@@ -52,6 +52,7 @@
     is_store_lost: Cell<bool>,
     last_contact: Cell<Millis>,
     watcher: RefCell<Option<Rc<RelayClient>>>,
+    /// When the [`DIRECT_PERIOD_MS`] ends.
     direct_until: Cell<Millis>,
     waiting_peers: RefCell<Vec<oneshot::Sender<()>>>,
     log: Logger,
@@ -103,11 +104,11 @@
     /// task is dropped.
     pub async fn follow_store(self: Rc<Self>) {
         loop {
-            let pause = match self.find_watcher() {
+            let delay = match self.find_watcher() {
                 Some(watcher) => self.poll_watcher(&watcher).await,
                 None => self.poll_store().await,
             };
-            compio::time::sleep(pause.into()).await;
+            compio::time::sleep(delay.into()).await;
         }
     }
 
@@ -128,14 +129,14 @@
         watcher.clone()
     }
 
-    /// Polls a watcher; returns the pause before the next poll.
+    /// Polls a watcher; returns the delay before the next poll.
     async fn poll_watcher(&self, watcher: &RelayClient) -> Millis {
         let after = self.directory.borrow().revision();
         match watcher.poll(after, WATCH_WAIT).await {
             Ok(update) if update.age < RELAY_SILENCE => {
                 self.record_contact(update.age);
                 self.apply_update(update);
-                return RELAY_PAUSE;
+                return RELAY_DELAY;
             }
             Ok(update) => {
                 slog::debug!(self.log, "watcher is cut off"; "peer" => %watcher.address,
@@ -146,25 +147,25 @@
                 slog::debug!(self.log, "watcher not reached"; "peer" => %watcher.address, "error" => %e);
             }
         }
-        let direct = Millis(rand::rng().random_range(DIRECT_WATCH_MS));
-        self.direct_until.set(Millis::now() + direct);
+        let period = Millis(rand::rng().random_range(DIRECT_PERIOD_MS));
+        self.direct_until.set(Millis::now() + period);
         *self.watcher.borrow_mut() = None;
         Millis::ZERO
     }
 
-    /// Reads or watches the store once; returns the pause before the next time.
+    /// Reads or watches the store once; returns the delay before the next time.
     async fn poll_store(&self) -> Millis {
         let result = self.read_store().await;
         self.record_result(&result);
         let replaces_watcher = Millis::now() < self.direct_until.get();
-        let retry = match &result {
-            Ok(()) => return WATCH_PAUSE,
+        let range = match &result {
+            Ok(()) => return WATCH_DELAY,
             Err(Error::Unavailable { .. } | Error::LeaseEnded) if replaces_watcher => {
-                RELAY_RETRY_MS
+                RELAY_RETRY_DELAY_MS
             }
-            Err(_) => STORE_RETRY_MS,
+            Err(_) => STORE_RETRY_DELAY_MS,
         };
-        Millis(rand::rng().random_range(retry))
+        Millis(rand::rng().random_range(range))
     }
 
     /// Returns what a peer at the revision `after` needs to become current;
@@ -195,8 +196,8 @@
     /// Polls peers while the store does not answer, until the task is dropped.
     pub async fn follow_peers(self: Rc<Self>) {
         loop {
-            let pause = Millis(rand::rng().random_range(PEER_INTERVAL_MS));
-            compio::time::sleep(pause.into()).await;
+            let delay = Millis(rand::rng().random_range(PEER_INTERVAL_MS));
+            compio::time::sleep(delay.into()).await;
             self.expire();
             let silence = match self.watcher.borrow().is_some() {
                 true => RELAY_SILENCE,
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -21,7 +21,7 @@
     pub peer_address: SocketAddr,
     /// Listen address for metrics and state.
     pub metrics_address: SocketAddr,
-    /// Peers to contact while no registration of a daemon is known.
+    /// Peers to poll besides the registered ones while the store does not answer.
     pub seeds: Vec<SocketAddr>,
     /// Time from a stop signal until the process is killed.
     pub grace_period: Millis,
