Move the peers of a follower into a module of their own

Change: what peers receive, and polling them while the store does not answer, is in follow/peers.rs; no change of logic.

--- a/components/discovery/src/follow.rs
+++ b/components/discovery/src/follow.rs
@@ -1,4 +1,4 @@
-//! The tasks that keep the directory current.
+//! The directory kept current from the store or from a watcher of it.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -15,6 +15,8 @@
 use crate::relay::{PeerUpdate, RelayClient};
 use crate::watchers::watchers;
 
+mod peers;
+
 /// Longest wait of one watch; a watch that does not respond soon after has
 /// failed.
 const WATCH_WAIT: Millis = Millis(700);
@@ -22,8 +24,6 @@
 /// batches.
 const WATCH_DELAY: Millis = Millis(700);
 const STORE_RETRY_DELAY_MS: std::ops::Range<u64> = 150..350;
-/// Peers are polled if the store has not answered for longer.
-const STORE_SILENCE: Millis = Millis(1_500);
 /// A watcher is given up if the store has not answered it for longer; peers are
 /// polled if the store has not answered through a watcher for longer.
 const RELAY_SILENCE: Millis = Millis(2_500);
@@ -33,7 +33,6 @@
 const RELAY_RETRY_DELAY_MS: std::ops::Range<u64> = 700..1_300;
 /// For how long a daemon watches the store itself when its watcher fails.
 const DIRECT_PERIOD_MS: std::ops::Range<u64> = 3_000..6_000;
-const PEER_INTERVAL_MS: std::ops::Range<u64> = 300..500;
 
 /// Functions that are called with the directory after it has changed.
 pub type Listeners = RefCell<Vec<Box<dyn Fn(&Directory)>>>;
@@ -168,47 +167,6 @@
         Millis(rand::rng().random_range(range))
     }
 
-    /// Returns what a peer at the revision `after` needs to become current;
-    /// waits at most `wait`, and no longer than one watch, for a change.
-    pub async fn serve_peer(&self, after: u64, wait: Millis) -> PeerUpdate {
-        if self.directory.borrow().revision() <= after {
-            let change = self.wait_for_change();
-            let _ = compio::time::timeout(wait.min(WATCH_WAIT).into(), change).await;
-        }
-        let now = Millis::now();
-        let directory = self.directory.borrow();
-        PeerUpdate {
-            update: directory.update_since(after),
-            age: self.store_age(now),
-            lapse_left: directory.lapse_left(now),
-        }
-    }
-
-    /// Returns a receiver that completes when the directory is updated.
-    fn wait_for_change(&self) -> oneshot::Receiver<()> {
-        let (sender, receiver) = oneshot::channel();
-        let mut waiting = self.waiting_peers.borrow_mut();
-        waiting.retain(|peer| !peer.is_canceled());
-        waiting.push(sender);
-        receiver
-    }
-
-    /// Polls peers while the store does not answer, until the task is dropped.
-    pub async fn follow_peers(self: Rc<Self>) {
-        loop {
-            let delay = Millis(rand::rng().random_range(PEER_INTERVAL_MS));
-            compio::time::sleep(delay.into()).await;
-            self.expire();
-            let silence = match self.watcher.borrow().is_some() {
-                true => RELAY_SILENCE,
-                false => STORE_SILENCE,
-            };
-            if self.store_age(Millis::now()) > silence {
-                self.poll_peer().await;
-            }
-        }
-    }
-
     async fn read_store(&self) -> Result<()> {
         if !self.is_loaded.get() {
             let snapshot = self.feed.read().await?;
@@ -278,37 +236,10 @@
         }
     }
 
-    async fn poll_peer(&self) {
-        let Some(address) = self.choose_peer() else {
-            return;
-        };
-        let after = self.directory.borrow().revision();
-        match RelayClient::new(address).poll(after, Millis::ZERO).await {
-            Ok(update) => {
-                self.apply_update(update);
-                let to = self.directory.borrow().revision();
-                if to > after {
-                    info!(self.log, "directory updated from a peer"; "peer" => %address,
-                        "from_revision" => after, "to_revision" => to);
-                    self.is_loaded.set(true);
-                }
-            }
-            Err(e) => slog::debug!(self.log, "peer not reached"; "peer" => %address, "error" => %e),
-        }
-    }
-
     fn apply_update(&self, update: PeerUpdate) {
         let _ = self.update(|d, now| {
             d.record_lapse(update.lapse_left, now);
             d.apply_update(update.update, now)
         });
     }
-
-    fn choose_peer(&self) -> Option<SocketAddr> {
-        let directory = self.directory.borrow();
-        let mut peers: Vec<SocketAddr> = directory.instances().map(|i| i.address).collect();
-        peers.extend(self.seeds.borrow().iter());
-        peers.retain(|address| *address != self.me);
-        peers.choose(&mut rand::rng()).copied()
-    }
 }
