--- a/components/discovery/src/follow.rs
+++ b/components/discovery/src/follow.rs
@@ -1,4 +1,4 @@
-//! The tasks that keep the directory current.
+//! The directory kept current from the store or from a watcher of it.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -15,25 +15,24 @@
 use crate::relay::{PeerUpdate, RelayClient};
 use crate::watchers::watchers;
 
+mod peers;
+
 /// Longest wait of one watch; a watch that does not respond soon after has
 /// failed.
 const WATCH_WAIT: Millis = Millis(700);
-/// Pause between watches, so that the reports of many upstreams are read in
+/// Delay between watches, so that the reports of many upstreams are read in
 /// batches.
-const WATCH_PAUSE: Millis = Millis(700);
-const STORE_RETRY_MS: std::ops::Range<u64> = 150..350;
-/// Peers are polled if the store has not answered for longer.
-const STORE_SILENCE: Millis = Millis(1_500);
+const WATCH_DELAY: Millis = Millis(700);
+const STORE_RETRY_DELAY_MS: std::ops::Range<u64> = 150..350;
 /// A watcher is given up if the store has not answered it for longer; peers are
 /// polled if the store has not answered through a watcher for longer.
 const RELAY_SILENCE: Millis = Millis(2_500);
-/// Pause between polls of a watcher.
-const RELAY_PAUSE: Millis = Millis(300);
-/// Pause between attempts if neither the watcher nor the store is reachable.
-const RELAY_RETRY_MS: std::ops::Range<u64> = 700..1_300;
+/// Delay between polls of a watcher.
+const RELAY_DELAY: Millis = Millis(300);
+/// Delay between attempts if neither the watcher nor the store is reachable.
+const RELAY_RETRY_DELAY_MS: std::ops::Range<u64> = 700..1_300;
 /// For how long a daemon watches the store itself when its watcher fails.
-const DIRECT_WATCH_MS: std::ops::Range<u64> = 3_000..6_000;
-const PEER_INTERVAL_MS: std::ops::Range<u64> = 300..500;
+const DIRECT_PERIOD_MS: std::ops::Range<u64> = 3_000..6_000;
 
 /// Functions that are called with the directory after it has changed.
 pub type Listeners = RefCell<Vec<Box<dyn Fn(&Directory)>>>;
@@ -52,6 +51,7 @@
     is_store_lost: Cell<bool>,
     last_contact: Cell<Millis>,
     watcher: RefCell<Option<Rc<RelayClient>>>,
+    /// When the [`DIRECT_PERIOD_MS`] ends.
     direct_until: Cell<Millis>,
     waiting_peers: RefCell<Vec<oneshot::Sender<()>>>,
     log: Logger,
@@ -103,11 +103,11 @@
     /// task is dropped.
     pub async fn follow_store(self: Rc<Self>) {
         loop {
-            let pause = match self.find_watcher() {
+            let delay = match self.find_watcher() {
                 Some(watcher) => self.poll_watcher(&watcher).await,
                 None => self.poll_store().await,
             };
-            compio::time::sleep(pause.into()).await;
+            compio::time::sleep(delay.into()).await;
         }
     }
 
@@ -128,14 +128,14 @@
         watcher.clone()
     }
 
-    /// Polls a watcher; returns the pause before the next poll.
+    /// Polls a watcher; returns the delay before the next poll.
     async fn poll_watcher(&self, watcher: &RelayClient) -> Millis {
         let after = self.directory.borrow().revision();
         match watcher.poll(after, WATCH_WAIT).await {
             Ok(update) if update.age < RELAY_SILENCE => {
                 self.record_contact(update.age);
                 self.apply_update(update);
-                return RELAY_PAUSE;
+                return RELAY_DELAY;
             }
             Ok(update) => {
                 slog::debug!(self.log, "watcher is cut off"; "peer" => %watcher.address,
@@ -146,66 +146,25 @@
                 slog::debug!(self.log, "watcher not reached"; "peer" => %watcher.address, "error" => %e);
             }
         }
-        let direct = Millis(rand::rng().random_range(DIRECT_WATCH_MS));
-        self.direct_until.set(Millis::now() + direct);
+        let period = Millis(rand::rng().random_range(DIRECT_PERIOD_MS));
+        self.direct_until.set(Millis::now() + period);
         *self.watcher.borrow_mut() = None;
         Millis::ZERO
     }
 
-    /// Reads or watches the store once; returns the pause before the next time.
+    /// Reads or watches the store once; returns the delay before the next time.
     async fn poll_store(&self) -> Millis {
         let result = self.read_store().await;
         self.record_result(&result);
         let replaces_watcher = Millis::now() < self.direct_until.get();
-        let retry = match &result {
-            Ok(()) => return WATCH_PAUSE,
+        let range = match &result {
+            Ok(()) => return WATCH_DELAY,
             Err(Error::Unavailable { .. } | Error::LeaseEnded) if replaces_watcher => {
-                RELAY_RETRY_MS
+                RELAY_RETRY_DELAY_MS
             }
-            Err(_) => STORE_RETRY_MS,
+            Err(_) => STORE_RETRY_DELAY_MS,
         };
-        Millis(rand::rng().random_range(retry))
-    }
-
-    /// Returns what a peer at the revision `after` needs to become current;
-    /// waits at most `wait`, and no longer than one watch, for a change.
-    pub async fn serve_peer(&self, after: u64, wait: Millis) -> PeerUpdate {
-        if self.directory.borrow().revision() <= after {
-            let change = self.wait_for_change();
-            let _ = compio::time::timeout(wait.min(WATCH_WAIT).into(), change).await;
-        }
-        let now = Millis::now();
-        let directory = self.directory.borrow();
-        PeerUpdate {
-            update: directory.update_since(after),
-            age: self.store_age(now),
-            lapse_left: directory.lapse_left(now),
-        }
-    }
-
-    /// Returns a receiver that completes when the directory is updated.
-    fn wait_for_change(&self) -> oneshot::Receiver<()> {
-        let (sender, receiver) = oneshot::channel();
-        let mut waiting = self.waiting_peers.borrow_mut();
-        waiting.retain(|peer| !peer.is_canceled());
-        waiting.push(sender);
-        receiver
-    }
-
-    /// Polls peers while the store does not answer, until the task is dropped.
-    pub async fn follow_peers(self: Rc<Self>) {
-        loop {
-            let pause = Millis(rand::rng().random_range(PEER_INTERVAL_MS));
-            compio::time::sleep(pause.into()).await;
-            self.expire();
-            let silence = match self.watcher.borrow().is_some() {
-                true => RELAY_SILENCE,
-                false => STORE_SILENCE,
-            };
-            if self.store_age(Millis::now()) > silence {
-                self.poll_peer().await;
-            }
-        }
+        Millis(rand::rng().random_range(range))
     }
 
     async fn read_store(&self) -> Result<()> {
@@ -277,37 +236,10 @@
         }
     }
 
-    async fn poll_peer(&self) {
-        let Some(address) = self.choose_peer() else {
-            return;
-        };
-        let after = self.directory.borrow().revision();
-        match RelayClient::new(address).poll(after, Millis::ZERO).await {
-            Ok(update) => {
-                self.apply_update(update);
-                let to = self.directory.borrow().revision();
-                if to > after {
-                    info!(self.log, "directory updated from a peer"; "peer" => %address,
-                        "from_revision" => after, "to_revision" => to);
-                    self.is_loaded.set(true);
-                }
-            }
-            Err(e) => slog::debug!(self.log, "peer not reached"; "peer" => %address, "error" => %e),
-        }
-    }
-
     fn apply_update(&self, update: PeerUpdate) {
         let _ = self.update(|d, now| {
             d.record_lapse(update.lapse_left, now);
             d.apply_update(update.update, now)
         });
     }
-
-    fn choose_peer(&self) -> Option<SocketAddr> {
-        let directory = self.directory.borrow();
-        let mut peers: Vec<SocketAddr> = directory.instances().map(|i| i.address).collect();
-        peers.extend(self.seeds.borrow().iter());
-        peers.retain(|address| *address != self.me);
-        peers.choose(&mut rand::rng()).copied()
-    }
 }
