Report all findings of a platform's settings file together

The derived reader stops at the first value that is missing or malformed. The reader gets `parse_known`, which ignores unknown keys.

--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -7,4 +7,4 @@
 
 pub use finding::{Finding, Findings, Severity};
 pub use process::{Ownership, Settings, load};
-pub use reader::{Pass, Result, parse};
+pub use reader::{Pass, Result, parse, parse_known};
--- a/components/settings/src/reader.rs
+++ b/components/settings/src/reader.rs
@@ -39,15 +39,36 @@
     let parsed = serde_saphyr::with_deserializer_from_str(text, |de| {
         serde_ignored::deserialize(de, |path| unknown.push(path.to_string()))
     });
-    let value: T = match parsed {
-        Ok(value) => value,
-        Err(e) => {
-            return Err(Findings {
-                list: vec![parse_error_finding(&e, file)],
-            });
-        }
-    };
-    let mut list = findings_of::<T>(text, file, &unknown, Pass::Errors);
+    check(parsed, text, file, &unknown)
+}
+
+/// Parses `text` and applies all rules of `T` as [`parse`] does, but ignores
+/// unknown keys.
+///
+/// # Errors
+///
+/// If there is any error, returns all errors and warnings with their locations.
+pub fn parse_known<T>(text: &str, file: &str) -> Result<(T, Vec<Finding>)>
+where
+    T: DeserializeOwned + Validate<Context = Pass>,
+{
+    check(serde_saphyr::from_str(text), text, file, &[])
+}
+
+/// Applies the rules of `T` to the result of parsing `text`.
+fn check<T>(
+    parsed: Result<T, Error>,
+    text: &str,
+    file: &str,
+    unknown: &[String],
+) -> Result<(T, Vec<Finding>)>
+where
+    T: DeserializeOwned + Validate<Context = Pass>,
+{
+    let value = parsed.map_err(|e| Findings {
+        list: vec![parse_error_finding(&e, file)],
+    })?;
+    let mut list = findings_of::<T>(text, file, unknown, Pass::Errors);
     let warnings = findings_of::<T>(text, file, &[], Pass::Warnings);
     if list.is_empty() {
         return Ok((value, warnings));
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use settings::Finding;
 use snafu::ResultExt;
 
 use crate::cli::{CheckArgs, Output};
@@ -9,18 +10,30 @@
 use crate::exit::{Code, FindingsSnafu, PlatformSnafu, Result};
 use crate::messages;
 
+/// What a file without findings prints as JSON.
+const NO_FINDINGS: [Finding; 0] = [];
+
 pub(crate) fn run(args: &CheckArgs, output: Output) -> Result<Code> {
     match (&args.file, &args.platform) {
         (Some(file), _) => check_declarations(file, output),
-        (None, Some(file)) => check_platform(file),
+        (None, Some(file)) => check_platform(file, output),
         // clap requires one of the two arguments.
         (None, None) => Ok(Code::Failure),
     }
 }
 
-fn check_platform(file: &Path) -> Result<Code> {
-    let settings = platform::load(file).context(PlatformSnafu)?;
-    println!("{}", messages::checked_platform(file, &settings));
+fn check_platform(file: &Path, output: Output) -> Result<Code> {
+    let settings = match platform::load(file) {
+        Err(platform::Error::Findings { source }) if output == Output::Json => {
+            print_json(&source.list);
+            return Ok(Code::Findings);
+        }
+        loaded => loaded.context(PlatformSnafu)?,
+    };
+    match output {
+        Output::Json => print_json(&NO_FINDINGS),
+        Output::Text => println!("{}", messages::checked_platform(file, &settings)),
+    }
     Ok(Code::Success)
 }
 
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -11,6 +11,8 @@
 pub(crate) fn error(error: &Error) -> String {
     match error {
         Error::Findings { .. } => error.to_string(),
+        // The text has one line for each finding.
+        Error::Platform { .. } => format!("error: {error}").replace('\n', "\nerror: "),
         _ => format!("error: {error}"),
     }
 }
