Say what the limit on attempts counts

Cause: a route's `attempts` was documented as a number of attempts, the stored `max-attempts` as a number of upstreams and "not of sends", and the two loops that count called the number attempts and sends. Both loops count the attempts of a shard, hedges included, without those that found the connection refused or closed; an attempt goes to one upstream, so the limit on upstreams is kept. Change: the docs of the three places say this, and dispatch calls the number attempts as the search does. No behaviour.

--- a/components/routes/src/configuration.rs
+++ b/components/routes/src/configuration.rs
@@ -67,7 +67,9 @@
     pub objective: Millis,
     /// Queue priority; 0 is served first.
     pub priority: u8,
-    /// Maximum number of attempts per shard, hedges included.
+    /// Maximum number of attempts per shard, hedges included. Each goes to one
+    /// upstream, so that a request reaches no more upstreams than this; one that
+    /// found the connection refused or closed was not sent and does not count.
     pub attempts: usize,
     /// Services that serve the requests.
     pub target: Target,
--- a/components/upstreams/src/call.rs
+++ b/components/upstreams/src/call.rs
@@ -34,7 +34,8 @@
 /// How many attempts and how much extra load a request may cause.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryPolicy {
-    /// Attempts for each shard, hedges included.
+    /// Maximum number of attempts for each shard, hedges included; one that found
+    /// the connection refused or closed was not sent and does not count.
     pub attempts: usize,
     /// Hedges per hundred sub-requests.
     pub hedge_percent: u8,
--- a/components/upstreams/src/dispatch.rs
+++ b/components/upstreams/src/dispatch.rs
@@ -33,11 +33,11 @@
     pub async fn dispatch(self: &Rc<Self>, shard: &dyn Shard, call: &Call) -> Result<Answer> {
         let mut candidates = shard.replicas();
         let mut last = Failure::not_run(Reason::NoReplica);
-        let mut sends = 0;
+        let mut attempts = 0;
         self.retries.earn(call.policy.retry_percent);
         self.hedges.earn(call.policy.hedge_percent);
         while !candidates.is_empty() {
-            if sends > 0 && !(sends < call.policy.attempts && self.retries.spend()) {
+            if attempts > 0 && !(attempts < call.policy.attempts && self.retries.spend()) {
                 return Err(last);
             }
             let slot = match self.acquire(self.booking_request(&candidates, call)?).await {
@@ -54,7 +54,7 @@
             let running = attempt::run(&slot, self, call, shard.name());
             match compio::time::timeout(left.into(), running).await {
                 Ok(Err(failure)) if failure.ran == Ran::No => {
-                    sends += usize::from(!failure.is_unsent());
+                    attempts += usize::from(!failure.is_unsent());
                     last = failure;
                 }
                 Ok(result) => return result,
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -40,6 +40,7 @@
     shard: &'a dyn Shard,
     call: &'a Call,
     tried: Vec<UpstreamKey>,
+    /// Attempts so far, without those that were not sent.
     attempts: usize,
     last: Failure,
     ran: Ran,
