Use one type for a version of the data

Change: query uses `upstreams::DataVersion`; `query::Version` is gone. In search.rs only the name of the type and the imports change. No behaviour.

--- a/components/query/src/lib.rs
+++ b/components/query/src/lib.rs
@@ -21,7 +21,7 @@
 pub use merge::Merge;
 pub use outcomes::{BookingState, Outcomes};
 pub use owner::{LocalOwner, Owner, PeerError, RemoteOwner};
-pub use plan::{Version, choose_version};
+pub use plan::choose_version;
 pub use refusal::{Kind, Refusal, Result};
 pub use root::{Gate, Root, SearchRequest};
 pub use server::Server;
--- a/components/query/src/merge.rs
+++ b/components/query/src/merge.rs
@@ -7,15 +7,14 @@
 use schema::Part;
 use serde_json::value::RawValue;
 use telemetry::names;
-use upstreams::{Failure, Ran, Reason};
+use upstreams::{DataVersion, Failure, Ran, Reason};
 
 use crate::answer::MissingShard;
-use crate::plan::Version;
 
 /// The parts of one search, all of one snapshot.
 pub struct Merge {
     request_id: String,
-    version: Version,
+    version: DataVersion,
     parts: BTreeMap<String, Option<Box<RawValue>>>,
     failures: BTreeMap<String, Failure>,
     // Whether work without a part here ran: abandoned calls, other rounds.
@@ -24,7 +23,7 @@
 
 impl Merge {
     /// Returns an empty merge of the requested shards.
-    pub fn new(request_id: &str, version: &Version, requested: &[String]) -> Self {
+    pub fn new(request_id: &str, version: &DataVersion, requested: &[String]) -> Self {
         let parts = requested
             .iter()
             .map(|shard| (shard.clone(), None))
--- a/components/query/src/plan.rs
+++ b/components/query/src/plan.rs
@@ -2,16 +2,7 @@
 
 use std::collections::HashSet;
 
-use upstreams::Holding;
-
-/// A snapshot of one partitioning.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Version {
-    /// Label of the shard map.
-    pub partitioning: String,
-    /// Number of the snapshot.
-    pub snapshot: u64,
-}
+use upstreams::{DataVersion, Holding};
 
 /// Chooses the snapshot that the most requested shards can serve, and the
 /// newest if several are equal. Snapshots in `excluded` are not considered.
@@ -20,7 +11,7 @@
     requested: &[String],
     holdings: &[Holding],
     excluded: &[u64],
-) -> Option<Version> {
+) -> Option<DataVersion> {
     let requested: HashSet<&str> = requested.iter().map(String::as_str).collect();
     let usable = holdings
         .iter()
@@ -44,7 +35,7 @@
         .into_iter()
         .max_by_key(|(snapshot, set)| (set.len(), *snapshot));
     best.filter(|(_, set)| !set.is_empty())
-        .map(|(snapshot, _)| Version {
+        .map(|(snapshot, _)| DataVersion {
             partitioning: partitioning.to_owned(),
             snapshot,
         })
--- a/components/query/src/scatter.rs
+++ b/components/query/src/scatter.rs
@@ -11,11 +11,10 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use members::Member;
 use schema::{ScatterReply, ScatterRequest, SurveyRequest};
-use upstreams::{Failure, Holding, Ran, Reason};
+use upstreams::{DataVersion, Failure, Holding, Ran, Reason};
 
 use crate::merge::Merge;
 use crate::owner::PeerError;
-use crate::plan::Version;
 use crate::root::Root;
 use crate::views::{Freshness, Views};
 
@@ -32,7 +31,7 @@
     pub(crate) root: &'a Root,
     pub(crate) topology: &'a Rc<Topology>,
     pub(crate) request_id: &'a str,
-    pub(crate) version: &'a Version,
+    pub(crate) version: &'a DataVersion,
 }
 
 /// The groups with the same first owner, and their requested shards.
--- a/components/query/src/search.rs
+++ b/components/query/src/search.rs
@@ -5,12 +5,12 @@
 
 use catalog::Topology;
 use clock::Millis;
-use upstreams::{Reason, jittered_wait};
+use upstreams::{DataVersion, Reason, jittered_wait};
 use uuid::Uuid;
 
 use crate::answer::SearchAnswer;
 use crate::merge::Merge;
-use crate::plan::{Version, choose_version};
+use crate::plan::choose_version;
 use crate::refusal::{Kind, Refusal, Result};
 use crate::root::{Root, SearchRequest, fingerprint};
 use crate::scatter::{Scatter, view_key};
@@ -89,10 +89,10 @@
 
     /// Runs the search, and once more at another snapshot if owners do not hold
     /// the first one. Parts of two rounds are never merged.
-    async fn run_rounds(&self, fingerprint: u64) -> Result<(Version, Merge)> {
+    async fn run_rounds(&self, fingerprint: u64) -> Result<(DataVersion, Merge)> {
         let request_id = Uuid::new_v4().simple().to_string();
         let mut tried: Vec<u64> = Vec::new();
-        let mut best: Option<(Version, Merge)> = None;
+        let mut best: Option<(DataVersion, Merge)> = None;
         while let Some(version) = self.choose(&tried) {
             let scatter = Scatter {
                 root: self.root,
@@ -114,7 +114,7 @@
         best.ok_or_else(|| no_snapshot(&self.request.service))
     }
 
-    fn choose(&self, tried: &[u64]) -> Option<Version> {
+    fn choose(&self, tried: &[u64]) -> Option<DataVersion> {
         let holdings = self.root.views.holdings(&self.keys, Millis::now());
         choose_version(
             &self.topology.service.partitioning,
@@ -125,7 +125,7 @@
     }
 
     /// Returns the covered shards, or a refusal if they are too few.
-    fn answer(&self, version: Version, merge: Merge) -> Result<SearchAnswer> {
+    fn answer(&self, version: DataVersion, merge: Merge) -> Result<SearchAnswer> {
         let requested = self.requested.len();
         let percent = usize::from(self.topology.service.coverage_percent);
         let needed = (requested * percent).div_ceil(100).max(1);
@@ -159,7 +159,11 @@
 
 /// Keeps the round that covers more shards, and records in it whether the
 /// other one ran.
-fn better_round(old: Option<(Version, Merge)>, version: Version, merge: Merge) -> (Version, Merge) {
+fn better_round(
+    old: Option<(DataVersion, Merge)>,
+    version: DataVersion,
+    merge: Merge,
+) -> (DataVersion, Merge) {
     let Some(old) = old else {
         return (version, merge);
     };
--- a/components/query/tests/plan.rs
+++ b/components/query/tests/plan.rs
@@ -1,9 +1,9 @@
 //! The choice of a search's snapshot, and the merge of its parts.
 
-use query::{Merge, Version, choose_version};
+use query::{Merge, choose_version};
 use rstest::rstest;
 use schema::Part;
-use upstreams::{Holding, Ran};
+use upstreams::{DataVersion, Holding, Ran};
 
 fn holding(partitioning: &str, snapshot: u64, shards: &[&str]) -> Holding {
     let shards = shards.iter().map(|s| (*s).to_owned()).collect();
@@ -55,7 +55,7 @@
 #[case::unrequested_shard(part("x"), 0)]
 #[case::malformed_rows(Part { rows: b"[1".to_vec(), ..part("a") }, 0)]
 fn only_parts_of_the_same_search_are_merged(#[case] part: Part, #[case] covered: usize) {
-    let version = Version {
+    let version = DataVersion {
         partitioning: "p".to_owned(),
         snapshot: 1,
     };
@@ -75,7 +75,7 @@
 #[case::an_abandoned_call(Ran::Unknown, Ran::Unknown)]
 #[case::an_earlier_round(Ran::Yes, Ran::Yes)]
 fn work_without_a_part_counts_as_run(#[case] discarded: Ran, #[case] expected: Ran) {
-    let version = Version {
+    let version = DataVersion {
         partitioning: "p".to_owned(),
         snapshot: 1,
     };
