Call a connection of an upstream's pool a pooled connection

Cause: "lease" meant both the lease of a registration in the store and a connection that a request holds. Change: `Lease` is `PooledConnection`, `lease` is `check_out`, `LeaseError` is `CheckoutError`; a lease is now only the store's. No behaviour.

--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -11,7 +11,7 @@
 use crate::message::{Answer, Recipient, UpstreamReport};
 use crate::pool::Pool;
 use crate::slot::Slot;
-use crate::upstream::{LeaseError, Running, Upstream};
+use crate::upstream::{CheckoutError, Running, Upstream};
 
 const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
@@ -86,10 +86,10 @@
 
 async fn exchange(slot: &Slot, pool: &Pool, call: &Call, shard: &str) -> Result<Answer> {
     let upstream = &slot.upstream;
-    let mut lease = match upstream.lease().await {
-        Ok(lease) => lease,
-        Err(LeaseError::Limit) => return Err(Failure::not_run(Reason::Overloaded)),
-        Err(LeaseError::Refused) => {
+    let mut pooled = match upstream.check_out().await {
+        Ok(pooled) => pooled,
+        Err(CheckoutError::Limit) => return Err(Failure::not_run(Reason::Overloaded)),
+        Err(CheckoutError::Refused) => {
             record_refused(pool, upstream);
             return Err(Failure::not_run(Reason::NoReplica));
         }
@@ -111,7 +111,7 @@
         started,
         is_finished: false,
     };
-    let sent = lease.conn.send(request, ANSWER_LIMIT_BYTES).await;
+    let sent = pooled.conn.send(request, ANSWER_LIMIT_BYTES).await;
     attempt.is_finished = true;
     let response = match sent {
         Ok(response) => response,
@@ -127,7 +127,7 @@
         upstream.health.borrow_mut().record_failure(Millis::now());
         return reply.result;
     }
-    upstream.keep(lease, reply.report.idle_timeout);
+    upstream.keep(pooled, reply.report.idle_timeout);
     record_report(pool, upstream, reply.report, started);
     record_outcome(pool, slot, call, &reply.result, started);
     reply.result
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -54,7 +54,7 @@
     /// Whether another process was found at its address.
     pub(crate) is_replaced: Cell<bool>,
     pub(crate) open: Rc<Cell<usize>>,
-    idle: RefCell<Vec<Lease>>,
+    idle: RefCell<Vec<PooledConnection>>,
     pub(crate) health: RefCell<Health>,
     pub(crate) latency: RefCell<UpstreamLatency>,
     /// Whether it is in the preferred failure domain.
@@ -78,14 +78,14 @@
 }
 
 /// A connection that counts towards its upstream's limit while it is open.
-pub(crate) struct Lease {
+pub(crate) struct PooledConnection {
     pub(crate) conn: Connection,
     /// Time until which it is reused; the upstream closes it later.
     usable_until: Millis,
     open: Rc<Cell<usize>>,
 }
 
-impl Drop for Lease {
+impl Drop for PooledConnection {
     fn drop(&mut self) {
         self.open.set(self.open.get() - 1);
     }
@@ -209,32 +209,32 @@
     }
 
     /// Takes an idle connection or opens one.
-    pub(crate) async fn lease(&self) -> Result<Lease, LeaseError> {
-        if let Some(lease) = self.take_idle() {
-            return Ok(lease);
+    pub(crate) async fn check_out(&self) -> Result<PooledConnection, CheckoutError> {
+        if let Some(pooled) = self.take_idle() {
+            return Ok(pooled);
         }
-        self.open_lease().await
+        self.open_connection().await
     }
 
-    fn take_idle(&self) -> Option<Lease> {
+    fn take_idle(&self) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let now = Millis::now();
-        idle.retain(|lease| lease.conn.is_open() && now < lease.usable_until);
+        idle.retain(|pooled| pooled.conn.is_open() && now < pooled.usable_until);
         idle.pop()
     }
 
-    async fn open_lease(&self) -> Result<Lease, LeaseError> {
+    async fn open_connection(&self) -> Result<PooledConnection, CheckoutError> {
         if self.open.get() >= self.connections.get() {
-            return Err(LeaseError::Limit);
+            return Err(CheckoutError::Limit);
         }
         let opening = Opening::new(&self.open);
         let conn = Connection::open(self.address)
             .await
-            .map_err(|_| LeaseError::Refused)?;
-        // The lease counts the connection from here on, instead of `opening`.
+            .map_err(|_| CheckoutError::Refused)?;
+        // The pooled connection counts from here on, instead of `opening`.
         self.open.set(self.open.get() + 1);
         drop(opening);
-        Ok(Lease {
+        Ok(PooledConnection {
             conn,
             usable_until: Millis(u64::MAX),
             open: self.open.clone(),
@@ -243,12 +243,12 @@
 
     /// Keeps a connection for reuse after its last request was answered
     /// completely.
-    pub(crate) fn keep(&self, mut lease: Lease, idle_timeout: Option<Millis>) {
+    pub(crate) fn keep(&self, mut pooled: PooledConnection, idle_timeout: Option<Millis>) {
         let usable = idle_timeout.map(|t| Millis(t.0 / IDLE_REUSE_SHARE.1 * IDLE_REUSE_SHARE.0));
-        lease.usable_until = usable.map_or(Millis(u64::MAX), |u| Millis::now() + u);
+        pooled.usable_until = usable.map_or(Millis(u64::MAX), |u| Millis::now() + u);
         let mut idle = self.idle.borrow_mut();
-        if lease.conn.is_open() && idle.len() < self.slots.get() {
-            idle.push(lease);
+        if pooled.conn.is_open() && idle.len() < self.slots.get() {
+            idle.push(pooled);
         }
     }
 
@@ -269,8 +269,8 @@
     /// Opens connections in advance, one for each slot.
     pub(crate) async fn warm_up(&self) {
         while self.open.get() < self.slots.get() {
-            match self.open_lease().await {
-                Ok(lease) => self.keep(lease, None),
+            match self.open_connection().await {
+                Ok(pooled) => self.keep(pooled, None),
                 Err(_) => return,
             }
         }
@@ -284,7 +284,7 @@
 
 /// Why no connection is available for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum LeaseError {
+pub(crate) enum CheckoutError {
     /// All connections that this daemon may open are open.
     Limit,
     /// The connection could not be opened.
