Call the time until a request's deadline `time_left`, not a budget

Cause: "budget" meant the retry budget of a service and the time that a request has left. Fields of the schema stay. Left: the field `budget` of SearchRequest and BookRequest and the locals that read it (query's root, search and booking, and the daemon's callers). No behaviour.

--- a/components/query/src/scatter.rs
+++ b/components/query/src/scatter.rs
@@ -112,8 +112,8 @@
     ) -> (Batch, Ran, Result<ScatterReply, Failure>) {
         let mut ran = Ran::No;
         for member in batch.owners.iter() {
-            let budget = deadline.since(Millis::now() + HOP_MARGIN);
-            if budget == Millis::ZERO {
+            let time_left = deadline.since(Millis::now() + HOP_MARGIN);
+            if time_left == Millis::ZERO {
                 break;
             }
             let request = ScatterRequest {
@@ -123,11 +123,11 @@
                 partitioning: self.version.partitioning.clone(),
                 snapshot: self.version.snapshot,
                 shards: batch.shards.clone(),
-                budget_ms: budget.0,
+                budget_ms: time_left.0,
                 body: body.to_vec(),
                 fingerprint,
             };
-            match self.call(member, request, budget + HOP_MARGIN).await {
+            match self.call(member, request, time_left + HOP_MARGIN).await {
                 Ok(reply) => return (batch, ran, Ok(reply)),
                 Err(PeerError::Unsent) => {}
                 Err(PeerError::Lost) => ran = Ran::Unknown,
--- a/components/query/src/waits.rs
+++ b/components/query/src/waits.rs
@@ -38,7 +38,7 @@
     }
 }
 
-/// Whether a wait leaves too little of a request's time budget.
-pub(crate) fn is_too_long(wait: Millis, budget: Millis) -> bool {
-    wait.0 * 100 > budget.0 * MAX_WAIT_PERCENT
+/// Whether a wait leaves too little of the time that a request has left.
+pub(crate) fn is_too_long(wait: Millis, time_left: Millis) -> bool {
+    wait.0 * 100 > time_left.0 * MAX_WAIT_PERCENT
 }
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -95,14 +95,14 @@
         }
     };
     let started = Millis::now();
-    let budget = call.deadline.since(started);
+    let time_left = call.deadline.since(started);
     let recipient = Recipient {
         upstream: &upstream.name,
         shard,
     };
     let request = call
         .message
-        .to_request(&recipient, budget)
+        .to_request(&recipient, time_left)
         .ok_or_else(|| Failure::not_run(Reason::UpstreamError))?;
     metrics::counter!(names::SENDS_TOTAL).increment(1);
     let mut attempt = Attempt {
--- a/components/upstreams/src/message.rs
+++ b/components/upstreams/src/message.rs
@@ -23,9 +23,9 @@
     /// Identifier of the request.
     fn id(&self) -> &str;
 
-    /// Builds the HTTP request to one upstream; `budget` is the time left until
-    /// the deadline. Returns `None` if a value is not a valid header.
-    fn to_request(&self, recipient: &Recipient<'_>, budget: Millis) -> Option<Request<Payload>>;
+    /// Builds the HTTP request to one upstream; `time_left` ends at the
+    /// deadline. Returns `None` if a value is not a valid header.
+    fn to_request(&self, recipient: &Recipient<'_>, time_left: Millis) -> Option<Request<Payload>>;
 
     /// Reads an answer, which may belong to another request.
     fn read(&self, recipient: &Recipient<'_>, response: Response<Bytes>) -> Reply;
--- a/components/upstreams/src/wire.rs
+++ b/components/upstreams/src/wire.rs
@@ -42,7 +42,7 @@
         &self.request_id
     }
 
-    fn to_request(&self, recipient: &Recipient<'_>, budget: Millis) -> Option<Request<Payload>> {
+    fn to_request(&self, recipient: &Recipient<'_>, time_left: Millis) -> Option<Request<Payload>> {
         let path = if self.key.is_some() {
             "/book"
         } else {
@@ -54,7 +54,7 @@
             .header(REQUEST_ID_HEADER, &self.request_id)
             .header(SHARD_HEADER, recipient.shard)
             .header(PARTITIONING_HEADER, &self.partitioning)
-            .header(DEADLINE_MS_HEADER, budget.0);
+            .header(DEADLINE_MS_HEADER, time_left.0);
         builder = match &self.key {
             Some(key) => builder.header(IDEMPOTENCY_KEY_HEADER, key),
             None => builder.header(SNAPSHOT_HEADER, self.snapshot),
