--- a/components/query/src/scatter.rs
+++ b/components/query/src/scatter.rs
@@ -11,11 +11,10 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use members::Member;
 use schema::{ScatterReply, ScatterRequest, SurveyRequest};
-use upstreams::{Failure, Holding, Ran, Reason};
+use upstreams::{DataVersion, Failure, Holding, Ran, Reason};
 
 use crate::merge::Merge;
 use crate::owner::PeerError;
-use crate::plan::Version;
 use crate::root::Root;
 use crate::views::{Freshness, Views};
 
@@ -32,7 +31,7 @@
     pub(crate) root: &'a Root,
     pub(crate) topology: &'a Rc<Topology>,
     pub(crate) request_id: &'a str,
-    pub(crate) version: &'a Version,
+    pub(crate) version: &'a DataVersion,
 }
 
 /// The groups with the same first owner, and their requested shards.
@@ -113,8 +112,8 @@
     ) -> (Batch, Ran, Result<ScatterReply, Failure>) {
         let mut ran = Ran::No;
         for member in batch.owners.iter() {
-            let budget = deadline.since(Millis::now() + HOP_MARGIN);
-            if budget == Millis::ZERO {
+            let time_left = deadline.since(Millis::now() + HOP_MARGIN);
+            if time_left == Millis::ZERO {
                 break;
             }
             let request = ScatterRequest {
@@ -124,11 +123,11 @@
                 partitioning: self.version.partitioning.clone(),
                 snapshot: self.version.snapshot,
                 shards: batch.shards.clone(),
-                budget_ms: budget.0,
+                budget_ms: time_left.0,
                 body: body.to_vec(),
                 fingerprint,
             };
-            match self.call(member, request, budget + HOP_MARGIN).await {
+            match self.call(member, request, time_left + HOP_MARGIN).await {
                 Ok(reply) => return (batch, ran, Ok(reply)),
                 Err(PeerError::Unsent) => {}
                 Err(PeerError::Lost) => ran = Ran::Unknown,
