Give each gateway of the tests an address that nothing else uses

Cause: the address came from the process id and a counter of the thread, so gateways of two threads of one test process shared their fixed ports. Change: an address is reserved by a socket that the process keeps bound, so a second reservation in any thread or process fails; one where a process already listens, such as a gateway that outlived its test, is skipped. The ports stay. The test for a skipped address fails without the check for listeners.

--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -8,6 +8,7 @@
 use clap::{Parser, Subcommand};
 use serde::Deserialize;
 use serde_json::json;
+use standins::platform::endpoints::Endpoints;
 use standins::platform::site;
 use standins::upstream::{Behaviour, Options};
 use standins::{bench, demo, graph, instances, load, store, upstream};
@@ -243,7 +244,7 @@
         service_time: clock::Millis(service_ms),
     };
     let site = site::Site::start(size).await?;
-    let endpoints = site::Endpoints { ip };
+    let endpoints = Endpoints { ip };
     let file = site::settings("gateway-1", endpoints, site.store_address, &[]);
     std::fs::write(settings, file.to_string())?;
     println!("{}", json!({ "store": site.store_address }));
--- a/standins/src/platform/gateway.rs
+++ b/standins/src/platform/gateway.rs
@@ -1,7 +1,5 @@
 //! Gateways of a site: real processes, each with its own settings file.
 
-use std::cell::Cell;
-use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -12,17 +10,14 @@
 use uuid::Uuid;
 
 use crate::fleet::{Binaries, Process, wait_until};
-use crate::platform::site::{self, Endpoints, HOST, Site};
+use crate::platform::endpoints::{Endpoints, unused_endpoints};
+use crate::platform::site::{self, HOST, Site};
 
 const ANSWER_LIMIT_BYTES: usize = 1024 * 1024;
 const TIMEOUT: Millis = Millis(5_000);
 /// Time within which a gateway applies a change in the store.
 pub const PROPAGATION: Duration = Duration::from_millis(2_500);
 
-thread_local! {
-    static NEXT_HOST_BYTE: Cell<u8> = const { Cell::new(1) };
-}
-
 /// A running gateway; dropping it ends the process.
 pub struct Gateway {
     /// The process.
@@ -39,17 +34,6 @@
     }
 }
 
-/// Returns endpoints on a loopback address that depends on the process id and
-/// differs on each call in a thread, so that gateways do not share ports.
-pub fn unused_endpoints() -> Endpoints {
-    let host = NEXT_HOST_BYTE.get();
-    NEXT_HOST_BYTE.set(host + 1);
-    let [high, low] = (std::process::id() as u16).to_be_bytes();
-    Endpoints {
-        ip: Ipv4Addr::new(127, 1 + high % 250, low, host),
-    }
-}
-
 /// Starts a gateway with the given seed nodes.
 pub async fn start_gateway(site: &Site, seeds: &[Endpoints]) -> Gateway {
     let endpoints = unused_endpoints();
--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -2,7 +2,7 @@
 //! of its daemons.
 
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use base64::Engine;
@@ -11,14 +11,10 @@
 use serde_json::{Value, json};
 use transport::{Listener, ServerLimits, Shutdown, serve};
 
+use super::endpoints::Endpoints;
 use super::store::{self, PlatformStore};
 use super::upstream::{self, Mode, PlatformUpstream};
 
-const CALLERS_PORT: u16 = 8_226;
-const READY_PORT: u16 = 8_227;
-const PEERS_PORT: u16 = 8_224;
-const METRICS_PORT: u16 = 9_464;
-
 /// Host of all routes.
 pub const HOST: &str = "site.example";
 /// Prefix of the search over all shards.
@@ -169,39 +165,6 @@
     })
 }
 
-/// Addresses at which a daemon listens, on an IP address of its own.
-#[derive(Clone, Copy, Debug)]
-pub struct Endpoints {
-    /// IP address of the daemon.
-    pub ip: Ipv4Addr,
-}
-
-impl Endpoints {
-    /// Returns the address for callers.
-    pub fn callers(self) -> SocketAddr {
-        self.port(CALLERS_PORT)
-    }
-
-    /// Returns the address of the readiness endpoint.
-    pub fn ready(self) -> SocketAddr {
-        self.port(READY_PORT)
-    }
-
-    /// Returns the address for other daemons.
-    pub fn peers(self) -> SocketAddr {
-        self.port(PEERS_PORT)
-    }
-
-    /// Returns the address of the metrics endpoint.
-    pub fn metrics(self) -> SocketAddr {
-        self.port(METRICS_PORT)
-    }
-
-    fn port(self, port: u16) -> SocketAddr {
-        SocketAddr::from((self.ip, port))
-    }
-}
-
 /// Returns the contents of a daemon's settings file.
 pub fn settings(
     name: &str,
