--- a/standins/src/fleet/process.rs
+++ b/standins/src/fleet/process.rs
@@ -1,6 +1,7 @@
 //! Child processes, killed when they are dropped.
 
 use std::fs::File;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -9,7 +10,8 @@
 use nix::unistd::Pid;
 use serde_json::Value;
 
-const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// A process listens, and a daemon is ready, within this time after its start.
+pub(crate) const START_TIMEOUT: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The programs that a fleet runs.
@@ -185,3 +187,11 @@
         Err(_) => "the program could not be run".to_owned(),
     }
 }
+
+/// Reads an address that a process prints.
+pub(crate) fn address_of(value: &Value) -> SocketAddr {
+    value
+        .as_str()
+        .and_then(|s| s.parse().ok())
+        .expect("the process prints its address")
+}
