Split the members' state from their heartbeats

Change: `members`, `digest` and `instances` become modules beside `heartbeat`, which keeps the loop and the exchange; code and public names are unchanged.

--- a/components/members/src/lib.rs
+++ b/components/members/src/lib.rs
@@ -2,13 +2,17 @@
 //! that daemons exchange with their heartbeats.
 
 mod confirmation;
+mod digest;
 mod heartbeat;
+mod instances;
 mod member;
+mod members;
 mod ownership;
 mod table;
 
 pub use confirmation::Confirmation;
-pub use heartbeat::{Digest, MemberView, Members};
+pub use digest::Digest;
 pub use member::{Member, State};
+pub use members::{MemberView, Members};
 pub use ownership::rank;
 pub use table::{Effect, Table};
