Count the runs of a booking in one place

Cause: the demonstration and `end_to_end` counted the executions of a key each for itself, beside `runs_by_key`. Change: both use `runs_by_key`, with the same assertion of exactly one run.

--- a/standins/src/demo.rs
+++ b/standins/src/demo.rs
@@ -6,6 +6,7 @@
 use serde_json::{Value, json};
 use uuid::Uuid;
 
+use crate::bookings::runs_by_key;
 use crate::fleet::{Binaries, Fleet, Plan, ServicePlan, book, search};
 
 const DAEMONS: usize = 3;
@@ -70,13 +71,11 @@
         .await?
         .body;
     print_step("booking sent again", &resent);
-    let runs = fleet
-        .all_executions()
-        .await
-        .iter()
-        .filter(|e| e["key"] == key.as_str())
-        .count();
-    ensure(runs == 1, "a booking that is sent again must run once")?;
+    let runs = runs_by_key(&fleet).await;
+    ensure(
+        runs.get(&key) == Some(&1),
+        "a booking that is sent again must run once",
+    )?;
 
     let victim = fleet
         .declarations
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -1,6 +1,7 @@
 //! Searches and a booking end to end through real processes.
 
 use serde_json::json;
+use standins::bookings::runs_by_key;
 use standins::fleet::{Binaries, Fleet, Plan, book, search};
 use uuid::Uuid;
 
@@ -31,11 +32,5 @@
         .unwrap();
     assert_eq!(again.status, 200, "{again:?}");
     assert_eq!(again.body["replayed"], true);
-    let runs = fleet
-        .all_executions()
-        .await
-        .iter()
-        .filter(|e| e["key"] == key.as_str())
-        .count();
-    assert_eq!(runs, 1);
+    assert_eq!(runs_by_key(&fleet).await[&key], 1);
 }
