--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -2,7 +2,7 @@
 //! of its daemons.
 
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use base64::Engine;
@@ -11,14 +11,10 @@
 use serde_json::{Value, json};
 use transport::{Listener, ServerLimits, Shutdown, serve};
 
+use super::endpoints::Endpoints;
 use super::store::{self, PlatformStore};
 use super::upstream::{self, Mode, PlatformUpstream};
 
-const CALLERS_PORT: u16 = 8_226;
-const READY_PORT: u16 = 8_227;
-const PEERS_PORT: u16 = 8_224;
-const METRICS_PORT: u16 = 9_464;
-
 /// Host of all routes.
 pub const HOST: &str = "site.example";
 /// Prefix of the search over all shards.
@@ -28,6 +24,9 @@
 /// Prefix of the writes to one shard, which must not be retried.
 pub const WRITE: &str = "/write/";
 
+/// Number of shards of the site that [`start_site`] starts.
+pub const SHARDS: usize = 4;
+
 /// Size and speed of a site.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -113,6 +112,21 @@
     }
 }
 
+/// Starts a site with [`SHARDS`] shards of two upstreams each, which take 5 ms for
+/// a request.
+///
+/// # Panics
+///
+/// Panics if no port can be bound.
+pub async fn start_site() -> Site {
+    let size = Size {
+        shards: SHARDS,
+        replicas: 2,
+        service_time: Millis(5),
+    };
+    Site::start(size).await.expect("loopback ports are free")
+}
+
 async fn listen(router: axum::Router) -> transport::Result<SocketAddr> {
     let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
     let address = listener.address;
@@ -169,39 +183,6 @@
     })
 }
 
-/// Addresses at which a daemon listens, on an IP address of its own.
-#[derive(Clone, Copy, Debug)]
-pub struct Endpoints {
-    /// IP address of the daemon.
-    pub ip: Ipv4Addr,
-}
-
-impl Endpoints {
-    /// Returns the address for callers.
-    pub fn callers(self) -> SocketAddr {
-        self.port(CALLERS_PORT)
-    }
-
-    /// Returns the address of the readiness endpoint.
-    pub fn ready(self) -> SocketAddr {
-        self.port(READY_PORT)
-    }
-
-    /// Returns the address for other daemons.
-    pub fn peers(self) -> SocketAddr {
-        self.port(PEERS_PORT)
-    }
-
-    /// Returns the address of the metrics endpoint.
-    pub fn metrics(self) -> SocketAddr {
-        self.port(METRICS_PORT)
-    }
-
-    fn port(self, port: u16) -> SocketAddr {
-        SocketAddr::from((self.ip, port))
-    }
-}
-
 /// Returns the contents of a daemon's settings file.
 pub fn settings(
     name: &str,
