Test that a leaving daemon answers each request it has read; it does not

Callers see their connection close without an answer when a daemon exits with requests in flight; peers see the same for their sub-requests. Cause: `drain_gracefully` admits requests with their whole deadline, up to 60 s, for the grace period, waits at most `drain_ms` for them and lets the process exit with the rest. Peers get 20 ms, and claims that wait for the store are not waited for.

--- /dev/null
+++ b/tests/daemon_shutdown.rs
@@ -0,0 +1,248 @@
+//! A leaving daemon answers each request that it has read, bounds new ones by the
+//! time that it has left, and reports the requests that it cuts.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use clock::Millis;
+use futures_util::future::{join, join_all};
+use rstest::rstest;
+use schema::{ClaimRequest, DispatchRequest, ScatterRequest};
+use serde_json::{Value, json};
+use standins::client::{Answer, JsonClient};
+use standins::fleet::{Binaries, Fleet, Plan, ServicePlan, search};
+use tonic::Status;
+use transport::{PeerClient, peer_client};
+use uuid::Uuid;
+
+const EXIT_TIMEOUT: Duration = Duration::from_secs(10);
+const LONG_BUDGET: Millis = Millis(20_000);
+const UPSTREAMS: usize = 3;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Request {
+    Search,
+    Booking,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SubRequest {
+    Scatter,
+    Dispatch,
+    Claim,
+}
+
+/// Starts two daemons, each of which owns all shards for its own callers.
+async fn start(deadline: Millis, grace: Millis, drain: Millis) -> Fleet {
+    let mut service = ServicePlan::new("jobs", UPSTREAMS);
+    service.service.deadline_ms = deadline;
+    let settings = json!({ "grace_ms": grace.0, "drain_ms": drain.0, "heartbeat_ms": 200,
+        "ownership": "local" });
+    let plan = Plan {
+        daemons: 2,
+        services: vec![service],
+        settings,
+        ..Plan::default()
+    };
+    Fleet::ready(&Binaries::find(), plan).await
+}
+
+/// Lets all upstreams keep requests without an answer.
+async fn hang_upstreams(fleet: &Fleet) {
+    for number in 1..=UPSTREAMS {
+        let name = format!("jobs-{number}");
+        fleet.control(&name, json!({ "mode": "hanging" })).await;
+    }
+}
+
+async fn send(
+    client: &JsonClient,
+    request: Request,
+    id: &str,
+    budget: Millis,
+) -> transport::Result<Answer> {
+    let (budget, key) = (budget.0.to_string(), Uuid::now_v7().to_string());
+    let headers = [
+        ("x-request-id", id),
+        ("x-deadline-ms", budget.as_str()),
+        ("idempotency-key", key.as_str()),
+    ];
+    let (path, body): (_, Bytes) = match request {
+        Request::Search => ("search", json!({ "query": id }).to_string().into()),
+        Request::Booking => ("book", json!({ "booking": id }).to_string().into()),
+    };
+    let path = format!("/v1/services/jobs/{path}");
+    client.send("POST", &path, &headers, body).await
+}
+
+/// Terminates daemon 0 after a delay and returns its exit code.
+async fn terminate(fleet: &mut Fleet, delay: Duration) -> Option<i32> {
+    compio::time::sleep(delay).await;
+    fleet.daemons[0].process.terminate();
+    fleet.daemons[0].process.wait(EXIT_TIMEOUT).await
+}
+
+/// Returns the log lines of daemon 0 with a message.
+fn log_lines(fleet: &Fleet, message: &str) -> Vec<Value> {
+    let log = fleet.daemons[0].process.read_log();
+    let lines = log.lines().filter_map(|l| serde_json::from_str(l).ok());
+    lines.filter(|l: &Value| l["msg"] == message).collect()
+}
+
+#[rstest]
+#[case::search(Request::Search)]
+#[case::booking(Request::Booking)]
+fn a_request_in_flight_at_the_end_of_a_shutdown_is_answered(#[case] request: Request) {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let mut fleet = start(Millis(1_000), Millis(200), Millis(800)).await;
+        hang_upstreams(&fleet).await;
+        let client = fleet.client(0);
+        let sent = send(&client, request, "r-cut", LONG_BUDGET);
+        let (answer, code) = join(sent, terminate(&mut fleet, Duration::from_millis(300))).await;
+        let answer = answer.expect("the request is answered before the exit");
+        assert_eq!(code, Some(0));
+        assert_eq!(answer.body["ran"], "unknown", "{answer:?}");
+        assert_eq!(answer.body["request_id"], "r-cut", "{answer:?}");
+        let drained = &log_lines(&fleet, "drained")[0];
+        assert_eq!(drained["finished"], 0, "{drained}");
+        assert_eq!(drained["cut"], 1, "{drained}");
+        let cut = log_lines(&fleet, "request cut");
+        assert_eq!(cut.len(), 1, "{cut:?}");
+        assert_eq!(cut[0]["request_id"], "r-cut", "{cut:?}");
+        assert!(cut[0]["elapsed_ms"].as_u64() >= Some(1_000), "{cut:?}");
+    });
+}
+
+#[rstest]
+#[case::search(Request::Search)]
+#[case::booking(Request::Booking)]
+fn a_request_during_a_shutdown_is_answered_within_the_time_left(#[case] request: Request) {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let mut fleet = start(Millis(500), Millis(1_000), Millis(1_000)).await;
+        hang_upstreams(&fleet).await;
+        let client = fleet.client(0);
+        let sent = async {
+            compio::time::sleep(Duration::from_millis(600)).await;
+            send(&client, request, "r-late", LONG_BUDGET).await
+        };
+        let (answer, code) = join(sent, terminate(&mut fleet, Duration::from_millis(100))).await;
+        let answer = answer.expect("the request is answered before the exit");
+        assert_eq!(code, Some(0));
+        assert_eq!(answer.body["ran"], "unknown", "{answer:?}");
+    });
+}
+
+#[rstest]
+#[case::search(Request::Search)]
+#[case::booking(Request::Booking)]
+fn a_request_that_can_not_finish_before_the_exit_is_refused(#[case] request: Request) {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let mut fleet = start(Millis(5_000), Millis(1_500), Millis(1_000)).await;
+        let client = fleet.client(0);
+        let sent = async {
+            compio::time::sleep(Duration::from_millis(600)).await;
+            send(&client, request, "r-refused", LONG_BUDGET).await
+        };
+        let (answer, code) = join(sent, terminate(&mut fleet, Duration::from_millis(100))).await;
+        let answer = answer.expect("the request is answered before the exit");
+        assert_eq!(code, Some(0));
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert_eq!(answer.body["ran"], "no", "{answer:?}");
+        assert!(answer.retry_after.is_some(), "{answer:?}");
+        let executions = fleet.all_executions().await;
+        let has_run = executions.iter().any(|e| e["body"] == "\"r-refused\"");
+        assert!(!has_run, "a refused request ran");
+    });
+}
+
+#[compio::test]
+async fn a_daemon_counts_the_requests_that_finish_during_a_shutdown() {
+    let mut fleet = start(Millis(5_000), Millis(100), Millis(5_000)).await;
+    for number in 1..=UPSTREAMS {
+        let name = format!("jobs-{number}");
+        fleet.control(&name, json!({ "service_ms": 1_000.0 })).await;
+    }
+    let client = fleet.client(0);
+    let sent = join_all((0..2).map(|n| {
+        let (client, query) = (&client, json!(n));
+        async move { search(client, "jobs", &query).await }
+    }));
+    let (answers, code) = join(sent, terminate(&mut fleet, Duration::from_millis(200))).await;
+    assert_eq!(code, Some(0));
+    for answer in answers {
+        assert_eq!(answer.unwrap().status, 200);
+    }
+    let drained = &log_lines(&fleet, "drained")[0];
+    assert_eq!(drained["finished"], 2, "{drained}");
+    assert_eq!(drained["cut"], 0, "{drained}");
+}
+
+async fn send_to_peer(
+    mut client: PeerClient,
+    request: SubRequest,
+    budget: Millis,
+) -> Result<(), Status> {
+    let (service, partitioning) = ("jobs".to_owned(), "p1".to_owned());
+    let (key, body) = (Uuid::now_v7().to_string(), b"\"sub\"".to_vec());
+    match request {
+        SubRequest::Scatter => {
+            let message = ScatterRequest {
+                request_id: "r-sub".to_owned(),
+                service,
+                partitioning,
+                snapshot: 1,
+                shards: vec!["s0".to_owned()],
+                budget_ms: budget.0,
+                body,
+                ..ScatterRequest::default()
+            };
+            client.scatter(message).await.map(|_| ())
+        }
+        SubRequest::Dispatch => {
+            let message = DispatchRequest {
+                request_id: "r-sub".to_owned(),
+                service,
+                partitioning,
+                shard: "s0".to_owned(),
+                key,
+                budget_ms: budget.0,
+                body,
+                ..DispatchRequest::default()
+            };
+            client.dispatch(message).await.map(|_| ())
+        }
+        SubRequest::Claim => {
+            let message = ClaimRequest {
+                service,
+                key,
+                nonce: "nonce".to_owned(),
+                claimer: "entry-2".to_owned(),
+                budget_ms: budget.0,
+            };
+            client.claim(message).await.map(|_| ())
+        }
+    }
+}
+
+#[rstest]
+#[case::scatter(SubRequest::Scatter)]
+#[case::dispatch(SubRequest::Dispatch)]
+#[case::claim(SubRequest::Claim)]
+fn a_sub_request_in_flight_at_the_end_of_a_shutdown_is_answered(#[case] request: SubRequest) {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let mut fleet = start(Millis(1_000), Millis(200), Millis(800)).await;
+        hang_upstreams(&fleet).await;
+        fleet.set_store_faults(json!({ "hang": true })).await;
+        let client = peer_client(fleet.daemons[0].peers);
+        let sent = send_to_peer(client, request, LONG_BUDGET);
+        let (reply, code) = join(sent, terminate(&mut fleet, Duration::from_millis(300))).await;
+        assert_eq!(code, Some(0));
+        // A status without a source was sent by the peer; the others report a closed
+        // connection.
+        let closed = reply
+            .err()
+            .filter(|s| std::error::Error::source(s).is_some());
+        assert!(closed.is_none(), "the connection closed: {closed:?}");
+        assert_eq!(log_lines(&fleet, "request cut").len(), 1);
+    });
+}
