Answer each request of a leaving daemon before its exit

Callers saw their connection close without an answer when a daemon exited with requests in flight, and peers saw the same for their sub-requests. Cause: nothing bounded the deadline of a request by the time that the process had left, and nothing answered those that were in flight at the end of `drain_ms`. Change: `Schedule` plans the shutdown. `ExitTime` gives requests that arrive during it a deadline within the time left and refuses at once, as not run, those that may need more: the service's `deadline_ms`, or the caller's budget if that is shorter. `InFlight` lists requests, sub-requests and changes by operators; 0.1 s after `drain_ms` it cuts the rest, which are logged and answered with `ran: unknown`. A booking's task goes on until the exit. The exit waits, for 0.5 s at most, until all connections are closed. A peer's sub-request that is refused says that it did not run, so that the root may use the next owner. `finished` counts only requests that ended by themselves. Answers of a leaving daemon say `Connection: close`. Why it works: each request read before the cut has either a deadline before it or waits for the cut signal as well as for its outcome.

--- a/components/daemon/src/callers.rs
+++ b/components/daemon/src/callers.rs
@@ -5,20 +5,23 @@
 use axum::Router;
 use axum::body::Body;
 use axum::extract::{Path, Request, State};
+use axum::middleware::map_response_with_state;
 use axum::response::Response;
 use axum::routing::{get, post};
 use bytes::Bytes;
 use clock::Millis;
-use http::{HeaderMap, StatusCode, header};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use ledger::Key;
 use query::{BookRequest, Kind, Refusal, Result, SearchRequest};
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::value::RawValue;
-use transport::{Local, detached, local};
+use transport::{Local, local};
+use upstreams::Ran;
 use uuid::Uuid;
 
+use crate::in_flight::{End, InFlightRequest};
 use crate::problem;
 use crate::state::Daemon;
 
@@ -27,6 +30,7 @@
 const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 const MAX_REQUEST_ID_LENGTH: usize = 128;
 const MAX_DEADLINE: Millis = Millis(60_000);
+const CUT_RETRY_AFTER: Millis = Millis(500);
 
 #[derive(Clone)]
 struct AppState(Local<Rc<Daemon>>);
@@ -49,6 +53,7 @@
 
 /// Returns the routes for callers.
 pub(crate) fn router(daemon: Rc<Daemon>) -> Router {
+    let state = AppState(Local::new(daemon));
     Router::new()
         .route("/v1/services/{service}/search", post(search))
         .route("/v1/services/{service}/book", post(book))
@@ -57,7 +62,18 @@
         .route("/metrics", get(render_metrics))
         .fallback(unknown_path)
         .method_not_allowed_fallback(wrong_method)
-        .with_state(AppState(Local::new(daemon)))
+        .layer(map_response_with_state(state.clone(), close_if_leaving))
+        .with_state(state)
+}
+
+/// Requests that callers of a leaving daemon use another connection, which the
+/// load balancer then directs to another daemon.
+async fn close_if_leaving(State(app): State<AppState>, mut response: Response) -> Response {
+    if app.0.is_leaving.get() {
+        let value = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, value);
+    }
+    response
 }
 
 async fn search(
@@ -82,7 +98,7 @@
     let headers = request.headers().clone();
     check_request_id(&headers)?;
     let budget = budget(&headers)?;
-    let body = read_body(request, daemon.settings.body_bytes).await?;
+    let body = read_body(daemon, request).await?;
     let body: SearchBody = decode(&body)?;
     let request = SearchRequest {
         request_id: id.to_owned(),
@@ -91,7 +107,12 @@
         shards: body.shards,
         body: body.query.get().to_owned().into(),
     };
-    let answer = daemon.root.search(&request).await;
+    let listed = InFlightRequest::new("search", id, &request.service);
+    let search = daemon.root.search(&request);
+    let answer = match daemon.in_flight.run(listed, search).await {
+        End::Done(answer) => answer,
+        End::Cut | End::Failed => Err(cut_refusal(Kind::Unready)),
+    };
     slog::debug!(daemon.log, "search"; "request_id" => id, "service" => &request.service,
         "revision" => answer.as_ref().map_or(0, |a| a.revision),
         "covered" => answer.as_ref().map_or(0, |a| a.covered.len()));
@@ -121,7 +142,7 @@
     check_request_id(&headers)?;
     let budget = budget(&headers)?;
     let key = idempotency_key(&headers)?;
-    let body = read_body(request, daemon.settings.body_bytes).await?;
+    let body = read_body(daemon, request).await?;
     let body: BookBody = decode(&body)?;
     let request = BookRequest {
         request_id: id.to_owned(),
@@ -134,16 +155,33 @@
     // A detached booking completes when the caller disconnects, so that its
     // outcome is kept.
     let root = daemon.root.clone();
-    let answer = detached(async move { root.book(&request).await }).await;
-    let task_failed = || Refusal {
+    let listed = InFlightRequest::new("booking", id, &request.service);
+    let booking = async move { root.book(&request).await };
+    let answer = match daemon.in_flight.run_detached(listed, booking).await {
+        End::Done(answer) => answer,
+        End::Cut => Err(cut_refusal(Kind::OutcomeUnknown)),
+        End::Failed => Err(task_failed()),
+    };
+    answer.map(|a| encode(&a))
+}
+
+fn task_failed() -> Refusal {
+    Refusal {
         kind: Kind::OutcomeUnknown,
-        ran: upstreams::Ran::Unknown,
+        ran: Ran::Unknown,
         detail: "the booking's task ended without an outcome".to_owned(),
         retry_after: None,
-    };
-    answer
-        .unwrap_or_else(|| Err(task_failed()))
-        .map(|a| encode(&a))
+    }
+}
+
+/// Refuses a request that is in flight when the shutdown runs out of time.
+fn cut_refusal(kind: Kind) -> Refusal {
+    Refusal {
+        kind,
+        ran: Ran::Unknown,
+        detail: "this daemon shut down before the request had an outcome".to_owned(),
+        retry_after: Some(CUT_RETRY_AFTER),
+    }
 }
 
 async fn healthz() -> &'static str {
@@ -203,8 +241,14 @@
     })
 }
 
-async fn read_body(request: Request, limit: usize) -> Result<Bytes> {
-    match Limited::new(request.into_body(), limit).collect().await {
+async fn read_body(daemon: &Daemon, request: Request) -> Result<Bytes> {
+    let limit = daemon.settings.body_bytes;
+    let body = Limited::new(request.into_body(), limit).collect();
+    let Some(body) = daemon.in_flight.until_cut(body).await else {
+        let detail = "this daemon shut down before the body arrived";
+        return Err(Refusal::not_run(Kind::Unready, detail, CUT_RETRY_AFTER));
+    };
+    match body {
         Ok(body) => Ok(body.to_bytes()),
         Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(Refusal::invalid(
             Kind::BodyTooLarge,
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -4,12 +4,15 @@
 mod confirm;
 mod digest;
 mod dump;
+mod in_flight;
 mod operator;
 mod peers;
 mod problem;
 mod run;
+mod schedule;
 mod shutdown;
 mod state;
 mod sync;
 
 pub use run::{Error, Result, run};
+pub use schedule::Schedule;
--- a/components/daemon/src/operator.rs
+++ b/components/daemon/src/operator.rs
@@ -14,10 +14,11 @@
 use settings::Severity;
 use slog::info;
 use tonic::{Request, Response, Status};
-use transport::{Local, detached, local, operator_client};
+use transport::{Local, local, operator_client};
 use uuid::Uuid;
 
 use crate::dump;
+use crate::in_flight::{End, InFlightRequest};
 use crate::state::Daemon;
 
 const DRAIN_ATTEMPTS: usize = 3;
@@ -38,13 +39,13 @@
 
     async fn apply(&self, request: Request<ApplyRequest>) -> Reply<ApplyReply> {
         let daemon = self.0.clone();
-        let task = local(detached(
-            async move { apply(&daemon, request.get_ref()).await },
-        ));
-        let reply = task
-            .await
-            .ok_or_else(|| Status::internal("the task ended without an outcome"))?;
-        Ok(Response::new(reply))
+        let listed = InFlightRequest::new("apply", &request.get_ref().operation_id, "");
+        let apply = async move { apply(&daemon, request.get_ref()).await };
+        match local(self.0.in_flight.run_detached(listed, apply)).await {
+            End::Done(reply) => Ok(Response::new(reply)),
+            End::Cut => Ok(Response::new(cut_apply())),
+            End::Failed => Err(Status::internal("the task ended without an outcome")),
+        }
     }
 
     async fn get(&self, request: Request<GetRequest>) -> Reply<GetReply> {
@@ -95,9 +96,15 @@
 
     async fn drain(&self, request: Request<DrainRequest>) -> Reply<DrainReply> {
         let daemon = self.0.clone();
-        local(async move { drain(&daemon, request.get_ref()).await })
-            .await
-            .map(Response::new)
+        let listed = InFlightRequest::new("drain", "", &request.get_ref().service);
+        let drain = async move { drain(&daemon, request.get_ref()).await };
+        match local(self.0.in_flight.run_detached(listed, drain)).await {
+            End::Done(reply) => reply.map(Response::new),
+            End::Cut => Err(Status::unavailable(
+                "this daemon shut down; the revision may have been committed",
+            )),
+            End::Failed => Err(Status::internal("the task ended without an outcome")),
+        }
     }
 
     async fn leave(&self, request: Request<LeaveRequest>) -> Reply<LeaveReply> {
@@ -178,6 +185,16 @@
     }
 }
 
+/// Returns the reply to an apply that is in flight when the shutdown runs out of
+/// time.
+fn cut_apply() -> ApplyReply {
+    ApplyReply {
+        outcome: ApplyOutcome::Unknown.into(),
+        detail: "this daemon shut down; apply again with the same operation id".to_owned(),
+        ..ApplyReply::default()
+    }
+}
+
 /// Commits a proposal and installs it on this daemon without waiting for the
 /// watch.
 async fn commit(daemon: &Daemon, proposal: &Proposal<'_>) -> ApplyReply {
--- a/components/daemon/src/peers.rs
+++ b/components/daemon/src/peers.rs
@@ -2,6 +2,8 @@
 
 use std::rc::Rc;
 
+use clock::Millis;
+use query::not_run_status;
 use schema::peer_server::Peer;
 use schema::{
     ClaimReply, ClaimRequest, DispatchReply, DispatchRequest, FetchCatalogReply,
@@ -9,8 +11,9 @@
     ScatterRequest, SurveyReply, SurveyRequest,
 };
 use tonic::{Request, Response, Status};
-use transport::{Local, detached, local};
+use transport::{Local, local};
 
+use crate::in_flight::{End, InFlightRequest};
 use crate::state::Daemon;
 
 type Reply<T> = std::result::Result<Response<T>, Status>;
@@ -18,8 +21,34 @@
 /// Serves requests of other daemons.
 pub(crate) struct PeerService(pub(crate) Local<Rc<Daemon>>);
 
-fn task_failed() -> Status {
-    Status::internal("the task ended without an outcome")
+impl PeerService {
+    /// Refuses a sub-request as not run if it may need more time than this daemon
+    /// has left.
+    fn check_time(&self, service: &str, budget_ms: u64) -> Result<(), Status> {
+        if self.0.in_flight.is_cut() {
+            return Err(not_run_status("this daemon is about to exit"));
+        }
+        let budget = Millis(budget_ms);
+        let pool = self.0.pools.find(service);
+        let declared = pool.map_or(budget, |p| p.topology().service.deadline_ms);
+        let exit = &self.0.server.exit;
+        match exit.deadline(Millis::now(), Some(budget), declared) {
+            Ok(_) => Ok(()),
+            Err(refusal) => Err(not_run_status(&refusal.detail)),
+        }
+    }
+}
+
+impl<T> End<T> {
+    fn into_reply(self) -> Reply<T> {
+        match self {
+            End::Done(reply) => Ok(Response::new(reply)),
+            End::Cut => Err(Status::unavailable(
+                "this daemon shut down before the sub-request had an outcome",
+            )),
+            End::Failed => Err(Status::internal("the task ended without an outcome")),
+        }
+    }
 }
 
 #[tonic::async_trait]
@@ -46,26 +75,37 @@
     }
 
     async fn scatter(&self, request: Request<ScatterRequest>) -> Reply<ScatterReply> {
+        let request = request.into_inner();
+        self.check_time(&request.service, request.budget_ms)?;
+        let listed = InFlightRequest::new("scatter", &request.request_id, &request.service);
         // This future is dropped when the root cancels the call, which cancels
         // the sub-requests.
-        let reply = local(self.0.server.scatter(request.into_inner())).await;
-        Ok(Response::new(reply))
+        let scatter = self.0.server.scatter(request);
+        local(self.0.in_flight.run(listed, scatter))
+            .await
+            .into_reply()
     }
 
     async fn claim(&self, request: Request<ClaimRequest>) -> Reply<ClaimReply> {
+        let request = request.into_inner();
+        self.check_time(&request.service, request.budget_ms)?;
+        let listed = InFlightRequest::new("claim", &request.key, &request.service);
         let server = self.0.server.clone();
-        let task = local(detached(
-            async move { server.claim(request.into_inner()).await },
-        ));
-        task.await.map(Response::new).ok_or_else(task_failed)
+        let claim = async move { server.claim(request).await };
+        local(self.0.in_flight.run_detached(listed, claim))
+            .await
+            .into_reply()
     }
 
     async fn dispatch(&self, request: Request<DispatchRequest>) -> Reply<DispatchReply> {
+        let request = request.into_inner();
+        self.check_time(&request.service, request.budget_ms)?;
+        let listed = InFlightRequest::new("dispatch", &request.request_id, &request.service);
         let server = self.0.server.clone();
-        let task = local(detached(async move {
-            server.dispatch(request.into_inner()).await
-        }));
-        task.await.map(Response::new).ok_or_else(task_failed)
+        let dispatch = async move { server.dispatch(request).await };
+        local(self.0.in_flight.run_detached(listed, dispatch))
+            .await
+            .into_reply()
     }
 
     async fn outcome(&self, request: Request<OutcomeRequest>) -> Reply<OutcomeReply> {
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -71,7 +71,7 @@
         peer_routes(&daemon),
         limits,
         daemon.peers_shutdown.clone(),
-        Rc::default(),
+        daemon.peers_open.clone(),
     );
     let callers = compio::runtime::spawn(callers);
     let peers = compio::runtime::spawn(peers);
@@ -108,6 +108,7 @@
         pools: pools.clone(),
         ledger: ledger.clone(),
         outcomes: outcomes.clone(),
+        exit: Rc::default(),
     });
     let gate = Rc::new(ConfirmGate {
         sync: sync.clone(),
@@ -129,7 +130,9 @@
         is_leaving: Cell::new(false),
         leave_signal: Shutdown::default(),
         started: Millis::now(),
+        in_flight: Rc::default(),
         callers_open: Rc::default(),
+        peers_open: Rc::default(),
         callers_shutdown: Shutdown::default(),
         peers_shutdown: Shutdown::default(),
         log: log.clone(),
--- a/components/daemon/src/shutdown.rs
+++ b/components/daemon/src/shutdown.rs
@@ -4,12 +4,16 @@
 
 use clock::Millis;
 use futures_util::future::{Either, select};
-use slog::info;
+use slog::{info, warn};
 use transport::stop_signal;
 
+use crate::in_flight::InFlightRequest;
+use crate::schedule::Schedule;
 use crate::state::Daemon;
 
 const CHECK_INTERVAL: Millis = Millis(20);
+/// Requests that are cut and logged one by one; `drained` has the number of all.
+const MAX_CUT_LINES: usize = 100;
 
 /// Waits until a signal or an operator requests that this daemon leaves.
 pub(crate) async fn wait_for_stop_request(daemon: &Daemon) {
@@ -18,36 +22,67 @@
     select(signal, request).await;
 }
 
-/// Announces the shutdown, serves for the grace period, then finishes requests
-/// in flight; a second signal ends the shutdown immediately.
+/// Announces the shutdown, serves for the grace period, finishes requests in
+/// flight and answers those that take too long; a second signal ends the shutdown
+/// immediately.
 pub(crate) async fn drain(daemon: Rc<Daemon>) {
     let graceful = std::pin::pin!(drain_gracefully(&daemon));
     let second_signal = std::pin::pin!(stop_signal());
     if let Either::Right(_) = select(graceful, second_signal).await {
-        info!(daemon.log, "stopped by a second signal"; "in_flight" => daemon.root.in_flight());
+        info!(daemon.log, "stopped by a second signal"; "in_flight" => daemon.in_flight.count());
     }
 }
 
 async fn drain_gracefully(daemon: &Daemon) {
-    info!(daemon.log, "leaving"; "in_flight" => daemon.root.in_flight(), "grace_ms" => daemon.settings.grace_ms.0);
+    let stopped = Millis::now();
+    let settings = &daemon.settings;
+    let schedule = Schedule::new(stopped, settings.grace_ms, settings.drain_ms);
+    info!(daemon.log, "leaving"; "in_flight" => daemon.in_flight.count(), "grace_ms" => settings.grace_ms.0);
+    let finished_before = daemon.in_flight.finished();
     daemon.is_leaving.set(true);
+    daemon.server.exit.set(schedule.finish_by);
     daemon.members.leave().await;
-    compio::time::sleep(daemon.settings.grace_ms.into()).await;
-    let in_flight_after_grace = daemon.root.in_flight();
+    compio::time::sleep(schedule.close_at.since(Millis::now()).into()).await;
     daemon.callers_shutdown.begin();
-    let end = Millis::now() + daemon.settings.drain_ms;
-    while daemon.is_busy() && Millis::now() < end {
+    wait_until(|| !daemon.is_busy() || Millis::now() >= schedule.cut_at).await;
+    let cut = daemon.in_flight.cut();
+    log_cut_requests(daemon, &cut, stopped);
+    daemon.peers_shutdown.begin();
+    let exit_at = schedule.exit_at(Millis::now());
+    wait_until(|| daemon.has_answered() || Millis::now() >= exit_at).await;
+    info!(daemon.log, "drained"; "finished" => daemon.in_flight.finished() - finished_before,
+        "cut" => cut.len(), "connections" => daemon.callers_open.get(),
+        "after_ms" => Millis::now().since(stopped).0);
+}
+
+/// Logs the requests that are answered without their outcome; `stopped` is the
+/// time of the stop request.
+fn log_cut_requests(daemon: &Daemon, cut: &[InFlightRequest], stopped: Millis) {
+    let now = Millis::now();
+    for request in cut.iter().take(MAX_CUT_LINES) {
+        warn!(daemon.log, "request cut"; "request_id" => &request.id, "kind" => request.kind,
+            "service" => &request.service, "elapsed_ms" => now.since(request.arrived).0,
+            "arrived_after_stop_ms" => request.arrived.since(stopped).0);
+    }
+}
+
+async fn wait_until(is_done: impl Fn() -> bool) {
+    while !is_done() {
         compio::time::sleep(CHECK_INTERVAL.into()).await;
     }
-    daemon.peers_shutdown.begin();
-    compio::time::sleep(CHECK_INTERVAL.into()).await;
-    info!(daemon.log, "drained"; "finished" => in_flight_after_grace, "cut" => daemon.root.in_flight());
 }
 
 impl Daemon {
-    /// Whether requests of callers or sub-requests of peers are in flight.
+    /// Whether requests are in flight, callers are connected or upstreams still
+    /// run sub-requests.
     fn is_busy(&self) -> bool {
         let has_slots_in_use = self.pools.all().iter().any(|p| p.is_busy());
-        self.root.in_flight() > 0 || has_slots_in_use || self.callers_open.get() > 0
+        self.in_flight.count() > 0 || has_slots_in_use || self.callers_open.get() > 0
+    }
+
+    /// Whether all requests have ended and all connections are closed.
+    fn has_answered(&self) -> bool {
+        let open = self.callers_open.get() + self.peers_open.get();
+        self.in_flight.count() == 0 && open == 0
     }
 }
--- a/components/daemon/src/state.rs
+++ b/components/daemon/src/state.rs
@@ -13,6 +13,7 @@
 use transport::Shutdown;
 use upstreams::Pools;
 
+use crate::in_flight::InFlight;
 use crate::sync::CatalogSync;
 
 /// The components and state of a daemon.
@@ -30,7 +31,9 @@
     /// Begins when an operator requests that this daemon leaves.
     pub(crate) leave_signal: Shutdown,
     pub(crate) started: Millis,
+    pub(crate) in_flight: Rc<InFlight>,
     pub(crate) callers_open: Rc<Cell<usize>>,
+    pub(crate) peers_open: Rc<Cell<usize>>,
     pub(crate) callers_shutdown: Shutdown,
     pub(crate) peers_shutdown: Shutdown,
     pub(crate) log: Logger,
--- a/components/query/src/booking.rs
+++ b/components/query/src/booking.rs
@@ -75,7 +75,9 @@
             return Err(Refusal::invalid(Kind::BookingsOff, detail));
         }
         let shard = choose_shard(&topology, request)?;
-        let deadline = started + request.budget.unwrap_or(service.deadline_ms);
+        let deadline = self
+            .exit
+            .deadline(started, request.budget, service.deadline_ms)?;
         let _in_flight = self.admit(&topology)?;
         let fingerprint = fingerprint(&request.service, &request.body);
         self.check_quarantine(fingerprint)?;
@@ -118,6 +120,12 @@
         }
     }
 
+    /// Returns the deadline within the time that this process has left, which is
+    /// known only once it shuts down.
+    fn deadline(&self) -> Millis {
+        self.root.exit.bound(self.deadline)
+    }
+
     fn claim_request(&self) -> LedgerRequest {
         LedgerRequest {
             service: self.request.service.clone(),
@@ -125,7 +133,7 @@
             nonce: Uuid::new_v4().simple().to_string(),
             claimer: self.root.members.me().id,
             retention: self.topology.service.retention_ms,
-            deadline: self.deadline,
+            deadline: self.deadline(),
             release: false,
         }
     }
@@ -162,7 +170,7 @@
         let outcomes = &self.root.outcomes;
         let (service, key) = (&self.request.service, &self.request.key.text);
         outcomes.begin(service, key, Millis::now());
-        let has_time = Millis::now() + MIN_DISPATCH_TIME < self.deadline;
+        let has_time = Millis::now() + MIN_DISPATCH_TIME < self.deadline();
         let reply = match has_time {
             true => self.dispatch().await,
             false => not_run_reply(Reason::Timeout),
@@ -185,7 +193,7 @@
             .root
             .owners(&topology.group_key(group), topology.group_domain(group));
         for member in owners.iter() {
-            let budget = self.deadline.since(Millis::now() + HOP_MARGIN);
+            let budget = self.deadline().since(Millis::now() + HOP_MARGIN);
             if budget == Millis::ZERO {
                 break;
             }
--- a/components/query/src/lib.rs
+++ b/components/query/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod answer;
 mod booking;
+mod exit_time;
 mod merge;
 mod outcomes;
 mod owner;
@@ -18,9 +19,10 @@
 
 pub use answer::{BookingAnswer, MissingShard, SearchAnswer};
 pub use booking::BookRequest;
+pub use exit_time::ExitTime;
 pub use merge::Merge;
 pub use outcomes::{BookingState, Outcomes};
-pub use owner::{LocalOwner, Owner, PeerError, RemoteOwner};
+pub use owner::{LocalOwner, Owner, PeerError, RemoteOwner, not_run_status};
 pub use plan::{Version, choose_version};
 pub use refusal::{Kind, Refusal, Result};
 pub use root::{Gate, Root, SearchRequest};
--- a/components/query/src/owner.rs
+++ b/components/query/src/owner.rs
@@ -10,15 +10,20 @@
 };
 use snafu::Snafu;
 use tonic::Status;
+use tonic::metadata::MetadataValue;
 use transport::PeerClient;
 
 use crate::server::Server;
 
+// Metadata of a status that promises that the request did not run.
+const RAN_METADATA: &str = "x-ran";
+const NOT_RUN: &str = "no";
+
 /// Why a call to a peer failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum PeerError {
-    /// The request did not reach the peer.
-    #[snafu(display("the request did not reach the peer"))]
+    /// The peer did not run the request.
+    #[snafu(display("the peer did not run the request"))]
     Unsent,
     /// The request may have reached the peer.
     #[snafu(display("the peer gave no answer"))]
@@ -119,7 +124,7 @@
     }
 }
 
-/// Returns a peer's reply, or whether the request may have reached the peer.
+/// Returns a peer's reply, or whether the peer may have run the request.
 pub(crate) fn peer_result<T, E>(
     outcome: Result<Result<tonic::Response<T>, Status>, E>,
 ) -> Result<T, PeerError> {
@@ -130,7 +135,25 @@
     }
 }
 
+/// Returns the status of a sub-request that was not run, so that the root may send
+/// it to the next owner.
+pub fn not_run_status(detail: &str) -> Status {
+    let mut status = Status::unavailable(detail);
+    let value = MetadataValue::from_static(NOT_RUN);
+    status.metadata_mut().insert(RAN_METADATA, value);
+    status
+}
+
+/// Whether a peer stated that it did not run the request, or the request did not
+/// reach it.
 fn is_unsent(status: &Status) -> bool {
+    if status
+        .metadata()
+        .get(RAN_METADATA)
+        .is_some_and(|v| v == NOT_RUN)
+    {
+        return true;
+    }
     let mut source = status.source();
     while let Some(error) = source {
         if let Some(error) = error.downcast_ref::<transport::Error>() {
--- a/components/query/src/root.rs
+++ b/components/query/src/root.rs
@@ -16,6 +16,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::answer::SearchAnswer;
+use crate::exit_time::ExitTime;
 use crate::outcomes::Outcomes;
 use crate::owner::{LocalOwner, Owner, RemoteOwner};
 use crate::refusal::{Kind, Refusal, Result};
@@ -55,6 +56,7 @@
     pub(crate) ledger: Rc<Ledger>,
     pub(crate) outcomes: Rc<Outcomes>,
     pub(crate) server: Rc<Server>,
+    pub(crate) exit: Rc<ExitTime>,
     pub(crate) catalog: RefCell<Rc<Catalog>>,
     pub(crate) gate: Rc<dyn Gate>,
     pub(crate) views: Rc<Views>,
@@ -94,6 +96,7 @@
             ledger: server.ledger.clone(),
             outcomes: server.outcomes.clone(),
             server: server.clone(),
+            exit: server.exit.clone(),
             catalog: RefCell::default(),
             gate,
             views: Rc::default(),
--- a/components/query/src/search.rs
+++ b/components/query/src/search.rs
@@ -42,7 +42,8 @@
         started: Millis,
     ) -> Result<SearchAnswer> {
         let (revision, topology) = self.find_service(&request.service).await?;
-        let deadline = started + request.budget.unwrap_or(topology.service.deadline_ms);
+        let declared = topology.service.deadline_ms;
+        let deadline = self.exit.deadline(started, request.budget, declared)?;
         let requested = requested_shards(&topology, request)?;
         let groups = groups_of(&topology, &requested);
         let keys = groups.iter().map(|&g| view_key(&topology, g)).collect();
--- a/components/query/src/server.rs
+++ b/components/query/src/server.rs
@@ -15,6 +15,7 @@
     Answer, Call, DataVersion, Failure, NativeMessage, Pools, Ran, Reason, RetryPolicy, Service,
 };
 
+use crate::exit_time::ExitTime;
 use crate::outcomes::{BookingState, Outcomes};
 
 const LATENCY_ATTEMPTS: usize = 3;
@@ -29,6 +30,8 @@
     pub ledger: Rc<Ledger>,
     /// Stored outcomes of bookings.
     pub outcomes: Rc<Outcomes>,
+    /// When this process ends, if it shuts down.
+    pub exit: Rc<ExitTime>,
 }
 
 impl Server {
@@ -81,7 +84,7 @@
             version: Some(version),
             fingerprint: request.fingerprint,
             priority: 0,
-            deadline: Millis::now() + Millis(request.budget_ms),
+            deadline: self.exit.bound(Millis::now() + Millis(request.budget_ms)),
             caller_left: Rc::default(),
             policy: retry_policy(&topology),
         };
@@ -131,7 +134,7 @@
             version: None,
             fingerprint: request.fingerprint,
             priority: 0,
-            deadline: Millis::now() + Millis(request.budget_ms),
+            deadline: self.exit.bound(Millis::now() + Millis(request.budget_ms)),
             caller_left: Rc::default(),
             policy: retry_policy(&topology),
         };
@@ -153,7 +156,7 @@
             nonce: request.nonce,
             claimer: request.claimer,
             retention,
-            deadline: Millis::now() + Millis(request.budget_ms),
+            deadline: self.exit.bound(Millis::now() + Millis(request.budget_ms)),
             release: false,
         };
         claim_reply(self.ledger.submit(request).await)
--- a/tests/daemon_shutdown.rs
+++ b/tests/daemon_shutdown.rs
@@ -12,7 +12,7 @@
 use standins::client::{Answer, JsonClient};
 use standins::fleet::{Binaries, Fleet, Plan, ServicePlan, search};
 use tonic::Status;
-use transport::{PeerClient, peer_client};
+use transport::{Client, Payload, PeerClient, peer_client};
 use uuid::Uuid;
 
 const EXIT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -246,3 +246,47 @@
         assert_eq!(log_lines(&fleet, "request cut").len(), 1);
     });
 }
+
+#[rstest]
+#[case::scatter(SubRequest::Scatter)]
+#[case::dispatch(SubRequest::Dispatch)]
+#[case::claim(SubRequest::Claim)]
+fn a_sub_request_that_can_not_finish_before_the_exit_is_refused(#[case] request: SubRequest) {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let mut fleet = start(Millis(5_000), Millis(1_500), Millis(1_000)).await;
+        let client = peer_client(fleet.daemons[0].peers);
+        let sent = async {
+            compio::time::sleep(Duration::from_millis(600)).await;
+            send_to_peer(client, request, LONG_BUDGET).await
+        };
+        let (reply, code) = join(sent, terminate(&mut fleet, Duration::from_millis(100))).await;
+        assert_eq!(code, Some(0));
+        let status = reply.expect_err("the sub-request is refused");
+        let ran = status.metadata().get("x-ran").expect("the status says so");
+        assert_eq!(ran, "no", "{status:?}");
+        let executions = fleet.all_executions().await;
+        let has_run = executions.iter().any(|e| e["body"] == "\"sub\"");
+        assert!(!has_run, "a refused sub-request ran");
+    });
+}
+
+#[compio::test]
+async fn a_leaving_daemon_closes_the_connections_that_it_answers_on() {
+    let mut fleet = start(Millis(1_000), Millis(1_000), Millis(1_000)).await;
+    let client = Client::new(fleet.daemons[0].callers);
+    let get = || {
+        let request = http::Request::get("/readyz").header(http::header::HOST, "test");
+        let request = request.body(Payload::default()).unwrap();
+        client.send(request, 1_024, Millis(5_000))
+    };
+    let before = get().await.unwrap();
+    assert_eq!(before.headers().get("connection"), None);
+    let during = async {
+        compio::time::sleep(Duration::from_millis(500)).await;
+        get().await.unwrap()
+    };
+    let (during, code) = join(during, terminate(&mut fleet, Duration::ZERO)).await;
+    assert_eq!(during.status(), 503);
+    assert_eq!(during.headers().get("connection").unwrap(), "close");
+    assert_eq!(code, Some(0));
+}
