Let a leaving daemon own all groups when no other daemon is alive

Callers of the only daemon, or of the last of several that leave together, got `coverage-too-low` for all searches in its grace. Cause: `Members::owners` leaves a daemon out of its own ranking once it is leaving; without a peer that is alive the ranking was empty, so the root sent nothing. Evidence: the new test failed with 0 of 3 shards covered, `owner_unreachable`. Change: an empty ranking is replaced by this daemon.

--- a/components/members/src/heartbeat.rs
+++ b/components/members/src/heartbeat.rs
@@ -110,13 +110,18 @@
         self.table.borrow().epoch() + u64::from(self.me.borrow().state == State::Leaving)
     }
 
-    /// Ranks the members that can own `key`, this daemon included.
+    /// Ranks the members that can own `key`, this daemon included; one that is
+    /// leaving only if no other can.
     pub fn owners(&self, key: &str, domain: &str) -> Vec<Member> {
         let me = self.me.borrow();
         let table = self.table.borrow();
         let mine = Some(&*me).filter(|m| m.state == State::Alive);
         let all = table.responsive().chain(mine);
-        rank(key, domain, all).into_iter().cloned().collect()
+        let ranked = rank(key, domain, all);
+        match ranked.is_empty() {
+            true => vec![me.clone()],
+            false => ranked.into_iter().cloned().collect(),
+        }
     }
 
     /// Whether this daemon ranks among the first `count` members of its failure
--- a/tests/daemon_shutdown.rs
+++ b/tests/daemon_shutdown.rs
@@ -290,3 +290,27 @@
     assert_eq!(during.headers().get("connection").unwrap(), "close");
     assert_eq!(code, Some(0));
 }
+
+#[compio::test]
+async fn the_only_daemon_serves_during_its_grace() {
+    let plan = Plan {
+        daemons: 1,
+        settings: json!({ "grace_ms": 1_500, "drain_ms": 5_000, "heartbeat_ms": 200 }),
+        ..Plan::default()
+    };
+    let mut fleet = Fleet::ready(&Binaries::find(), plan).await;
+    let client = fleet.client(0);
+    let sent = async {
+        compio::time::sleep(Duration::from_millis(500)).await;
+        let found = search(&client, "jobs", &json!("late")).await;
+        (
+            found,
+            send(&client, Request::Booking, "b-late", LONG_BUDGET).await,
+        )
+    };
+    let ((found, booked), code) = join(sent, terminate(&mut fleet, Duration::ZERO)).await;
+    assert_eq!(code, Some(0));
+    let (found, booked) = (found.unwrap(), booked.unwrap());
+    assert_eq!(found.body["complete"], true, "{found:?}");
+    assert_eq!(booked.status, 200, "{booked:?}");
+}
