Release the unused claims of a leaving daemon before its exit

A caller whose booking was refused with `ran: no` got `key-claimed` for its retry with the same key when the daemon had exited in between, until the end of the retention. Cause: claims of bookings that did not run are released by a background task after the deadline; the shutdown didn't wait for it, so it was lost with the process. Change: the ledger counts its pending releases; the shutdown waits for them no longer than for requests, and `drained` reports those that it gave up as `unreleased`. The delay of a release is bounded by the time left. In an outage of the store a daemon with claims to release now takes up to `drain_ms` to exit.

--- a/components/daemon/src/shutdown.rs
+++ b/components/daemon/src/shutdown.rs
@@ -52,6 +52,7 @@
     wait_until(|| daemon.has_answered() || Millis::now() >= exit_at).await;
     info!(daemon.log, "drained"; "finished" => daemon.in_flight.finished() - finished_before,
         "cut" => cut.len(), "connections" => daemon.callers_open.get(),
+        "unreleased" => daemon.ledger.releases(),
         "after_ms" => Millis::now().since(stopped).0);
 }
 
@@ -73,16 +74,18 @@
 }
 
 impl Daemon {
-    /// Whether requests are in flight, callers are connected or upstreams still
-    /// run sub-requests.
+    /// Whether requests are in flight, callers are connected, upstreams still run
+    /// sub-requests or claims wait for their release.
     fn is_busy(&self) -> bool {
         let has_slots_in_use = self.pools.all().iter().any(|p| p.is_busy());
-        self.in_flight.count() > 0 || has_slots_in_use || self.callers_open.get() > 0
+        let has_requests = self.in_flight.count() > 0 || has_slots_in_use;
+        has_requests || self.callers_open.get() > 0 || self.ledger.releases() > 0
     }
 
-    /// Whether all requests have ended and all connections are closed.
+    /// Whether all requests have ended, all unused claims are released and all
+    /// connections are closed.
     fn has_answered(&self) -> bool {
         let open = self.callers_open.get() + self.peers_open.get();
-        self.in_flight.count() == 0 && open == 0
+        self.in_flight.count() == 0 && self.ledger.releases() == 0 && open == 0
     }
 }
--- a/components/ledger/src/committer.rs
+++ b/components/ledger/src/committer.rs
@@ -75,6 +75,7 @@
     daemon_count: Box<dyn Fn() -> usize>,
     // Until this time the store counts as unavailable and claims are refused at once.
     outage_until: Cell<Millis>,
+    releases: Cell<usize>,
     log: Logger,
 }
 
@@ -93,6 +94,7 @@
             pacer,
             daemon_count,
             outage_until: Cell::default(),
+            releases: Cell::default(),
             log: log.clone(),
         })
     }
@@ -125,13 +127,20 @@
             deadline,
             ..request
         };
+        self.releases.set(self.releases.get() + 1);
         let task = async move {
             compio::time::sleep(delay.into()).await;
-            ledger.submit(request).await
+            ledger.submit(request).await;
+            ledger.releases.set(ledger.releases.get() - 1);
         };
         compio::runtime::spawn(task).detach();
     }
 
+    /// Returns the number of claims that wait for their release.
+    pub fn releases(&self) -> usize {
+        self.releases.get()
+    }
+
     /// Returns the state of the buckets that this daemon has in memory.
     pub fn view(&self) -> Vec<BucketView> {
         let queues = self.queues.borrow();
--- a/components/query/src/booking.rs
+++ b/components/query/src/booking.rs
@@ -113,7 +113,7 @@
             }
             Verdict::Duplicate { claimer } => self.replay(&claimer).await,
             other => {
-                let left = self.deadline.since(Millis::now());
+                let left = self.deadline().since(Millis::now());
                 self.root.ledger.release_later(claim, left);
                 Err(claim_refusal(&other))
             }
--- a/tests/daemon_shutdown.rs
+++ b/tests/daemon_shutdown.rs
@@ -10,7 +10,7 @@
 use schema::{ClaimRequest, DispatchRequest, ScatterRequest};
 use serde_json::{Value, json};
 use standins::client::{Answer, JsonClient};
-use standins::fleet::{Binaries, Fleet, Plan, ServicePlan, search};
+use standins::fleet::{Binaries, Fleet, Plan, ServicePlan, book, search};
 use tonic::Status;
 use transport::{Client, Payload, PeerClient, peer_client};
 use uuid::Uuid;
@@ -177,6 +177,26 @@
     assert_eq!(drained["cut"], 0, "{drained}");
 }
 
+#[compio::test]
+async fn a_booking_whose_caller_left_is_finished_before_the_exit() {
+    let mut fleet = start(Millis(5_000), Millis(0), Millis(5_000)).await;
+    for number in 1..=UPSTREAMS {
+        let name = format!("jobs-{number}");
+        fleet.control(&name, json!({ "service_ms": 1_500.0 })).await;
+    }
+    let client = fleet.client(0);
+    let sent = send(&client, Request::Booking, "b-left", LONG_BUDGET);
+    let left = compio::time::timeout(Duration::from_millis(300), sent).await;
+    assert!(left.is_err(), "the caller leaves before the outcome");
+    drop(client);
+    let code = terminate(&mut fleet, Duration::ZERO).await;
+    assert_eq!(code, Some(0));
+    let drained = &log_lines(&fleet, "drained")[0];
+    assert_eq!(drained["finished"], 1, "{drained}");
+    assert_eq!(drained["cut"], 0, "{drained}");
+    assert!(drained["after_ms"].as_u64() >= Some(700), "{drained}");
+}
+
 async fn send_to_peer(
     mut client: PeerClient,
     request: SubRequest,
@@ -314,3 +334,23 @@
     assert_eq!(found.body["complete"], true, "{found:?}");
     assert_eq!(booked.status, 200, "{booked:?}");
 }
+
+#[compio::test]
+async fn a_claim_that_was_not_used_is_released_before_the_exit() {
+    let mut fleet = start(Millis(1_000), Millis(0), Millis(5_000)).await;
+    // The store takes the claim, but its answer does not arrive by the deadline.
+    fleet.set_store_faults(json!({ "lose_answers": 1 })).await;
+    let key = Uuid::now_v7().to_string();
+    let headers = [("idempotency-key", key.as_str()), ("x-deadline-ms", "500")];
+    let body: Bytes = json!({ "booking": "b-unused" }).to_string().into();
+    let client = fleet.client(0);
+    let sent = client.send("POST", "/v1/services/jobs/book", &headers, body);
+    let (refused, code) = join(sent, terminate(&mut fleet, Duration::from_millis(100))).await;
+    assert_eq!(code, Some(0));
+    let refused = refused.unwrap();
+    assert_eq!(refused.body["ran"], "no", "{refused:?}");
+    fleet.set_store_faults(json!({})).await;
+    let retried = book(&fleet.client(1), "jobs", &key, &json!("b-unused")).await;
+    let retried = retried.unwrap();
+    assert_eq!(retried.status, 200, "{retried:?}");
+}
