Bound the announcement of a leaving daemon by the time it has left

A daemon with a peer that didn't answer exited later than `grace_ms` and `drain_ms` allow, so that its supervisor could kill it before it answered the requests that it cuts. Cause: `drain_gracefully` waited for all peers to confirm the leave, each up to a heartbeat interval (10 s at most). Evidence: with a frozen peer, heartbeats of 4 s, no grace and 0.5 s of drain, the exit came 2994 ms after SIGTERM. Change: the announcement ends at the time at which requests are cut, with a warning.

--- a/components/daemon/src/shutdown.rs
+++ b/components/daemon/src/shutdown.rs
@@ -41,7 +41,7 @@
     let finished_before = daemon.in_flight.finished();
     daemon.is_leaving.set(true);
     daemon.server.exit.set(schedule.finish_by);
-    daemon.members.leave().await;
+    announce(daemon, &schedule).await;
     compio::time::sleep(schedule.close_at.since(Millis::now()).into()).await;
     daemon.callers_shutdown.begin();
     wait_until(|| !daemon.is_busy() || Millis::now() >= schedule.cut_at).await;
@@ -56,6 +56,16 @@
         "after_ms" => Millis::now().since(stopped).0);
 }
 
+/// Informs all peers that this daemon leaves; one that does not answer takes no
+/// time from the answers to requests in flight.
+async fn announce(daemon: &Daemon, schedule: &Schedule) {
+    let left = schedule.cut_at.since(Millis::now());
+    let announced = compio::time::timeout(left.into(), daemon.members.leave()).await;
+    if announced.is_err() {
+        warn!(daemon.log, "not all peers confirmed the leave");
+    }
+}
+
 /// Logs the requests that are answered without their outcome; `stopped` is the
 /// time of the stop request.
 fn log_cut_requests(daemon: &Daemon, cut: &[InFlightRequest], stopped: Millis) {
--- a/tests/daemon_shutdown.rs
+++ b/tests/daemon_shutdown.rs
@@ -5,6 +5,8 @@
 
 use bytes::Bytes;
 use clock::Millis;
+use compio::io::{AsyncReadExt, AsyncWriteExt};
+use compio::net::TcpStream;
 use futures_util::future::{join, join_all};
 use rstest::rstest;
 use schema::{ClaimRequest, DispatchRequest, ScatterRequest};
@@ -354,3 +356,34 @@
     let retried = retried.unwrap();
     assert_eq!(retried.status, 200, "{retried:?}");
 }
+
+#[compio::test]
+async fn a_request_whose_body_does_not_arrive_is_refused_before_the_exit() {
+    let mut fleet = start(Millis(1_000), Millis(0), Millis(500)).await;
+    let mut stream = TcpStream::connect(fleet.daemons[0].callers).await.unwrap();
+    let head =
+        "POST /v1/services/jobs/search HTTP/1.1\r\nhost: test\r\ncontent-length: 50\r\n\r\n{";
+    stream.write_all(head).await.unwrap();
+    let code = terminate(&mut fleet, Duration::from_millis(200)).await;
+    assert_eq!(code, Some(0));
+    let (read, received) = stream.read_to_end(Vec::new()).await.unwrap();
+    let response = String::from_utf8_lossy(&received[..read]);
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(response.contains("\"ran\":\"no\""), "{response}");
+}
+
+#[compio::test]
+async fn a_silent_peer_does_not_delay_the_exit() {
+    let plan = Plan {
+        daemons: 2,
+        settings: json!({ "grace_ms": 0, "drain_ms": 500, "heartbeat_ms": 4_000 }),
+        ..Plan::default()
+    };
+    let mut fleet = Fleet::ready(&Binaries::find(), plan).await;
+    fleet.daemons[1].process.freeze();
+    let code = terminate(&mut fleet, Duration::ZERO).await;
+    fleet.daemons[1].process.resume();
+    assert_eq!(code, Some(0));
+    let drained = &log_lines(&fleet, "drained")[0];
+    assert!(drained["after_ms"].as_u64() <= Some(1_500), "{drained}");
+}
