--- a/components/daemon/src/operator/apply.rs
+++ b/components/daemon/src/operator/apply.rs
@@ -30,6 +30,16 @@
     })
 }
 
+/// Returns the reply to an apply that is in flight when the shutdown runs out of
+/// time.
+pub(crate) fn cut_apply() -> ApplyReply {
+    ApplyReply {
+        outcome: ApplyOutcome::Unknown.into(),
+        detail: "this daemon shut down; apply again with the same operation id".to_owned(),
+        ..ApplyReply::default()
+    }
+}
+
 /// Applies declarations, and reports their findings with the outcome.
 pub(crate) async fn apply(daemon: &Daemon, request: &ApplyRequest) -> ApplyReply {
     if request.operation_id.is_empty() {
