Keep one list of requests in flight for both servers

Cause: the gateway and the native daemon each had the list and its guard. Change: transport::InFlight holds the list; both keep what they log of a request.

--- a/components/daemon/src/in_flight.rs
+++ b/components/daemon/src/in_flight.rs
@@ -1,20 +1,14 @@
 //! The requests of callers, peers and operators that are in flight, and their end
 //! when the shutdown cuts them.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
 
 use clock::Millis;
 use futures_util::future::{Either, select};
-use slotmap::{SlotMap, new_key_type};
 use transport::{Shutdown, detached};
 
-new_key_type! {
-    /// Key of a request in flight.
-    struct RequestKey;
-}
-
 /// A request in flight, as it is logged.
 #[derive(Clone, Debug)]
 pub(crate) struct InFlightRequest {
@@ -54,31 +48,21 @@
 /// The requests without an outcome yet.
 #[derive(Default)]
 pub(crate) struct InFlight {
-    requests: RefCell<SlotMap<RequestKey, InFlightRequest>>,
-    finished: Cell<u64>,
+    requests: Rc<transport::InFlight<InFlightRequest>>,
+    finished: Rc<Cell<u64>>,
     cut: Shutdown,
 }
 
-/// Lists a request as in flight until it is dropped.
-struct Guard {
-    all: Rc<InFlight>,
-    key: RequestKey,
-}
-
 impl InFlight {
     /// Runs a request until it ends, the caller drops it or the shutdown cuts it;
     /// the latter two cancel it.
     pub(crate) async fn run<T>(
-        self: &Rc<Self>,
+        &self,
         request: InFlightRequest,
         work: impl Future<Output = T>,
     ) -> End<T> {
-        let guard = self.begin(request);
-        match self.until_cut(work).await {
-            Some(outcome) => {
-                guard.finish();
-                End::Done(outcome)
-            }
+        match self.until_cut(self.listed(request, work)).await {
+            Some(outcome) => End::Done(outcome),
             None => End::Cut,
         }
     }
@@ -86,16 +70,11 @@
     /// Runs a request in a task of its own, which continues until the process exits
     /// even if the caller or the shutdown stops waiting for it.
     pub(crate) async fn run_detached<T: 'static>(
-        self: &Rc<Self>,
+        &self,
         request: InFlightRequest,
         work: impl Future<Output = T> + 'static,
     ) -> End<T> {
-        let guard = self.begin(request);
-        let task = detached(async move {
-            let outcome = work.await;
-            guard.finish();
-            outcome
-        });
+        let task = detached(self.listed(request, work));
         match self.until_cut(task).await {
             Some(Some(outcome)) => End::Done(outcome),
             Some(None) => End::Failed,
@@ -114,7 +93,7 @@
     /// Cuts all requests in flight and returns them.
     pub(crate) fn cut(&self) -> Vec<InFlightRequest> {
         self.cut.begin();
-        self.requests.borrow().values().cloned().collect()
+        self.requests.list()
     }
 
     /// Whether requests have been cut.
@@ -124,7 +103,7 @@
 
     /// Returns the number of requests in flight.
     pub(crate) fn count(&self) -> usize {
-        self.requests.borrow().len()
+        self.requests.count()
     }
 
     /// Returns the number of requests that ended with their own outcome before any
@@ -133,26 +112,20 @@
         self.finished.get()
     }
 
-    fn begin(self: &Rc<Self>, request: InFlightRequest) -> Guard {
-        let key = self.requests.borrow_mut().insert(request);
-        Guard {
-            all: self.clone(),
-            key,
-        }
-    }
-}
-
-impl Guard {
-    /// Counts the request as finished, unless it was cut before.
-    fn finish(self) {
-        if !self.all.is_cut() {
-            self.all.finished.set(self.all.finished.get() + 1);
+    /// Runs a listed request to its end and counts it as finished, unless requests
+    /// were cut before.
+    fn listed<T, F: Future<Output = T>>(
+        &self,
+        request: InFlightRequest,
+        work: F,
+    ) -> impl Future<Output = T> + use<T, F> {
+        let guard = self.requests.begin(request);
+        let (finished, cut) = (self.finished.clone(), self.cut.clone());
+        async move {
+            let outcome = work.await;
+            drop(guard);
+            finished.set(finished.get() + u64::from(!cut.has_begun()));
+            outcome
         }
     }
 }
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        self.all.requests.borrow_mut().remove(self.key);
-    }
-}
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -1,10 +1,12 @@
 //! HTTP/1.1 and gRPC on the compio runtime: a client for HTTP/1.1, a
-//! reconnecting channel for gRPC, and one server loop for both.
+//! reconnecting channel for gRPC, and one server loop for both, with what a server
+//! needs for its shutdown.
 
 mod channel;
 mod client;
 mod connection;
 mod error;
+mod in_flight;
 mod local;
 mod server;
 mod signal;
@@ -14,6 +16,7 @@
 pub use client::Client;
 pub use connection::{Connection, Payload, request};
 pub use error::{Error, Result};
+pub use in_flight::{InFlight, InFlightGuard};
 pub use local::{Local, detached, local};
 pub use server::{Listener, ServerLimits, Shutdown, listen, serve, serve_with_shared_limits};
 pub use signal::{StopSignalGuard, stop_signal};
