Release an unused claim no earlier than the claim can still be made

Cause: the release was due by the shortened deadline of a leaving daemon, but the claim at the writer of the bucket keeps the deadline that it was sent with; a claim made after its release would keep the key for the retention, and each retry would get key-claimed. The booking runs no second time. Change: the release waits for the claim's own deadline; the field for the caller's deadline is called requested_deadline. Measured: no test reaches this race; the tests of daemon_shutdown pass.

--- a/components/query/src/booking.rs
+++ b/components/query/src/booking.rs
@@ -87,7 +87,7 @@
             topology: &topology,
             shard,
             fingerprint,
-            deadline,
+            requested_deadline: deadline,
         };
         booking.run().await
     }
@@ -100,7 +100,7 @@
     topology: &'a Rc<Topology>,
     shard: String,
     fingerprint: u64,
-    deadline: Millis,
+    requested_deadline: Millis,
 }
 
 impl Booking<'_> {
@@ -113,7 +113,8 @@
             }
             Verdict::Duplicate { claimer } => self.replay(&claimer).await,
             other => {
-                let left = self.deadline().since(Millis::now());
+                // The claim may still be made until its own deadline.
+                let left = claim.deadline.since(Millis::now());
                 self.root.ledger.release_later(claim, left);
                 Err(claim_refusal(&other))
             }
@@ -123,7 +124,7 @@
     /// Returns the deadline within the time that this process has left, which is
     /// known only once it shuts down.
     fn deadline(&self) -> Millis {
-        self.root.exit.bound(self.deadline)
+        self.root.exit.bound(self.requested_deadline)
     }
 
     fn claim_request(&self) -> LedgerRequest {
