Wait for detached writes until the exit, and count them in the log

Cause: a gateway with only writes whose callers are answered or gone exited when the last answers were due, 0.3 s before it had to, and `stopped` did not count them. Change: they are waited for until the exit, and `stopped` has `detached`. Measured: the 7 tests of gateway_shutdown pass.

--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -39,10 +39,10 @@
     let outlasting = gateway.in_flight.count();
     gateway.answers_due.begin();
     let exit_at = schedule.exit_at.max(Millis::now() + MIN_ANSWER_TIME);
-    wait_until(exit_at, all_answered).await;
+    wait_until(exit_at, all_ended).await;
     log_cut_requests(gateway, started);
     info!(gateway.log, "stopped"; "outlasting" => outlasting, "cut" => gateway.in_flight.count(),
-        "connections" => gateway.caller_connections.get(),
+        "detached" => gateway.detached.count(), "connections" => gateway.caller_connections.get(),
         "after_ms" => Millis::now().since(started).0);
 }
 
