Answer requests in flight when a daemon is stopped twice or late

Callers saw: connections closed without an answer when an operator's request to leave was followed by SIGTERM, at a second signal, and when a leaving daemon was frozen past the end of its schedule. Cause: a second request to stop returned from the shutdown at once, the first signal after an operator's request counted as the second, and a late schedule exited in the step in which it cut the requests. Change: a second signal cuts the requests in flight, which answers them; the first signal after an operator's request repeats that request; answers get 100 ms at least; the listener closes on time though a peer does not confirm the leave. A signal within a millisecond of the first no longer ends the process.

--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -75,8 +75,7 @@
     );
     let callers = compio::runtime::spawn(callers);
     let peers = compio::runtime::spawn(peers);
-    shutdown::wait_for_stop_request(&daemon).await;
-    shutdown::drain(daemon).await;
+    shutdown::run(&daemon).await;
     drop((callers, peers));
     Ok(())
 }
--- a/components/daemon/src/shutdown.rs
+++ b/components/daemon/src/shutdown.rs
@@ -1,9 +1,9 @@
 //! The shutdown after SIGTERM, SIGINT or an operator's request.
 
-use std::rc::Rc;
+use std::pin::pin;
 
 use clock::Millis;
-use futures_util::future::{Either, select};
+use futures_util::future::{Either, join, select};
 use slog::{info, warn};
 use transport::stop_signal;
 
@@ -14,26 +14,33 @@
 const CHECK_INTERVAL: Millis = Millis(20);
 /// Requests that are cut and logged one by one; `drained` has the number of all.
 const MAX_CUT_LINES: usize = 100;
+/// Shortest time for the answers of the requests that are cut, if the schedule is
+/// late because the machine was busy.
+const MIN_ANSWER_TIME: Millis = Millis(100);
 
-/// Waits until a signal or an operator requests that this daemon leaves.
-pub(crate) async fn wait_for_stop_request(daemon: &Daemon) {
-    let signal = std::pin::pin!(stop_signal());
-    let request = std::pin::pin!(daemon.leave_signal.wait());
-    select(signal, request).await;
+/// Waits until a signal or an operator requests that this daemon leaves, and shuts
+/// it down; one more signal during the shutdown cuts the requests at once.
+pub(crate) async fn run(daemon: &Daemon) {
+    let mut signal = Box::pin(stop_signal());
+    let request = pin!(daemon.leave_signal.wait());
+    let guard = match select(&mut signal, request).await {
+        Either::Left((guard, _)) => Some(guard),
+        Either::Right(_) => None,
+    };
+    let next_signal = async {
+        let _guard = match guard {
+            Some(guard) => guard,
+            // An operator requested the shutdown; the first signal repeats this.
+            None => signal.await,
+        };
+        stop_signal().await
+    };
+    shut_down(daemon, next_signal).await;
 }
 
 /// Announces the shutdown, serves for the grace period, finishes requests in
-/// flight and answers those that take too long; a second signal ends the shutdown
-/// immediately.
-pub(crate) async fn drain(daemon: Rc<Daemon>) {
-    let graceful = std::pin::pin!(drain_gracefully(&daemon));
-    let second_signal = std::pin::pin!(stop_signal());
-    if let Either::Right(_) = select(graceful, second_signal).await {
-        info!(daemon.log, "stopped by a second signal"; "in_flight" => daemon.in_flight.count());
-    }
-}
-
-async fn drain_gracefully(daemon: &Daemon) {
+/// flight and answers those that take too long or that `hurry` does not let finish.
+async fn shut_down<T>(daemon: &Daemon, hurry: impl Future<Output = T>) {
     let stopped = Millis::now();
     let settings = &daemon.settings;
     let schedule = Schedule::new(stopped, settings.grace_ms, settings.drain_ms);
@@ -41,14 +48,16 @@
     let finished_before = daemon.in_flight.finished();
     daemon.is_leaving.set(true);
     daemon.server.exit.set(schedule.finish_by);
-    announce(daemon, &schedule).await;
-    compio::time::sleep(schedule.close_at.since(Millis::now()).into()).await;
+    let finishing = pin!(finish_requests(daemon, &schedule));
+    if let Either::Right(_) = select(finishing, pin!(hurry)).await {
+        info!(daemon.log, "stopped by a second signal"; "in_flight" => daemon.in_flight.count());
+    }
     daemon.callers_shutdown.begin();
-    wait_until(|| !daemon.is_busy() || Millis::now() >= schedule.cut_at).await;
     let cut = daemon.in_flight.cut();
     log_cut_requests(daemon, &cut, stopped);
     daemon.peers_shutdown.begin();
-    let exit_at = schedule.exit_at(Millis::now());
+    let now = Millis::now();
+    let exit_at = schedule.exit_at(now).max(now + MIN_ANSWER_TIME);
     wait_until(|| daemon.has_answered() || Millis::now() >= exit_at).await;
     info!(daemon.log, "drained"; "finished" => daemon.in_flight.finished() - finished_before,
         "cut" => cut.len(), "connections" => daemon.callers_open.get(),
@@ -56,6 +65,17 @@
         "after_ms" => Millis::now().since(stopped).0);
 }
 
+/// Serves for the grace period, and then until no request is in flight or the rest
+/// is to be cut.
+async fn finish_requests(daemon: &Daemon, schedule: &Schedule) {
+    let closing = async {
+        compio::time::sleep(schedule.close_at.since(Millis::now()).into()).await;
+        daemon.callers_shutdown.begin();
+    };
+    join(announce(daemon, schedule), closing).await;
+    wait_until(|| !daemon.is_busy() || Millis::now() >= schedule.cut_at).await;
+}
+
 /// Informs all peers that this daemon leaves; one that does not answer takes no
 /// time from the answers to requests in flight.
 async fn announce(daemon: &Daemon, schedule: &Schedule) {
--- a/components/transport/src/signal.rs
+++ b/components/transport/src/signal.rs
@@ -11,6 +11,7 @@
 type Received = LocalBoxFuture<'static, io::Result<()>>;
 
 /// Keeps further stop signals from ending the process until it is dropped.
+#[must_use = "dropping it lets the next stop signal end the process"]
 pub struct StopSignalGuard {
     /// Their handlers stay installed until they are dropped.
     _later: [Received; 2],
