Log and count the releases that fail

Seen: `drained` logged `unreleased: 0` although a claim was still held. Cause: release_later dropped the verdict of the release; a full queue or a timeout gives `Unavailable`, and the count went down without a log line. Change: any verdict but `Released` is logged with bucket and service and counted; Ledger::unreleased returns the waiting and the failed ones. `releases` keeps the waiting ones alone, so that an old failure does not prolong a shutdown. A guard lowers the count, also on a panic (no test causes one). The shutdown's log line still uses `releases`.

--- a/components/ledger/src/committer.rs
+++ b/components/ledger/src/committer.rs
@@ -8,7 +8,7 @@
 use clock::Millis;
 use futures_channel::oneshot;
 use serde::Serialize;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use store::{Store, Swap};
 use telemetry::names;
 
@@ -76,6 +76,7 @@
     // Until this time the store counts as unavailable and claims are refused at once.
     outage_until: Cell<Millis>,
     releases: Cell<usize>,
+    failed_releases: Cell<usize>,
     log: Logger,
 }
 
@@ -95,6 +96,7 @@
             daemon_count,
             outage_until: Cell::default(),
             releases: Cell::default(),
+            failed_releases: Cell::default(),
             log: log.clone(),
         })
     }
@@ -120,18 +122,16 @@
     /// Releases a claim in the background after a delay, with retries for up
     /// to a minute.
     pub fn release_later(self: &Rc<Self>, request: LedgerRequest, delay: Millis) {
-        let ledger = self.clone();
         let deadline = Millis::now() + delay + RELEASE_TIMEOUT;
         let request = LedgerRequest {
             release: true,
             deadline,
             ..request
         };
-        self.releases.set(self.releases.get() + 1);
+        let guard = ReleaseGuard::new(self.clone());
         let task = async move {
             compio::time::sleep(delay.into()).await;
-            ledger.submit(request).await;
-            ledger.releases.set(ledger.releases.get() - 1);
+            guard.ledger.release(request).await;
         };
         compio::runtime::spawn(task).detach();
     }
@@ -141,6 +141,12 @@
         self.releases.get()
     }
 
+    /// Returns the number of claims that wait for their release or whose release
+    /// failed.
+    pub fn unreleased(&self) -> usize {
+        self.releases.get() + self.failed_releases.get()
+    }
+
     /// Returns the state of the buckets that this daemon has in memory.
     pub fn view(&self) -> Vec<BucketView> {
         let queues = self.queues.borrow();
@@ -156,6 +162,18 @@
         view.collect()
     }
 
+    /// Releases a claim, and logs and counts it if it stays.
+    async fn release(self: &Rc<Self>, request: LedgerRequest) {
+        let service = request.service.clone();
+        let bucket = request.key.bucket(&service);
+        let verdict = self.submit(request).await;
+        if verdict != Verdict::Released {
+            self.failed_releases.set(self.failed_releases.get() + 1);
+            warn!(self.log, "claim not released"; "bucket" => bucket, "service" => service,
+                "verdict" => ?verdict);
+        }
+    }
+
     fn enqueue(self: &Rc<Self>, bucket: &str, pending: Pending) -> bool {
         let mut queues = self.queues.borrow_mut();
         if queues.len() >= CACHED_BUCKET_LIMIT {
@@ -286,6 +304,25 @@
     }
 }
 
+/// Counts a claim as waiting for its release until it is dropped.
+struct ReleaseGuard {
+    ledger: Rc<Ledger>,
+}
+
+impl ReleaseGuard {
+    fn new(ledger: Rc<Ledger>) -> Self {
+        ledger.releases.set(ledger.releases.get() + 1);
+        Self { ledger }
+    }
+}
+
+impl Drop for ReleaseGuard {
+    fn drop(&mut self) {
+        let releases = &self.ledger.releases;
+        releases.set(releases.get() - 1);
+    }
+}
+
 /// Fails the claims of a batch that can't be written now; releases stay.
 fn refuse_claims(batch: &mut Vec<Pending>) {
     let (releases, claims) = batch.drain(..).partition(|p| p.request.release);
