Run no request that arrives after the cut

Seen: a booking or a peer's claim that arrived after a shutdown had cut the requests in flight was answered with an unknown outcome at once, and ran on until the exit. Cause: InFlight::run_detached started the task before it looked at the cut; `run` polled the request once, too. Change: both look first and return End::NotRun; callers, peers and operators are refused as not run. InFlight, InFlightRequest and End are public for their test.

--- a/components/daemon/src/callers.rs
+++ b/components/daemon/src/callers.rs
@@ -112,6 +112,7 @@
     let answer = match daemon.in_flight.run(listed, search).await {
         End::Done(answer) => answer,
         End::Cut | End::Failed => Err(cut_refusal(Kind::Unready)),
+        End::NotRun => Err(not_run_refusal()),
     };
     slog::debug!(daemon.log, "search"; "request_id" => id, "service" => &request.service,
         "revision" => answer.as_ref().map_or(0, |a| a.revision),
@@ -160,6 +161,7 @@
     let answer = match daemon.in_flight.run_detached(listed, booking).await {
         End::Done(answer) => answer,
         End::Cut => Err(cut_refusal(Kind::OutcomeUnknown)),
+        End::NotRun => Err(not_run_refusal()),
         End::Failed => Err(task_failed()),
     };
     answer.map(|a| encode(&a))
@@ -184,6 +186,12 @@
     }
 }
 
+/// Refuses a request that arrives after the shutdown cut those in flight.
+fn not_run_refusal() -> Refusal {
+    let detail = "this daemon is about to exit";
+    Refusal::not_run(Kind::Unready, detail, CUT_RETRY_AFTER)
+}
+
 async fn healthz() -> &'static str {
     "ok\n"
 }
--- a/components/daemon/src/in_flight.rs
+++ b/components/daemon/src/in_flight.rs
@@ -11,20 +11,20 @@
 
 /// A request in flight, as it is logged.
 #[derive(Clone, Debug)]
-pub(crate) struct InFlightRequest {
+pub struct InFlightRequest {
     /// Identifier of the request; empty if it has none.
-    pub(crate) id: String,
+    pub id: String,
     /// What is requested, such as `search`.
-    pub(crate) kind: &'static str,
+    pub kind: &'static str,
     /// Name of the service; empty if it concerns none.
-    pub(crate) service: String,
+    pub service: String,
     /// Time of its arrival.
-    pub(crate) arrived: Millis,
+    pub arrived: Millis,
 }
 
 impl InFlightRequest {
     /// Returns a request that arrives now.
-    pub(crate) fn new(kind: &'static str, id: &str, service: &str) -> Self {
+    pub fn new(kind: &'static str, id: &str, service: &str) -> Self {
         Self {
             id: id.to_owned(),
             kind,
@@ -36,18 +36,20 @@
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum End<T> {
+pub enum End<T> {
     /// With its own outcome.
     Done(T),
     /// By the shutdown; whether it ran is not known.
     Cut,
+    /// By the shutdown before it ran.
+    NotRun,
     /// Its task panicked.
     Failed,
 }
 
 /// The requests without an outcome yet.
 #[derive(Default)]
-pub(crate) struct InFlight {
+pub struct InFlight {
     requests: Rc<transport::InFlight<InFlightRequest>>,
     finished: Rc<Cell<u64>>,
     cut: Shutdown,
@@ -55,12 +57,11 @@
 
 impl InFlight {
     /// Runs a request until it ends, the caller drops it or the shutdown cuts it;
-    /// the latter two cancel it.
-    pub(crate) async fn run<T>(
-        &self,
-        request: InFlightRequest,
-        work: impl Future<Output = T>,
-    ) -> End<T> {
+    /// the latter two cancel it. One that arrives after the cut does not run.
+    pub async fn run<T>(&self, request: InFlightRequest, work: impl Future<Output = T>) -> End<T> {
+        if self.is_cut() {
+            return End::NotRun;
+        }
         match self.until_cut(self.listed(request, work)).await {
             Some(outcome) => End::Done(outcome),
             None => End::Cut,
@@ -68,12 +69,16 @@
     }
 
     /// Runs a request in a task of its own, which continues until the process exits
-    /// even if the caller or the shutdown stops waiting for it.
-    pub(crate) async fn run_detached<T: 'static>(
+    /// even if the caller or the shutdown stops waiting for it. One that arrives after
+    /// the cut does not run.
+    pub async fn run_detached<T: 'static>(
         &self,
         request: InFlightRequest,
         work: impl Future<Output = T> + 'static,
     ) -> End<T> {
+        if self.is_cut() {
+            return End::NotRun;
+        }
         let task = detached(self.listed(request, work));
         match self.until_cut(task).await {
             Some(Some(outcome)) => End::Done(outcome),
@@ -83,7 +88,7 @@
     }
 
     /// Waits for a future, or returns `None` once the shutdown cuts requests.
-    pub(crate) async fn until_cut<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+    pub async fn until_cut<T>(&self, work: impl Future<Output = T>) -> Option<T> {
         match select(pin!(work), pin!(self.cut.wait())).await {
             Either::Left((outcome, _)) => Some(outcome),
             Either::Right(_) => None,
@@ -91,24 +96,24 @@
     }
 
     /// Cuts all requests in flight and returns them.
-    pub(crate) fn cut(&self) -> Vec<InFlightRequest> {
+    pub fn cut(&self) -> Vec<InFlightRequest> {
         self.cut.begin();
         self.requests.list()
     }
 
     /// Whether requests have been cut.
-    pub(crate) fn is_cut(&self) -> bool {
+    pub fn is_cut(&self) -> bool {
         self.cut.has_begun()
     }
 
     /// Returns the number of requests in flight.
-    pub(crate) fn count(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.requests.count()
     }
 
     /// Returns the number of requests that ended with their own outcome before any
     /// was cut.
-    pub(crate) fn finished(&self) -> u64 {
+    pub fn finished(&self) -> u64 {
         self.finished.get()
     }
 
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -14,5 +14,6 @@
 mod state;
 mod sync;
 
+pub use in_flight::{End, InFlight, InFlightRequest};
 pub use run::{Error, Result, run};
 pub use schedule::Schedule;
--- a/components/daemon/src/operator.rs
+++ b/components/daemon/src/operator.rs
@@ -7,6 +7,7 @@
 
 use std::rc::Rc;
 
+use query::not_run_status;
 use schema::operator_server::Operator;
 use schema::{
     ApplyReply, ApplyRequest, DrainReply, DrainRequest, DumpReply, DumpRequest, GetReply,
@@ -44,6 +45,7 @@
         match local(self.0.in_flight.run_detached(listed, apply)).await {
             End::Done(reply) => Ok(Response::new(reply)),
             End::Cut => Ok(Response::new(cut_apply())),
+            End::NotRun => Err(not_run()),
             End::Failed => Err(Status::internal("the task ended without an outcome")),
         }
     }
@@ -103,6 +105,7 @@
             End::Cut => Err(Status::unavailable(
                 "this daemon shut down; the revision may have been committed",
             )),
+            End::NotRun => Err(not_run()),
             End::Failed => Err(Status::internal("the task ended without an outcome")),
         }
     }
@@ -120,6 +123,11 @@
     }
 }
 
+/// Refuses a request that arrives after the shutdown cut those in flight.
+fn not_run() -> Status {
+    not_run_status("this daemon is about to exit")
+}
+
 /// Begins the shutdown of this daemon, or forwards the request to the daemon
 /// that it names.
 async fn leave(daemon: &Daemon, request: LeaveRequest) -> Result<LeaveReply, Status> {
--- a/components/daemon/src/peers.rs
+++ b/components/daemon/src/peers.rs
@@ -46,6 +46,7 @@
             End::Cut => Err(Status::unavailable(
                 "this daemon shut down before the sub-request had an outcome",
             )),
+            End::NotRun => Err(not_run_status("this daemon is about to exit")),
             End::Failed => Err(Status::internal("the task ended without an outcome")),
         }
     }
