--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use clock::Millis;
 use http::header::{self, HeaderName};
+use http::request::Parts;
 use http::{HeaderMap, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use routes::{Entry, Route, Table, Target};
@@ -77,20 +78,8 @@
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
     let route = &entry.route;
     let deadline = deadline_before_exit(gateway, route, deadline)?;
-    let purpose = match route.target {
-        Target::Gather(_) => Purpose::Part,
-        Target::Service(_) | Target::Split(_) => Purpose::Whole,
-    };
     let fingerprint = fingerprint(&head.headers, &head.uri, &body);
-    let forwarded = Rc::new(ForwardedRequest {
-        id: context.id,
-        method: head.method,
-        uri: origin_form(&head.uri),
-        headers: remove_hop_by_hop(head.headers),
-        body,
-        purpose,
-        error_response: RefCell::default(),
-    });
+    let forwarded = Rc::new(forwarded_request(context.id, head, body, &route.target));
     let call = Call {
         message: gateway.wire.message(forwarded.clone()),
         version: None,
@@ -110,6 +99,21 @@
     })
 }
 
+fn forwarded_request(id: String, head: Parts, body: Bytes, target: &Target) -> ForwardedRequest {
+    ForwardedRequest {
+        id,
+        method: head.method,
+        uri: origin_form(&head.uri),
+        headers: remove_hop_by_hop(head.headers),
+        body,
+        purpose: match target {
+            Target::Gather(_) => Purpose::Part,
+            Target::Service(_) | Target::Split(_) => Purpose::Whole,
+        },
+        error_response: RefCell::default(),
+    }
+}
+
 /// Returns the time by which a request of a route must be answered.
 pub(crate) fn deadline(route: &Route, context: &RequestContext, arrived: Millis) -> Millis {
     let timeout = context.timeout.unwrap_or(route.timeout);
