Answer operators' requests that wait at the end of a shutdown

Seen: a plan, a status or a forwarded leave that waited for the store or a peer at the end of a shutdown got a closed connection in place of a status. Cause: they were not in the list of requests in flight, so the shutdown neither waited for them nor cut them. Change: they run through InFlight::run; a cut one gets `unavailable` and is logged as `request cut`. Measured: the new test's three cases fail before the change (the connection closed) and pass with it; tests/daemon_shutdown.rs passes (22), and so does the operator's test of tests/shutdown.rs.

--- a/components/daemon/src/operator.rs
+++ b/components/daemon/src/operator.rs
@@ -32,10 +32,10 @@
 #[tonic::async_trait]
 impl Operator for OperatorService {
     async fn plan(&self, request: Request<PlanRequest>) -> Reply<PlanReply> {
-        let daemon = self.0.clone();
-        local(async move { plan(&daemon, request.get_ref()).await })
-            .await
-            .map(Response::new)
+        let listed = InFlightRequest::new("plan", "", "");
+        let plan = plan(&self.0, request.get_ref());
+        let end = local(self.0.in_flight.run(listed, plan)).await;
+        until_exit(end)?.map(Response::new)
     }
 
     async fn apply(&self, request: Request<ApplyRequest>) -> Reply<ApplyReply> {
@@ -90,10 +90,10 @@
     }
 
     async fn status(&self, _request: Request<StatusRequest>) -> Reply<StatusReply> {
-        let daemon = self.0.clone();
-        Ok(Response::new(
-            local(async move { status(&daemon).await }).await,
-        ))
+        let listed = InFlightRequest::new("status", "", "");
+        let status = status(&self.0);
+        let end = local(self.0.in_flight.run(listed, status)).await;
+        until_exit(end).map(Response::new)
     }
 
     async fn drain(&self, request: Request<DrainRequest>) -> Reply<DrainReply> {
@@ -111,10 +111,10 @@
     }
 
     async fn leave(&self, request: Request<LeaveRequest>) -> Reply<LeaveReply> {
-        let daemon = self.0.clone();
-        local(async move { leave(&daemon, request.into_inner()).await })
-            .await
-            .map(Response::new)
+        let listed = InFlightRequest::new("leave", "", "");
+        let leave = leave(&self.0, request.into_inner());
+        let end = local(self.0.in_flight.run(listed, leave)).await;
+        until_exit(end)?.map(Response::new)
     }
 
     async fn dump(&self, _request: Request<DumpRequest>) -> Reply<DumpReply> {
@@ -123,6 +123,18 @@
     }
 }
 
+/// Returns the outcome of a request, or a status if it has none.
+fn until_exit<T>(end: End<T>) -> Result<T, Status> {
+    match end {
+        End::Done(outcome) => Ok(outcome),
+        End::Cut => Err(Status::unavailable(
+            "this daemon shut down before the request had an outcome",
+        )),
+        End::NotRun => Err(not_run()),
+        End::Failed => Err(Status::internal("the task ended without an outcome")),
+    }
+}
+
 /// Refuses a request that arrives after the shutdown cut those in flight.
 fn not_run() -> Status {
     not_run_status("this daemon is about to exit")
--- a/tests/daemon_shutdown.rs
+++ b/tests/daemon_shutdown.rs
@@ -9,12 +9,15 @@
 use compio::net::TcpStream;
 use futures_util::future::{join, join_all};
 use rstest::rstest;
-use schema::{ClaimRequest, DispatchRequest, ScatterRequest};
+use schema::{
+    ClaimRequest, DispatchRequest, GetRequest, LeaveRequest, PlanRequest, ScatterRequest,
+    StatusRequest,
+};
 use serde_json::{Value, json};
 use standins::client::{Answer, JsonClient};
 use standins::fleet::{Binaries, Fleet, Plan, ServicePlan, book, search};
-use tonic::Status;
-use transport::{Client, Payload, PeerClient, peer_client};
+use tonic::{Code, Status};
+use transport::{Client, Payload, PeerClient, operator_client, peer_client};
 use uuid::Uuid;
 
 const EXIT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -34,6 +37,13 @@
     Claim,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Operation {
+    Plan,
+    Status,
+    Leave,
+}
+
 /// Starts two daemons, each of which owns all shards for its own callers.
 async fn start(deadline: Millis, grace: Millis, drain: Millis) -> Fleet {
     let mut service = ServicePlan::new("jobs", UPSTREAMS);
@@ -387,3 +397,59 @@
     let drained = &log_lines(&fleet, "drained")[0];
     assert!(drained["after_ms"].as_u64() <= Some(1_500), "{drained}");
 }
+
+async fn operate(address: std::net::SocketAddr, operation: Operation) -> Result<(), Status> {
+    let mut client = operator_client(address);
+    match operation {
+        Operation::Plan => {
+            let declared = client.get(GetRequest::default()).await?.into_inner();
+            let message = PlanRequest {
+                yaml: declared.yaml,
+                ..PlanRequest::default()
+            };
+            client.plan(message).await.map(|_| ())
+        }
+        Operation::Status => client.status(StatusRequest {}).await.map(|_| ()),
+        Operation::Leave => {
+            let instance = "entry-2".to_owned();
+            client.leave(LeaveRequest { instance }).await.map(|_| ())
+        }
+    }
+}
+
+#[rstest]
+#[case::plan(Operation::Plan, "plan")]
+#[case::status(Operation::Status, "status")]
+#[case::forwarded_leave(Operation::Leave, "leave")]
+fn an_operators_request_in_flight_at_the_end_of_a_shutdown_is_answered(
+    #[case] operation: Operation,
+    #[case] kind: &str,
+) {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let plan = Plan {
+            daemons: 2,
+            settings: json!({ "grace_ms": 200, "drain_ms": 800, "heartbeat_ms": 4_000 }),
+            ..Plan::default()
+        };
+        let mut fleet = Fleet::ready(&Binaries::find(), plan).await;
+        fleet.set_store_faults(json!({ "hang": true })).await;
+        fleet.daemons[1].process.freeze();
+        let address = fleet.daemons[0].peers;
+        // The store's calls time out; the request arrives when less time is left.
+        let sent = async {
+            compio::time::sleep(Duration::from_millis(800)).await;
+            operate(address, operation).await
+        };
+        let (reply, code) = join(sent, terminate(&mut fleet, Duration::from_millis(300))).await;
+        fleet.daemons[1].process.resume();
+        assert_eq!(code, Some(0));
+        let status = reply.expect_err("the request has no outcome");
+        // Only a status that the daemon sent has no source.
+        let source = std::error::Error::source(&status);
+        assert!(source.is_none(), "the connection closed: {status:?}");
+        assert_eq!(status.code(), Code::Unavailable, "{status:?}");
+        let cut = log_lines(&fleet, "request cut");
+        assert_eq!(cut.len(), 1, "{cut:?}");
+        assert_eq!(cut[0]["kind"], kind, "{cut:?}");
+    });
+}
