Name the one-time event for what it is, and log claims that were not released

Cause: transport::Shutdown had become a general event, used for the last answers, the cut of requests and an operator's request too; the line `drained` did not have the releases that failed. Change: transport::Event in a file of its own, with set, is_set and wait; drained has the claims that were not released, failed ones included.

--- a/components/daemon/src/in_flight.rs
+++ b/components/daemon/src/in_flight.rs
@@ -7,7 +7,7 @@
 
 use clock::Millis;
 use futures_util::future::{Either, select};
-use transport::{Shutdown, detached};
+use transport::{Event, detached};
 
 /// A request in flight, as it is logged.
 #[derive(Clone, Debug)]
@@ -52,7 +52,7 @@
 pub struct InFlight {
     requests: Rc<transport::InFlight<InFlightRequest>>,
     finished: Rc<Cell<u64>>,
-    cut: Shutdown,
+    cut: Event,
 }
 
 impl InFlight {
@@ -97,13 +97,13 @@
 
     /// Cuts all requests in flight and returns them.
     pub fn cut(&self) -> Vec<InFlightRequest> {
-        self.cut.begin();
+        self.cut.set();
         self.requests.list()
     }
 
     /// Whether requests have been cut.
     pub fn is_cut(&self) -> bool {
-        self.cut.has_begun()
+        self.cut.is_set()
     }
 
     /// Returns the number of requests in flight.
@@ -129,7 +129,7 @@
         async move {
             let outcome = work.await;
             drop(guard);
-            finished.set(finished.get() + u64::from(!cut.has_begun()));
+            finished.set(finished.get() + u64::from(!cut.is_set()));
             outcome
         }
     }
--- a/components/daemon/src/operator.rs
+++ b/components/daemon/src/operator.rs
@@ -145,7 +145,7 @@
 async fn leave(daemon: &Daemon, request: LeaveRequest) -> Result<LeaveReply, Status> {
     let instance = request.instance.clone();
     if instance == daemon.members.me().id {
-        daemon.leave_signal.begin();
+        daemon.leave_signal.set();
         return Ok(LeaveReply { instance });
     }
     let member = daemon.members.find(&instance);
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -16,7 +16,7 @@
 use store::{HttpInstanceList, HttpStore};
 use telemetry::Recorder;
 use tonic::service::Routes;
-use transport::{Listener, Local, ServerLimits, Shutdown, serve};
+use transport::{Event, Listener, Local, ServerLimits, serve};
 use upstreams::{Pools, Shared};
 
 use crate::callers;
@@ -127,13 +127,13 @@
         sync,
         recorder,
         is_leaving: Cell::new(false),
-        leave_signal: Shutdown::default(),
+        leave_signal: Event::default(),
         started: Millis::now(),
         in_flight: Rc::default(),
         callers_open: Rc::default(),
         peers_open: Rc::default(),
-        callers_shutdown: Shutdown::default(),
-        peers_shutdown: Shutdown::default(),
+        callers_shutdown: Event::default(),
+        peers_shutdown: Event::default(),
         log: log.clone(),
     })
 }
--- a/components/daemon/src/shutdown.rs
+++ b/components/daemon/src/shutdown.rs
@@ -52,16 +52,16 @@
     if let Either::Right(_) = select(finishing, pin!(hurry)).await {
         info!(daemon.log, "stopped by a second signal"; "in_flight" => daemon.in_flight.count());
     }
-    daemon.callers_shutdown.begin();
+    daemon.callers_shutdown.set();
     let cut = daemon.in_flight.cut();
     log_cut_requests(daemon, &cut, stopped);
-    daemon.peers_shutdown.begin();
+    daemon.peers_shutdown.set();
     let now = Millis::now();
     let exit_at = schedule.exit_at(now).max(now + MIN_ANSWER_TIME);
     wait_until(|| daemon.has_answered() || Millis::now() >= exit_at).await;
     info!(daemon.log, "drained"; "finished" => daemon.in_flight.finished() - finished_before,
         "cut" => cut.len(), "connections" => daemon.callers_open.get(),
-        "unreleased" => daemon.ledger.releases(),
+        "unreleased" => daemon.ledger.unreleased(),
         "after_ms" => Millis::now().since(stopped).0);
 }
 
@@ -70,7 +70,7 @@
 async fn finish_requests(daemon: &Daemon, schedule: &Schedule) {
     let closing = async {
         compio::time::sleep(schedule.close_at.since(Millis::now()).into()).await;
-        daemon.callers_shutdown.begin();
+        daemon.callers_shutdown.set();
     };
     join(announce(daemon, schedule), closing).await;
     wait_until(|| !daemon.is_busy() || Millis::now() >= schedule.cut_at).await;
--- a/components/daemon/src/state.rs
+++ b/components/daemon/src/state.rs
@@ -10,7 +10,7 @@
 use settings::Settings;
 use slog::Logger;
 use telemetry::Recorder;
-use transport::Shutdown;
+use transport::Event;
 use upstreams::Pools;
 
 use crate::in_flight::InFlight;
@@ -28,14 +28,14 @@
     pub(crate) sync: Rc<CatalogSync>,
     pub(crate) recorder: Recorder,
     pub(crate) is_leaving: Cell<bool>,
-    /// Begins when an operator requests that this daemon leaves.
-    pub(crate) leave_signal: Shutdown,
+    /// Happens when an operator requests that this daemon leaves.
+    pub(crate) leave_signal: Event,
     pub(crate) started: Millis,
     pub(crate) in_flight: Rc<InFlight>,
     pub(crate) callers_open: Rc<Cell<usize>>,
     pub(crate) peers_open: Rc<Cell<usize>>,
-    pub(crate) callers_shutdown: Shutdown,
-    pub(crate) peers_shutdown: Shutdown,
+    pub(crate) callers_shutdown: Event,
+    pub(crate) peers_shutdown: Event,
     pub(crate) log: Logger,
 }
 
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -10,7 +10,7 @@
 use slog::{Logger, info};
 use snafu::{ResultExt, Snafu};
 use telemetry::Recorder;
-use transport::{Listener, ServerLimits, Shutdown, serve, serve_with_shared_limits};
+use transport::{Event, Listener, ServerLimits, serve, serve_with_shared_limits};
 
 use crate::admin;
 use crate::fleet::Fleet;
@@ -153,12 +153,12 @@
         wire: adapters.wire.clone(),
         recorder,
         shutdown: Cell::new(None),
-        answers_due: Shutdown::default(),
+        answers_due: Event::default(),
         in_flight: Rc::default(),
         detached: Rc::default(),
         caller_limits,
         caller_connections: Rc::default(),
-        caller_shutdown: Shutdown::default(),
+        caller_shutdown: Event::default(),
         log: log.clone(),
     })
 }
@@ -183,6 +183,6 @@
 
 fn start_server(listener: Listener, router: Router) {
     let limits = ServerLimits::default();
-    let serving = serve(listener, router, limits, Shutdown::default(), Rc::default());
+    let serving = serve(listener, router, limits, Event::default(), Rc::default());
     compio::runtime::spawn(serving).detach();
 }
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -34,10 +34,10 @@
         Millis::now() >= schedule.unlisted_at && all_closed()
     })
     .await;
-    gateway.caller_shutdown.begin();
+    gateway.caller_shutdown.set();
     wait_until(schedule.answer_by, all_ended).await;
     let outlasting = gateway.in_flight.count();
-    gateway.answers_due.begin();
+    gateway.answers_due.set();
     let exit_at = schedule.exit_at.max(Millis::now() + MIN_ANSWER_TIME);
     wait_until(exit_at, all_ended).await;
     log_cut_requests(gateway, started);
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -6,7 +6,7 @@
 use discovery::Follower;
 use slog::Logger;
 use telemetry::Recorder;
-use transport::{ServerLimits, Shutdown};
+use transport::{Event, ServerLimits};
 
 use crate::fleet::Fleet;
 use crate::in_flight::InFlight;
@@ -26,8 +26,8 @@
     pub(crate) recorder: Recorder,
     /// The times of the shutdown, from the stop signal on.
     pub(crate) shutdown: Cell<Option<ShutdownSchedule>>,
-    /// Begins when all requests in flight must be answered at once.
-    pub(crate) answers_due: Shutdown,
+    /// Happens when all requests in flight must be answered at once.
+    pub(crate) answers_due: Event,
     /// Requests that are not answered yet.
     pub(crate) in_flight: Rc<InFlight>,
     /// Requests that run in tasks of their own, so that they continue if their
@@ -36,7 +36,7 @@
     pub(crate) caller_connections: Rc<Cell<usize>>,
     /// Limits for new connections from callers.
     pub(crate) caller_limits: Rc<Cell<ServerLimits>>,
-    pub(crate) caller_shutdown: Shutdown,
+    pub(crate) caller_shutdown: Event,
     pub(crate) log: Logger,
 }
 
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -1,6 +1,6 @@
 //! The server loop for HTTP/1.1 and HTTP/2, with one task for each connection.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,14 +9,14 @@
 use clock::Millis;
 use compio::net::{TcpListener, TcpSocket, TcpStream};
 use cyper_core::{CompioExecutor, HyperStream};
-use futures_channel::oneshot;
-use futures_util::future::{Either, FutureExt, Shared, select};
+use futures_util::future::{Either, select};
 use hyper::body::Incoming;
 use hyper_util::server::conn::auto::Builder;
 use snafu::ResultExt;
 use tower_service::Service;
 
 use crate::error::{ListenSnafu, Result};
+use crate::event::Event;
 use crate::timer::RuntimeTimer;
 
 // Connections that wait to be accepted; the kernel delays further ones.
@@ -50,42 +50,6 @@
     }
 }
 
-/// An event that begins once, such as the shutdown of a server loop, which then
-/// accepts no more connections and finishes the requests in flight.
-#[derive(Clone)]
-pub struct Shutdown {
-    /// Dropping the sender begins the shutdown.
-    sender: Rc<RefCell<Option<oneshot::Sender<()>>>>,
-    begun: Shared<oneshot::Receiver<()>>,
-}
-
-impl Default for Shutdown {
-    fn default() -> Self {
-        let (sender, receiver) = oneshot::channel();
-        Self {
-            sender: Rc::new(RefCell::new(Some(sender))),
-            begun: receiver.shared(),
-        }
-    }
-}
-
-impl Shutdown {
-    /// Begins the shutdown.
-    pub fn begin(&self) {
-        self.sender.take();
-    }
-
-    /// Whether the shutdown has begun.
-    pub fn has_begun(&self) -> bool {
-        self.sender.borrow().is_none()
-    }
-
-    /// Waits until the shutdown begins.
-    pub async fn wait(&self) {
-        let _ = self.begun.clone().await;
-    }
-}
-
 /// A bound TCP listener.
 pub struct Listener {
     inner: TcpListener,
@@ -128,7 +92,7 @@
     listener: Listener,
     router: Router,
     limits: ServerLimits,
-    shutdown: Shutdown,
+    shutdown: Event,
     open: Rc<Cell<usize>>,
 ) {
     let limits = Rc::new(Cell::new(limits));
@@ -141,7 +105,7 @@
     listener: Listener,
     router: Router,
     limits: Rc<Cell<ServerLimits>>,
-    shutdown: Shutdown,
+    shutdown: Event,
     open: Rc<Cell<usize>>,
 ) {
     loop {
@@ -191,7 +155,7 @@
     stream: TcpStream,
     router: Router,
     limits: ServerLimits,
-    shutdown: Shutdown,
+    shutdown: Event,
 ) {
     if stream.set_nodelay(true).is_err() {
         return;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -12,7 +12,7 @@
 use standins::platform::site;
 use standins::upstream::{Behaviour, Options};
 use standins::{bench, demo, graph, instances, load, store, upstream};
-use transport::{Listener, ServerLimits, Shutdown, serve};
+use transport::{Event, Listener, ServerLimits, serve};
 
 #[derive(Debug, Parser)]
 #[command(about = "Stand-ins for the platform and the upstreams of coltsfootgw")]
@@ -208,7 +208,7 @@
         listener,
         router,
         ServerLimits::default(),
-        Shutdown::default(),
+        Event::default(),
         Rc::default(),
     )
     .await;
--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -9,7 +9,7 @@
 use base64::engine::general_purpose::STANDARD;
 use clock::Millis;
 use serde_json::{Value, json};
-use transport::{Listener, ServerLimits, Shutdown, serve};
+use transport::{Event, Listener, ServerLimits, serve};
 
 use super::endpoints::Endpoints;
 use super::store::{self, PlatformStore};
@@ -131,7 +131,7 @@
     let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
     let address = listener.address;
     let limits = ServerLimits::default();
-    let serving = serve(listener, router, limits, Shutdown::default(), Rc::default());
+    let serving = serve(listener, router, limits, Event::default(), Rc::default());
     compio::runtime::spawn(serving).detach();
     Ok(address)
 }
