--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -86,7 +86,7 @@
     socket.listen(BACKLOG).await
 }
 
-/// Serves until `shutdown` begins and returns when the last connection has
+/// Serves until `shutdown` happens and returns when the last connection has
 /// closed; `open` counts the open connections.
 pub async fn serve(
     listener: Listener,
