Reproduce that a crashing request reaches upstreams without end

Several gateways as processes, 16 upstreams in four failure domains that end under a request, refuse connections for 3 s and return as other instances.

--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -20,6 +20,8 @@
 pub use event::Event;
 pub use in_flight::{InFlight, InFlightGuard};
 pub use local::{Local, detached, local};
-pub use server::{Listener, ServerLimits, listen, serve, serve_with_shared_limits};
+pub use server::{
+    Listener, ServerLimits, listen, serve, serve_connection, serve_with_shared_limits,
+};
 pub use signal::{StopSignalGuard, stop_signal};
 pub use timer::RuntimeTimer;
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -151,7 +151,9 @@
     }
 }
 
-async fn serve_connection(
+/// Serves one connection until it is closed; after `shutdown` happens it is
+/// closed once its running request is answered.
+pub async fn serve_connection(
     stream: TcpStream,
     router: Router,
     limits: ServerLimits,
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform: its store, its upstreams, whole sites, and the
 //! gateway processes that tests start on a site.
 
+pub mod crash_site;
 pub mod endpoints;
 pub mod gateway;
 pub mod site;
--- a/standins/src/platform/gateway.rs
+++ b/standins/src/platform/gateway.rs
@@ -1,6 +1,7 @@
 //! Gateways of a site: real processes, each with its own settings file.
 
-use std::path::PathBuf;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -26,8 +27,10 @@
     pub process: Process,
     /// Addresses at which it listens.
     pub endpoints: Endpoints,
-    /// Directory of its settings file and log.
+    /// Directory of its settings file and of the log of each of its processes.
     pub dir: PathBuf,
+    /// Number of processes started so far.
+    starts: usize,
 }
 
 impl Drop for Gateway {
@@ -36,26 +39,39 @@
     }
 }
 
-/// Starts a gateway with the given seed nodes.
+/// Starts a gateway of a site with the given seed nodes.
 pub async fn start_gateway(site: &Site, seeds: &[Endpoints]) -> Gateway {
+    start_gateway_at(site.store_address, seeds).await
+}
+
+/// Starts a gateway that uses the store at an address.
+pub async fn start_gateway_at(store: SocketAddr, seeds: &[Endpoints]) -> Gateway {
     let endpoints = unused_endpoints();
     let dir = std::env::temp_dir().join(format!("coltsfootgw-{}", Uuid::new_v4()));
     std::fs::create_dir_all(&dir).unwrap();
     let seeds: Vec<_> = seeds.iter().map(|s| s.peers()).collect();
     let name = format!("gateway-{}", endpoints.ip);
-    let settings = site::settings(&name, endpoints, site.store_address, &seeds);
+    let settings = site::settings(&name, endpoints, store, &seeds);
     let path = dir.join("settings.yaml");
     std::fs::write(&path, settings.to_string()).unwrap();
-    let arguments = ["gateway", "--settings", path.to_str().unwrap()];
-    let process = Process::start(&Binaries::find().product, &arguments, &dir, "gateway");
-    process.wait_for_line("\"started\"").await;
+    let process = start_process(&dir, 0).await;
     Gateway {
         process,
         endpoints,
         dir,
+        starts: 1,
     }
 }
 
+async fn start_process(dir: &Path, starts: usize) -> Process {
+    let path = dir.join("settings.yaml");
+    let arguments = ["gateway", "--settings", path.to_str().unwrap()];
+    let name = format!("gateway-{starts}");
+    let process = Process::start(&Binaries::find().product, &arguments, dir, &name);
+    process.wait_for_line("\"started\"").await;
+    process
+}
+
 /// Starts a gateway and waits until it is ready.
 pub async fn ready(site: &Site) -> Gateway {
     let gateway = start_gateway(site, &[]).await;
@@ -67,6 +83,13 @@
 }
 
 impl Gateway {
+    /// Kills the process and starts another one with the same settings.
+    pub async fn restart(&mut self) {
+        self.process.kill();
+        self.process = start_process(&self.dir, self.starts).await;
+        self.starts += 1;
+    }
+
     /// Returns whether the readiness endpoint answers 200, as a load balancer
     /// checks it.
     pub async fn is_ready(&self) -> bool {
--- a/standins/src/platform/upstream.rs
+++ b/standins/src/platform/upstream.rs
@@ -11,9 +11,16 @@
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
 use clock::Millis;
-use transport::{Local, local};
+use transport::{Event, Local, local};
 
+/// Part of the path of a request that ends its upstream, if the upstream has a
+/// [`CrashLog`].
+pub const CRASHING: &str = "crashing";
+/// Time for which an upstream runs a request that ends it.
+const TIME_TO_CRASH: Millis = Millis(100);
 const RECORD_BYTES: usize = 16;
+/// Records in each answer of an upstream that requests can end.
+const CRASHING_RECORDS: usize = 25;
 
 /// How an upstream answers.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,6 +37,27 @@
     Hanging,
 }
 
+/// The requests that end upstreams, and the ends, of a whole site.
+#[derive(Debug, Default)]
+pub struct CrashLog {
+    /// Times at which a request that ends its upstream reached one.
+    pub arrivals: RefCell<Vec<Millis>>,
+    /// Times at which an upstream ended.
+    pub ends: RefCell<Vec<Millis>>,
+}
+
+impl CrashLog {
+    /// Returns the number of requests that reached an upstream later than `delay`
+    /// after the third upstream had ended.
+    pub fn late_arrivals(&self, delay: Millis) -> usize {
+        let Some(third) = self.ends.borrow().get(2).copied() else {
+            return 0;
+        };
+        let arrivals = self.arrivals.borrow();
+        arrivals.iter().filter(|&&at| at > third + delay).count()
+    }
+}
+
 /// State of one upstream.
 pub struct PlatformUpstream {
     /// Its identifier.
@@ -50,13 +78,35 @@
     pub refused: Cell<usize>,
     /// Number of requests whose caller disconnected while they ran.
     pub cancelled: Cell<usize>,
+    /// Set if requests with [`CRASHING`] in the path end it.
+    pub crash_log: Option<Rc<CrashLog>>,
+    /// Happens when a request ends it.
+    pub crash: Event,
     busy: Cell<usize>,
 }
 
 impl PlatformUpstream {
     /// Returns an upstream in mode `Normal`.
     pub fn new(id: &str, slots: usize, service_time: Millis, records: usize) -> Rc<Self> {
+        Rc::new(Self::unshared(id, slots, service_time, records))
+    }
+
+    /// Returns an upstream in mode `Normal` that requests with [`CRASHING`] in the
+    /// path end.
+    pub fn with_crashes(
+        id: &str,
+        slots: usize,
+        service_time: Millis,
+        log: &Rc<CrashLog>,
+    ) -> Rc<Self> {
         Rc::new(Self {
+            crash_log: Some(log.clone()),
+            ..Self::unshared(id, slots, service_time, CRASHING_RECORDS)
+        })
+    }
+
+    fn unshared(id: &str, slots: usize, service_time: Millis, records: usize) -> Self {
+        Self {
             id: id.to_owned(),
             slots,
             service_time: Cell::new(service_time),
@@ -66,8 +116,10 @@
             deadlines: RefCell::default(),
             refused: Cell::new(0),
             cancelled: Cell::new(0),
+            crash_log: None,
+            crash: Event::default(),
             busy: Cell::new(0),
-        })
+        }
     }
 
     fn body(&self, request_id: &str) -> Bytes {
@@ -117,6 +169,7 @@
     local(async move {
         let upstream = &app.0;
         let headers = request.headers().clone();
+        let is_crashing = request.uri().path().contains(CRASHING);
         let request_id = text(&headers, "request-id").to_owned();
         if text(&headers, "expect-instance") != upstream.id {
             return StatusCode::MISDIRECTED_REQUEST.into_response();
@@ -138,6 +191,12 @@
             is_finished: false,
         };
         let load = format!("{},0,{}", upstream.busy.get(), upstream.slots);
+        if let Some(log) = upstream.crash_log.as_ref().filter(|_| is_crashing) {
+            log.arrivals.borrow_mut().push(Millis::now());
+            compio::time::sleep(TIME_TO_CRASH.into()).await;
+            upstream.crash.set();
+            std::future::pending::<()>().await;
+        }
         compio::time::sleep(upstream.service_time.get().into()).await;
         if mode == Mode::Hanging {
             std::future::pending::<()>().await;
