Log and count which requests ran on an upstream that ended

A lost connection was logged without the fingerprint of its request, and an end only with the third one. Now each lost connection and each counted end has a line and a counter, and gateways serve the gauge of quarantined requests. No logic is changed.

--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -78,6 +78,8 @@
     metrics::gauge!(names::IN_FLIGHT).set(gateway.in_flight.count() as f64);
     let version = gateway.fleet.table().map_or(0, |t| t.version);
     metrics::gauge!(names::REVISION).set(version as f64);
+    let quarantined = gateway.fleet.shared().crashes.quarantined_count(now);
+    metrics::gauge!(names::QUARANTINED).set(quarantined as f64);
     let pools = gateway.fleet.pools();
     let upstreams: Vec<UpstreamView> = pools.iter().flat_map(|p| p.upstream_views()).collect();
     let queued: usize = pools.iter().map(|p| p.queued()).sum();
--- a/components/telemetry/src/metric.rs
+++ b/components/telemetry/src/metric.rs
@@ -50,6 +50,10 @@
     pub const QUEUE_LENGTH: &str = "coltsfootgw_queue_length";
     /// Requests in quarantine because they crash upstreams.
     pub const QUARANTINED: &str = "coltsfootgw_quarantined";
+    /// Connections to upstreams that were lost while a request ran.
+    pub const LOST_CONNECTIONS_TOTAL: &str = "coltsfootgw_lost_connections_total";
+    /// Requests that ran on an upstream when it ended.
+    pub const CRASHES_TOTAL: &str = "coltsfootgw_crashes_total";
     /// Tasks that panicked.
     pub const PANICS_TOTAL: &str = "coltsfootgw_panics_total";
     /// Bytes of control messages sent to peers.
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -69,7 +69,7 @@
     pool.shared.log_limiter.write(|| {
         slog::info!(pool.shared.log, "attempt failed"; "request_id" => call.message.id(),
             "upstream" => &upstream.id, "address" => %upstream.address,
-            "reason" => failure.reason.name(), "ran" => ?failure.ran, "elapsed_ms" => elapsed.0,
+            "fingerprint" => call.fingerprint, "reason" => failure.reason.name(), "ran" => ?failure.ran, "elapsed_ms" => elapsed.0,
             "busy" => upstream.busy(), "extra_tokens" => pool.hedges.tokens());
     });
 }
--- a/components/upstreams/src/attempt/record.rs
+++ b/components/upstreams/src/attempt/record.rs
@@ -2,6 +2,7 @@
 //! it is leaving. Sends nothing.
 
 use clock::Millis;
+use telemetry::names;
 
 use crate::call::{Call, HEDGE_QUANTILE};
 use crate::crashes::Crash;
@@ -34,6 +35,7 @@
     let now = Millis::now();
     upstream.health.borrow_mut().record_failure(now);
     upstream.health.borrow_mut().record_outcome(true, now);
+    log_lost_connection(pool, upstream);
     match pool.shared.config.confirms_crashes {
         true => upstream.record_lost(now),
         false => {
@@ -45,6 +47,17 @@
     Failure::unknown(Reason::ConnectionDied)
 }
 
+/// Logs which requests ran on an upstream when a connection to it was lost.
+fn log_lost_connection(pool: &Pool, upstream: &Upstream) {
+    metrics::counter!(names::LOST_CONNECTIONS_TOTAL).increment(1);
+    pool.shared.log_limiter.write(|| {
+        let running = upstream.running.borrow();
+        let fingerprints: Vec<u64> = running.iter().map(|r| r.fingerprint).collect();
+        slog::info!(pool.shared.log, "connection lost under requests"; "upstream" => &upstream.id,
+            "fingerprints" => ?fingerprints);
+    });
+}
+
 pub(crate) fn record_refused(pool: &Pool, upstream: &Upstream) {
     let now = Millis::now();
     upstream.health.borrow_mut().record_refused(now);
@@ -63,6 +76,10 @@
             alone: running.is_suspect,
             at: now,
         };
+        metrics::counter!(names::CRASHES_TOTAL).increment(1);
+        slog::warn!(pool.shared.log, "upstream ended under request"; "fingerprint" => running.fingerprint,
+            "upstream" => &upstream.id, "alone" => running.is_suspect,
+            "known_crashes" => pool.shared.crashes.crash_domains(running.fingerprint, now).len());
         if pool.shared.crashes.record(running.fingerprint, crash) {
             slog::warn!(pool.shared.log, "request quarantined"; "fingerprint" => running.fingerprint, "upstream" => &upstream.id);
         }
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -154,6 +154,16 @@
         harmless.answered.get(),
         harmless.quarantined.borrow().len(),
     );
+    for (n, gateway) in gateways.iter().enumerate() {
+        let log = gateway.process.read_log();
+        let count = |line: &str| log.lines().filter(|l| l.contains(line)).count();
+        println!(
+            "gateway {n}: {} connections lost, {} crashes, {} quarantined",
+            count("connection lost under requests"),
+            count("upstream ended under request"),
+            count("request quarantined"),
+        );
+    }
     let refused = harmless.quarantined.borrow();
     assert!(refused.is_empty(), "harmless requests refused: {refused:?}");
     assert!(
