Check whether an upstream ended when a connection to it is lost

Callers saw upstreams end one after the other under a request that one gateway alone sent: it counted an end only if it was refused a connection to that upstream within 500 ms, which a gateway with few requests seldom tries, and the next lost connection overwrote the list of requests.

Now a lost connection is followed by one connection attempt, which serves the next request if it is accepted; a refusal records a crash for all requests that were sent and not answered. A request waits up to 25 ms for the result before it is sent on, and a request that was quarantined while it waited is not sent.

What counts as evidence is stricter, since more ends are counted: one crash at least must have come when the request was a suspect already, a crash does not count beside a request with more crashes, and only a success for the same shard clears. Crashes keep their age in a restarted daemon and count for ten minutes.

--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -1,7 +1,8 @@
 //! One attempt: a request sent to one upstream while a slot is held.
 
-mod record;
+pub(crate) mod record;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use clock::Millis;
@@ -14,6 +15,7 @@
 use crate::failure::{Failure, Reason, Result};
 use crate::message::{Answer, Recipient};
 use crate::pool::Pool;
+use crate::sent::{SentGuard, SentRequest};
 use crate::slot::Slot;
 use crate::upstream::{CheckoutError, Upstream};
 
@@ -29,6 +31,7 @@
     upstream: &'a Upstream,
     started: Millis,
     is_finished: bool,
+    _sent: SentGuard<'a>,
 }
 
 impl Drop for Attempt<'_> {
@@ -48,7 +51,7 @@
 }
 
 /// Sends a call to the slot's upstream and checks the answer.
-pub(crate) async fn run(slot: &Slot, pool: &Pool, call: &Call, shard: &str) -> Result<Answer> {
+pub(crate) async fn run(slot: &Slot, pool: &Rc<Pool>, call: &Call, shard: &str) -> Result<Answer> {
     let began = Millis::now();
     let result = exchange(slot, pool, call, shard).await;
     let elapsed = Millis::now().since(began);
@@ -74,13 +77,21 @@
     });
 }
 
-async fn exchange(slot: &Slot, pool: &Pool, call: &Call, shard: &str) -> Result<Answer> {
+fn sent_request(slot: &Slot, call: &Call, shard: &str) -> SentRequest {
+    SentRequest {
+        fingerprint: call.fingerprint,
+        shard: shard.into(),
+        is_suspect: slot.running.is_suspect,
+    }
+}
+
+async fn exchange(slot: &Slot, pool: &Rc<Pool>, call: &Call, shard: &str) -> Result<Answer> {
     let upstream = &slot.upstream;
     let mut pooled = match upstream.check_out().await {
         Ok(pooled) => pooled,
         Err(CheckoutError::Limit) => return Err(Failure::not_run(Reason::Overloaded)),
         Err(CheckoutError::Refused) => {
-            record_refused(pool, upstream);
+            record_refused(upstream);
             return Err(Failure::not_run(Reason::NoReplica));
         }
     };
@@ -88,6 +99,14 @@
         return Err(Failure::not_run(Reason::CallerLeft));
     }
     let started = Millis::now();
+    // It may have been quarantined while it waited for its slot and connection.
+    if let Some(failure) = pool
+        .shared
+        .crashes
+        .quarantine_failure(call.fingerprint, started)
+    {
+        return Err(failure);
+    }
     let time_left = call.deadline.since(started);
     let recipient = Recipient {
         upstream: &upstream.name,
@@ -103,6 +122,7 @@
         upstream,
         started,
         is_finished: false,
+        _sent: SentGuard::new(upstream, sent_request(slot, call, shard)),
     };
     call.may_have_run.set(true);
     let sent = pooled.conn.send(request, ANSWER_LIMIT_BYTES).await;
@@ -113,7 +133,11 @@
             // The upstream had closed the idle connection.
             return Err(Failure::not_run(Reason::NoReplica));
         }
-        Err(_) => return Err(record_lost_connection(pool, upstream)),
+        Err(_) => {
+            // The lost connection no longer counts towards the limit.
+            drop(pooled);
+            return Err(record_lost_connection(pool, upstream).await);
+        }
     };
     let reply = call.message.read(&recipient, response);
     if matches!(&reply.result, Err(f) if f.reason == Reason::Mismatch) {
@@ -123,6 +147,6 @@
     }
     upstream.keep(pooled, reply.report.idle_timeout);
     record_report(pool, upstream, reply.report, started);
-    record_outcome(pool, slot, call, &reply.result, started);
+    record_outcome(pool, slot, call, shard, &reply.result, started);
     reply.result
 }
--- a/components/upstreams/src/attempt/record.rs
+++ b/components/upstreams/src/attempt/record.rs
@@ -1,16 +1,20 @@
 //! What an attempt shows about its upstream: health, latency, crashes and whether
 //! it is leaving. Sends nothing.
 
+use std::rc::Rc;
+
 use clock::Millis;
 use telemetry::names;
 
 use crate::call::{Call, HEDGE_QUANTILE};
-use crate::crashes::Crash;
+use crate::crashes::{CRASH_TTL, Crash};
+use crate::end_check::check_end;
 use crate::failure::{Failure, Ran, Reason, Result};
 use crate::message::{Answer, UpstreamReport};
 use crate::pool::Pool;
+use crate::sent::SentRequest;
 use crate::slot::Slot;
-use crate::upstream::{Running, Upstream};
+use crate::upstream::Upstream;
 
 // An attempt is slow if it takes longer than the hedge quantile of the pool's
 // latency times this factor, and longer than the quantile plus this margin.
@@ -29,19 +33,19 @@
 /// Records a lost connection, and a crash for all requests that ran on the
 /// upstream, not only for the one whose connection is the first found lost: a
 /// request that is retried must not run beside another suspect of the same
-/// crash. With `confirms_crashes`, crashes are recorded only once the upstream
-/// refuses a connection.
-pub(crate) fn record_lost_connection(pool: &Pool, upstream: &Upstream) -> Failure {
+/// crash. With `confirms_crashes`, crashes are recorded only if the upstream
+/// accepts no new connection.
+pub(crate) async fn record_lost_connection(pool: &Rc<Pool>, upstream: &Rc<Upstream>) -> Failure {
     let now = Millis::now();
     upstream.health.borrow_mut().record_failure(now);
     upstream.health.borrow_mut().record_outcome(true, now);
     log_lost_connection(pool, upstream);
     match pool.shared.config.confirms_crashes {
-        true => upstream.record_lost(now),
+        true => check_end(pool, upstream).await,
         false => {
             upstream.close_idle();
-            let running = upstream.running.borrow().clone();
-            record_crashes(pool, upstream, &running, now);
+            let requests: Vec<SentRequest> = upstream.sent.borrow().values().cloned().collect();
+            record_crashes(pool, upstream, &requests, now);
         }
     }
     Failure::unknown(Reason::ConnectionDied)
@@ -51,37 +55,44 @@
 fn log_lost_connection(pool: &Pool, upstream: &Upstream) {
     metrics::counter!(names::LOST_CONNECTIONS_TOTAL).increment(1);
     pool.shared.log_limiter.write(|| {
-        let running = upstream.running.borrow();
-        let fingerprints: Vec<u64> = running.iter().map(|r| r.fingerprint).collect();
+        let sent = upstream.sent.borrow();
+        let fingerprints: Vec<u64> = sent.values().map(|r| r.fingerprint).collect();
         slog::info!(pool.shared.log, "connection lost under requests"; "upstream" => &upstream.id,
             "fingerprints" => ?fingerprints);
     });
 }
 
-pub(crate) fn record_refused(pool: &Pool, upstream: &Upstream) {
+pub(crate) fn record_refused(upstream: &Upstream) {
     let now = Millis::now();
     upstream.health.borrow_mut().record_refused(now);
     upstream.close_idle();
-    record_crashes(pool, upstream, &upstream.take_lost(now), now);
 }
 
-fn record_crashes(pool: &Pool, upstream: &Upstream, running: &[Running], now: Millis) {
-    if running.is_empty() {
+/// Records that an upstream ended under requests.
+pub(crate) fn record_crashes(
+    pool: &Pool,
+    upstream: &Upstream,
+    requests: &[SentRequest],
+    now: Millis,
+) {
+    if requests.is_empty() {
         return;
     }
-    for running in running {
+    for request in requests {
+        metrics::counter!(names::CRASHES_TOTAL).increment(1);
+        slog::warn!(pool.shared.log, "upstream ended under request"; "fingerprint" => request.fingerprint,
+            "upstream" => &upstream.id, "shard" => &*request.shard, "alone" => request.is_suspect,
+            "known_crashes" => pool.shared.crashes.crash_domains(request.fingerprint, now).len());
         let crash = Crash {
-            upstream: upstream.id.clone(),
+            upstream: upstream.process_id(),
+            shard: request.shard.to_string(),
             domain: upstream.domain.clone(),
-            alone: running.is_suspect,
-            at: now,
+            alone: request.is_suspect,
+            expires_at: now + CRASH_TTL,
         };
-        metrics::counter!(names::CRASHES_TOTAL).increment(1);
-        slog::warn!(pool.shared.log, "upstream ended under request"; "fingerprint" => running.fingerprint,
-            "upstream" => &upstream.id, "alone" => running.is_suspect,
-            "known_crashes" => pool.shared.crashes.crash_domains(running.fingerprint, now).len());
-        if pool.shared.crashes.record(running.fingerprint, crash) {
-            slog::warn!(pool.shared.log, "request quarantined"; "fingerprint" => running.fingerprint, "upstream" => &upstream.id);
+        if pool.shared.crashes.record(request.fingerprint, crash, now) {
+            slog::warn!(pool.shared.log, "request quarantined"; "fingerprint" => request.fingerprint,
+                "upstream" => &upstream.id);
         }
     }
     pool.shared.notify_peers();
@@ -111,6 +122,7 @@
     pool: &Pool,
     slot: &Slot,
     call: &Call,
+    shard: &str,
     result: &Result<Answer>,
     started: Millis,
 ) {
@@ -127,8 +139,10 @@
                 .latency
                 .borrow_mut()
                 .record(elapsed, pool_mean_ms, now);
-            if slot.running.is_suspect {
-                pool.shared.crashes.clear(call.fingerprint, now);
+            if pool.shared.crashes.clear(call.fingerprint, shard, now) {
+                slog::debug!(pool.shared.log, "suspect cleared"; "fingerprint" => call.fingerprint,
+                    "upstream" => &upstream.id, "shard" => shard);
+                pool.shared.notify_peers();
             }
         }
         Err(f) if f.reason == Reason::SnapshotNotHeld => {
--- a/components/upstreams/src/crashes.rs
+++ b/components/upstreams/src/crashes.rs
@@ -1,5 +1,7 @@
 //! Requests that were running when upstreams crashed.
 
+mod entry;
+
 use std::cell::RefCell;
 use std::collections::HashMap;
 
@@ -9,11 +11,12 @@
 use schema::CrashReport;
 
 use crate::failure::{Failure, Reason};
+use entry::Entry;
 
 pub(crate) const DEFAULT_CRASH_LIMIT: usize = 2;
-const CRASH_TTL: Millis = Millis(60_000);
+/// Time for which a crash counts.
+pub const CRASH_TTL: Millis = Millis(600_000);
 const ENTRY_LIMIT: usize = 1_024;
-const CRASHES_PER_ENTRY: usize = 8;
 const SENT_REPORTS_LIMIT: usize = 64;
 // Above this, watchers of finished requests are dropped.
 const WATCHER_LIMIT: usize = 1_024;
@@ -36,59 +39,31 @@
 /// ran there.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Crash {
-    /// `service/upstream`.
+    /// `service/upstream`, followed by `@` and its start time if that is known.
     pub upstream: String,
+    /// Shard for which the request ran; a success for the same shard clears the
+    /// request.
+    pub shard: String,
     /// Failure domain of the upstream.
     pub domain: String,
-    /// Whether no other suspect ran there.
+    /// Whether the request was a suspect before, so that no other suspect ran
+    /// there.
     pub alone: bool,
-    /// Time at which it was detected.
-    pub at: Millis,
-}
-
-#[derive(Debug, Default)]
-struct Entry {
-    crashes: Vec<Crash>,
-    cleared: Option<Millis>,
+    /// Time at which it no longer counts, [`CRASH_TTL`] after it happened.
+    pub expires_at: Millis,
 }
 
-impl Entry {
-    fn valid(&self, now: Millis) -> impl Iterator<Item = &Crash> {
-        self.crashes
-            .iter()
-            .filter(move |c| now.since(c.at) < CRASH_TTL)
-    }
-
-    fn reports(&self, fingerprint: u64, now: Millis) -> Vec<CrashReport> {
-        let cleared = self
-            .cleared
-            .filter(|at| now.since(*at) < CRASH_TTL)
-            .map(|at| CrashReport {
-                fingerprint,
-                age_ms: now.since(at).0,
-                cleared: true,
-                ..CrashReport::default()
-            });
-        let crashes = self.valid(now).map(|crash| CrashReport {
-            fingerprint,
-            upstream: crash.upstream.clone(),
-            age_ms: now.since(crash.at).0,
-            domain: crash.domain.clone(),
-            alone: crash.alone,
-            cleared: false,
-        });
-        cleared.into_iter().chain(crashes).collect()
-    }
-
-    /// Whether there are enough crashes and the loss of one failure domain does
-    /// not explain them.
-    fn is_quarantined(&self, crash_limit: usize, now: Millis) -> bool {
-        let Some(first) = self.valid(now).next() else {
-            return false;
-        };
-        let is_evidence = |c: &Crash| c.alone || c.domain != first.domain;
-        self.valid(now).count() >= crash_limit && self.valid(now).any(is_evidence)
-    }
+/// A crash with its request, as daemons tell each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SharedCrash {
+    /// Digest of the request.
+    pub fingerprint: u64,
+    /// The crash.
+    pub crash: Crash,
+    /// Whether a later success of the request voided it.
+    pub is_cleared: bool,
+    /// Whether this daemon saw the crash itself.
+    pub is_own: bool,
 }
 
 /// A bounded table of crashes by request fingerprint.
@@ -119,39 +94,45 @@
     /// Records that an upstream crashed while the request ran there.
     ///
     /// Returns `true` if that quarantines the request.
-    pub fn record(&self, fingerprint: u64, crash: Crash) -> bool {
-        let now = crash.at;
-        let before = self.status(fingerprint, now);
-        self.add(fingerprint, crash, now);
-        let after = self.status(fingerprint, now);
-        before != after && matches!(after, CrashStatus::Quarantined { .. })
+    pub fn record(&self, fingerprint: u64, crash: Crash, now: Millis) -> bool {
+        self.update(fingerprint, now, |entry| entry.add_own(crash, now))
     }
 
-    fn add(&self, fingerprint: u64, crash: Crash, now: Millis) {
+    /// Changes the entry of a request, which is created if the table has room;
+    /// `true` if that quarantines the request.
+    fn update(&self, fingerprint: u64, now: Millis, change: impl FnOnce(&mut Entry)) -> bool {
         let mut entries = self.entries.borrow_mut();
-        if entries.len() >= ENTRY_LIMIT {
-            entries.retain(|_, e| e.valid(now).next().is_some());
-        }
         if entries.len() >= ENTRY_LIMIT && !entries.contains_key(&fingerprint) {
-            return;
+            make_room(&mut entries, now);
         }
-        let entry = entries.entry(fingerprint).or_default();
-        let is_cleared = entry.cleared.is_some_and(|cleared| crash.at <= cleared);
-        if is_cleared || entry.crashes.len() >= CRASHES_PER_ENTRY {
-            return;
-        }
-        let mut known = entry.crashes.iter_mut();
-        match known.find(|c| c.upstream == crash.upstream) {
-            Some(known) => {
-                known.at = known.at.max(crash.at);
-                known.alone |= crash.alone;
-            }
-            None => entry.crashes.push(crash),
-        }
-        if entry.is_quarantined(self.crash_limit, now) {
+        let was_quarantined = self.quarantine_end(&entries, fingerprint, now).is_some();
+        change(entries.entry(fingerprint).or_default());
+        let is_quarantined = self.quarantine_end(&entries, fingerprint, now).is_some();
+        if is_quarantined {
             // Dropping the senders completes the futures of the watchers.
             self.watchers.borrow_mut().remove(&fingerprint);
         }
+        is_quarantined && !was_quarantined
+    }
+
+    /// Returns the time at which the quarantine of a request ends, if it is in
+    /// quarantine. A crash does not count if a request with more crashes ran on the
+    /// upstream too: that one is the likelier cause.
+    fn quarantine_end(
+        &self,
+        entries: &HashMap<u64, Entry>,
+        fingerprint: u64,
+        now: Millis,
+    ) -> Option<Millis> {
+        let entry = entries.get(&fingerprint)?;
+        entry.quarantine_end(self.crash_limit, now, |_| true)?;
+        let count = entry.counted(now).count();
+        let likelier: Vec<&Entry> = entries
+            .values()
+            .filter(|e| e.counted(now).count() > count)
+            .collect();
+        let is_unexplained = |c: &Crash| !likelier.iter().any(|e| e.has_crash_of(c, now));
+        entry.quarantine_end(self.crash_limit, now, is_unexplained)
     }
 
     /// Returns the status of a request.
@@ -160,14 +141,12 @@
         let Some(entry) = entries.get(&fingerprint) else {
             return CrashStatus::Clear;
         };
-        match entry.valid(now).map(|c| now.since(c.at)).max() {
+        match self.quarantine_end(&entries, fingerprint, now) {
+            Some(end) => CrashStatus::Quarantined {
+                expires_in: end.since(now),
+            },
+            None if entry.counted(now).next().is_some() => CrashStatus::Suspect,
             None => CrashStatus::Clear,
-            Some(oldest) if entry.is_quarantined(self.crash_limit, now) => {
-                CrashStatus::Quarantined {
-                    expires_in: CRASH_TTL - oldest,
-                }
-            }
-            Some(_) => CrashStatus::Suspect,
         }
     }
 
@@ -176,8 +155,8 @@
     pub(crate) fn crash_domains(&self, fingerprint: u64, now: Millis) -> Vec<String> {
         let entries = self.entries.borrow();
         let crashes = entries.get(&fingerprint).into_iter();
-        let valid = crashes.flat_map(|e| e.valid(now));
-        valid.map(|c| c.domain.clone()).collect()
+        let counted = crashes.flat_map(|e| e.counted(now));
+        counted.map(|c| c.domain.clone()).collect()
     }
 
     /// Returns the failure of a quarantined request that did not run yet, or
@@ -192,19 +171,25 @@
         }
     }
 
-    /// Records that a suspect ran alone without a crash, which voids its earlier
-    /// crashes; a quarantine stays.
-    pub fn clear(&self, fingerprint: u64, now: Millis) {
-        self.clear_until(fingerprint, now, now);
+    /// Records that a request succeeded for a shard, which voids the crashes under
+    /// it there; a quarantine stays. `true` if there were any.
+    pub fn clear(&self, fingerprint: u64, shard: &str, now: Millis) -> bool {
+        self.clear_if(fingerprint, now + CRASH_TTL, now, |c| c.shard == shard)
     }
 
-    fn clear_until(&self, fingerprint: u64, at: Millis, now: Millis) {
+    fn clear_if(
+        &self,
+        fingerprint: u64,
+        cleared: Millis,
+        now: Millis,
+        applies: impl Fn(&Crash) -> bool,
+    ) -> bool {
         let mut entries = self.entries.borrow_mut();
-        let entry = entries.get_mut(&fingerprint);
-        if let Some(entry) = entry.filter(|e| !e.is_quarantined(self.crash_limit, now)) {
-            entry.crashes.retain(|c| c.at > at);
-            entry.cleared = entry.cleared.max(Some(at));
+        if self.quarantine_end(&entries, fingerprint, now).is_some() {
+            return false;
         }
+        let entry = entries.get_mut(&fingerprint);
+        entry.is_some_and(|e| e.clear(cleared, applies))
     }
 
     /// Returns a future that completes when the request is quarantined.
@@ -222,10 +207,9 @@
 
     /// Returns the number of quarantined requests.
     pub fn quarantined_count(&self, now: Millis) -> usize {
-        let keys: Vec<u64> = self.entries.borrow().keys().copied().collect();
-        let is_quarantined =
-            |k: &&u64| matches!(self.status(**k, now), CrashStatus::Quarantined { .. });
-        keys.iter().filter(is_quarantined).count()
+        let entries = self.entries.borrow();
+        let is_quarantined = |f: &&u64| self.quarantine_end(&entries, **f, now).is_some();
+        entries.keys().filter(is_quarantined).count()
     }
 
     /// Merges a peer's reports into the table.
@@ -233,29 +217,99 @@
         let (cleared, crashes): (Vec<&CrashReport>, Vec<&CrashReport>) =
             reports.iter().partition(|r| r.cleared);
         for report in cleared {
-            let at = now.since(Millis(report.age_ms));
-            self.clear_until(report.fingerprint, at, now);
+            let crash = crash_of(report, now);
+            let cleared = crash.expires_at;
+            match report.upstream.is_empty() {
+                // Sent by daemons that don't list the crashes that are cleared.
+                true => {
+                    self.clear_if(report.fingerprint, cleared, now, |_| true);
+                }
+                false => self.merge_cleared(report.fingerprint, crash, cleared, now),
+            }
         }
         for report in crashes {
-            let crash = Crash {
-                upstream: report.upstream.clone(),
-                domain: report.domain.clone(),
-                alone: report.alone,
-                at: now.since(Millis(report.age_ms)),
-            };
-            self.add(report.fingerprint, crash, now);
+            let crash = crash_of(report, now);
+            self.update(report.fingerprint, now, |entry| entry.add(crash, now));
+        }
+    }
+
+    /// Merges a crash that daemons keep in common. Its upstream runs once, so
+    /// that a known crash is not renewed.
+    ///
+    /// Returns `true` if that quarantines the request.
+    pub fn merge_shared(&self, shared: SharedCrash, now: Millis) -> bool {
+        let fingerprint = shared.fingerprint;
+        if now >= shared.crash.expires_at {
+            return false;
+        }
+        if shared.is_cleared {
+            self.merge_cleared(fingerprint, shared.crash, now + CRASH_TTL, now);
+            return false;
         }
+        self.update(fingerprint, now, |entry| entry.add_once(shared.crash, now))
     }
 
-    /// Returns the newest reports for a message to a peer.
+    fn merge_cleared(&self, fingerprint: u64, crash: Crash, cleared: Millis, now: Millis) {
+        let status = self.status(fingerprint, now);
+        if !matches!(status, CrashStatus::Quarantined { .. }) {
+            self.update(fingerprint, now, |entry| {
+                entry.clear_crash(crash, cleared, now)
+            });
+        }
+    }
+
+    /// Returns all crashes that have not expired.
+    pub fn shared(&self, now: Millis) -> Vec<SharedCrash> {
+        let entries = self.entries.borrow();
+        let crashes = entries.iter().flat_map(|(&fingerprint, entry)| {
+            entry.valid(now).map(move |known| SharedCrash {
+                fingerprint,
+                crash: known.crash.clone(),
+                is_cleared: known.cleared.is_some(),
+                is_own: known.is_own,
+            })
+        });
+        crashes.collect()
+    }
+
+    /// Returns the reports for a message to a peer: those of quarantined requests
+    /// first, then the newest.
     pub fn collect(&self, now: Millis) -> Vec<CrashReport> {
         let entries = self.entries.borrow();
-        let mut list: Vec<CrashReport> = entries
+        let mut list: Vec<(bool, CrashReport)> = entries
             .iter()
-            .flat_map(|(fingerprint, e)| e.reports(*fingerprint, now))
+            .flat_map(|(fingerprint, e)| {
+                let is_open = self.quarantine_end(&entries, *fingerprint, now).is_none();
+                let reports = e.reports(*fingerprint, now).into_iter();
+                reports.map(move |report| (is_open, report))
+            })
             .collect();
-        list.sort_by_key(|r| r.age_ms);
+        list.sort_by_key(|(is_open, r)| (*is_open, r.age_ms));
         list.truncate(SENT_REPORTS_LIMIT);
-        list
+        list.into_iter().map(|(_, report)| report).collect()
+    }
+}
+
+fn crash_of(report: &CrashReport, now: Millis) -> Crash {
+    Crash {
+        upstream: report.upstream.clone(),
+        shard: report.shard.clone(),
+        domain: report.domain.clone(),
+        alone: report.alone,
+        expires_at: now + CRASH_TTL.since(Millis(report.age_ms)),
+    }
+}
+
+/// Drops the requests without a crash that counts, or else one with the fewest
+/// such crashes, so that a request that keeps crashing upstreams is not forgotten
+/// for those that ran beside it.
+fn make_room(entries: &mut HashMap<u64, Entry>, now: Millis) {
+    entries.retain(|_, e| e.counted(now).next().is_some());
+    if entries.len() < ENTRY_LIMIT {
+        return;
+    }
+    let fewest = entries.iter().min_by_key(|(_, e)| e.counted(now).count());
+    if let Some(fingerprint) = fewest.map(|(f, _)| *f) {
+        entries.remove(&fingerprint);
     }
 }
--- /dev/null
+++ b/components/upstreams/src/end_check.rs
@@ -0,0 +1,88 @@
+//! Checks whether an upstream ended when a connection to it was lost under a
+//! request: one that ended refuses new connections, one that only dropped a
+//! connection accepts them. The connection that the check opens is kept for the
+//! next request.
+
+use std::rc::Rc;
+
+use clock::Millis;
+use futures_channel::oneshot;
+
+use crate::attempt::record::record_crashes;
+use crate::pool::Pool;
+use crate::sent::SentRequest;
+use crate::upstream::Upstream;
+
+/// An upstream that accepts no connection for so long has ended.
+const CONNECT_TIMEOUT: Millis = Millis(1_000);
+/// A failed request waits this long for the result, so that it is not sent on
+/// before it is known as a suspect.
+const RESULT_WAIT: Millis = Millis(25);
+/// A process that ends may accept one more connection and close it soon after.
+const SECOND_LOOK_DELAY: Millis = Millis(50);
+
+/// A check that runs.
+#[derive(Default)]
+pub(crate) struct EndCheck {
+    /// The requests that ran when connections were lost.
+    requests: Vec<SentRequest>,
+    waiters: Vec<oneshot::Sender<()>>,
+}
+
+impl EndCheck {
+    fn add<'a>(&mut self, requests: impl Iterator<Item = &'a SentRequest>) {
+        for request in requests {
+            if !self.requests.contains(request) {
+                self.requests.push(request.clone());
+            }
+        }
+    }
+}
+
+/// Checks whether an upstream ended under the requests that are listed there, and
+/// records crashes under them if it did. Returns with the result or after
+/// [`RESULT_WAIT`].
+pub(crate) async fn check_end(pool: &Rc<Pool>, upstream: &Rc<Upstream>) {
+    let (sender, result) = oneshot::channel();
+    let is_first = upstream.check.borrow().is_none();
+    {
+        let mut check = upstream.check.borrow_mut();
+        let check = check.get_or_insert_default();
+        check.add(upstream.sent.borrow().values());
+        check.waiters.push(sender);
+    }
+    if is_first {
+        compio::runtime::spawn(run(pool.clone(), upstream.clone())).detach();
+    }
+    let _ = compio::time::timeout(RESULT_WAIT.into(), result).await;
+}
+
+async fn run(pool: Rc<Pool>, upstream: Rc<Upstream>) {
+    let has_ended = !accepts(&upstream).await || {
+        // Wakes the waiters: most upstreams that accept a connection have not ended.
+        if let Some(check) = upstream.check.borrow_mut().as_mut() {
+            check.waiters.clear();
+        }
+        compio::time::sleep(SECOND_LOOK_DELAY.into()).await;
+        !upstream.has_open_idle() && !accepts(&upstream).await
+    };
+    let check = upstream.check.borrow_mut().take().unwrap_or_default();
+    slog::debug!(pool.shared.log, "checked whether an upstream ended"; "upstream" => &upstream.id,
+        "ended" => has_ended, "requests" => check.requests.len());
+    if has_ended {
+        upstream.close_idle();
+        record_crashes(&pool, &upstream, &check.requests, Millis::now());
+    }
+}
+
+/// Whether a new connection is accepted; it is kept for the next request.
+async fn accepts(upstream: &Upstream) -> bool {
+    let connecting = compio::time::timeout(CONNECT_TIMEOUT.into(), upstream.connect()).await;
+    match connecting {
+        Ok(Ok(pooled)) => {
+            upstream.keep(pooled, None);
+            true
+        }
+        Ok(Err(_)) | Err(_) => false,
+    }
+}
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -262,8 +262,11 @@
     fn may_retry(&mut self, failure: &Failure) -> bool {
         let limit = self.call.policy.attempts;
         let has_time = Millis::now() + RETRY_DELAY < self.call.deadline;
-        let is_final =
-            matches!(failure.reason, Reason::SnapshotNotHeld if self.candidates().is_empty());
+        let is_final = match failure.reason {
+            Reason::Quarantined => true,
+            Reason::SnapshotNotHeld => self.candidates().is_empty(),
+            _ => false,
+        };
         if is_final || !has_time || self.attempts >= limit {
             return false;
         }
--- /dev/null
+++ b/components/upstreams/src/sent.rs
@@ -0,0 +1,40 @@
+//! Requests that were sent to an upstream and are not answered yet.
+
+use std::rc::Rc;
+
+use slotmap::new_key_type;
+
+use crate::upstream::Upstream;
+
+new_key_type! {
+    /// Key of a sent request at its upstream.
+    pub(crate) struct SentKey;
+}
+
+/// A request that was sent to an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct SentRequest {
+    pub(crate) fingerprint: u64,
+    pub(crate) shard: Rc<str>,
+    /// Whether it was suspected of crashing upstreams when it got its slot.
+    pub(crate) is_suspect: bool,
+}
+
+/// Lists a request at its upstream until it is dropped.
+pub(crate) struct SentGuard<'a> {
+    upstream: &'a Upstream,
+    key: SentKey,
+}
+
+impl<'a> SentGuard<'a> {
+    pub(crate) fn new(upstream: &'a Upstream, request: SentRequest) -> Self {
+        let key = upstream.sent.borrow_mut().insert(request);
+        Self { upstream, key }
+    }
+}
+
+impl Drop for SentGuard<'_> {
+    fn drop(&mut self) {
+        self.upstream.sent.borrow_mut().remove(self.key);
+    }
+}
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -6,18 +6,17 @@
 
 use clock::Millis;
 use futures_channel::oneshot;
-use slotmap::new_key_type;
+use slotmap::{SlotMap, new_key_type};
 use transport::Connection;
 
+use crate::end_check::EndCheck;
 use crate::endpoint::Endpoint;
 use crate::health::Health;
+use crate::sent::{SentKey, SentRequest};
 use crate::shared::PoolConfig;
 use crate::upstream_latency::UpstreamLatency;
 
 const TRIAL_INTERVAL: Millis = Millis(250);
-/// A crashed upstream refuses connections within this time after a connection
-/// to it was lost; a later refusal does not confirm the crash.
-const CRASH_CONFIRMATION_WINDOW: Millis = Millis(500);
 /// Cost of an upstream in another failure domain, in milliseconds and as a share
 /// of its mean latency; a wait up to this cost in the preferred domain is chosen
 /// instead.
@@ -59,9 +58,10 @@
     pub(crate) latency: RefCell<UpstreamLatency>,
     /// Whether it is in the preferred failure domain.
     is_preferred: bool,
-    /// Requests that ran when a connection was lost, kept until a refused
-    /// connection confirms a crash.
-    lost: RefCell<Option<(Millis, Vec<Running>)>>,
+    /// Requests that were sent to it and are not answered yet.
+    pub(crate) sent: RefCell<SlotMap<SentKey, SentRequest>>,
+    /// Set while it is checked whether it ended.
+    pub(crate) check: RefCell<Option<EndCheck>>,
     /// Requests that run here now.
     pub(crate) running: RefCell<Vec<Running>>,
     pub(crate) last_used: Cell<Millis>,
@@ -127,7 +127,8 @@
             idle: RefCell::default(),
             health: RefCell::new(Health::new(config.failures_to_eject)),
             is_preferred,
-            lost: RefCell::default(),
+            sent: RefCell::default(),
+            check: RefCell::default(),
             latency: RefCell::default(),
             running: RefCell::default(),
             last_used: Cell::new(Millis::ZERO),
@@ -135,6 +136,15 @@
         }
     }
 
+    /// Returns the identifier of its process: a restarted upstream may have the same
+    /// `id`.
+    pub(crate) fn process_id(&self) -> String {
+        match self.started_at {
+            Some(start) => format!("{}@{}", self.id, start.0),
+            None => self.id.clone(),
+        }
+    }
+
     /// Whether an endpoint refers to the same process.
     pub(crate) fn is_same_process(&self, endpoint: &Endpoint) -> bool {
         endpoint.address == self.address
@@ -193,21 +203,6 @@
         oldest.unwrap_or(0) as f64
     }
 
-    /// Records the requests that ran when a connection was lost.
-    pub(crate) fn record_lost(&self, now: Millis) {
-        let running = self.running.borrow().clone();
-        *self.lost.borrow_mut() = Some((now, running));
-    }
-
-    /// Takes the requests that ran when a connection was lost, unless that was
-    /// too long ago.
-    pub(crate) fn take_lost(&self, now: Millis) -> Vec<Running> {
-        match self.lost.borrow_mut().take() {
-            Some((at, running)) if now.since(at) < CRASH_CONFIRMATION_WINDOW => running,
-            _ => Vec::new(),
-        }
-    }
-
     /// Takes an idle connection or opens one.
     pub(crate) async fn check_out(&self) -> Result<PooledConnection, CheckoutError> {
         if let Some(pooled) = self.take_idle() {
@@ -224,9 +219,14 @@
     }
 
     async fn open_connection(&self) -> Result<PooledConnection, CheckoutError> {
-        if self.open.get() >= self.connections.get() {
-            return Err(CheckoutError::Limit);
+        match self.open.get() < self.connections.get() {
+            true => self.connect().await,
+            false => Err(CheckoutError::Limit),
         }
+    }
+
+    /// Opens a connection, whatever the limit.
+    pub(crate) async fn connect(&self) -> Result<PooledConnection, CheckoutError> {
         let opening = Opening::new(&self.open);
         let conn = Connection::open(self.address)
             .await
@@ -252,6 +252,14 @@
         }
     }
 
+    /// Whether an idle connection is open.
+    pub(crate) fn has_open_idle(&self) -> bool {
+        self.idle
+            .borrow()
+            .iter()
+            .any(|pooled| pooled.conn.is_open())
+    }
+
     /// Requests a health poll now.
     pub(crate) fn request_poll(&self) {
         if let Some(request) = self.poll_request.borrow_mut().take() {
--- a/components/upstreams/tests/placement.rs
+++ b/components/upstreams/tests/placement.rs
@@ -76,9 +76,12 @@
             upstream: "s/first".to_owned(),
             domain: "a".to_owned(),
             alone: false,
-            at: Millis::now(),
+            shard: "s".to_owned(),
+            expires_at: Millis::now() + upstreams::CRASH_TTL,
         };
-        pool.shared().crashes.record(fingerprint, crash);
+        pool.shared()
+            .crashes
+            .record(fingerprint, crash, Millis::now());
         let result = pool
             .fetch(&AllUpstreams(pool.clone()), &call(fingerprint))
             .await;
--- a/standins/src/platform/upstream.rs
+++ b/standins/src/platform/upstream.rs
@@ -7,14 +7,14 @@
 use axum::Router;
 use axum::body::Body;
 use axum::extract::{Request, State};
-use axum::http::{HeaderMap, StatusCode};
+use axum::http::{HeaderMap, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
 use clock::Millis;
 use transport::{Event, Local, local};
 
 /// Part of the path of a request that ends its upstream, if the upstream has a
-/// [`CrashLog`].
+/// [`CrashLog`] and the request bears no credentials.
 pub const CRASHING: &str = "crashing";
 /// Time for which an upstream runs a request that ends it.
 const TIME_TO_CRASH: Millis = Millis(100);
@@ -169,7 +169,8 @@
     local(async move {
         let upstream = &app.0;
         let headers = request.headers().clone();
-        let is_crashing = request.uri().path().contains(CRASHING);
+        let is_crashing =
+            request.uri().path().contains(CRASHING) && !headers.contains_key(header::AUTHORIZATION);
         let request_id = text(&headers, "request-id").to_owned();
         if text(&headers, "expect-instance") != upstream.id {
             return StatusCode::MISDIRECTED_REQUEST.into_response();
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -3,6 +3,7 @@
 //! requests. Real processes run against a stand-in store and upstreams.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -16,18 +17,28 @@
     ANSWER_LIMIT_BYTES, Gateway, PROPAGATION, TIMEOUT, start_gateway_at,
 };
 use standins::platform::site::{HOST, READ, SEARCH};
+use standins::platform::upstream::CRASHING;
 use transport::Payload;
 
 /// A machine counts as undisturbed after this time (`stable-window-ms`).
 const STABLE_WINDOW: Millis = Millis(4_000);
 /// Sends of a crashing request that are allowed after that.
 const LATE_SENDS: usize = 3;
+/// Upstreams of the whole site.
+const UPSTREAMS: usize = 16;
 const CRASH_INTERVAL: Millis = Millis(250);
 const RUN_TIME: Millis = Millis(12_000);
 /// Harmless requests are sent to each gateway at this interval.
 const HARMLESS_INTERVAL: Millis = Millis(85);
 /// Every other harmless request has one of this many paths.
 const REPEATED_PATHS: usize = 20;
+/// Every tenth harmless request differs from the crashing one in its credentials
+/// alone.
+const NEAR_INTERVAL: usize = 10;
+const TROUBLE_AT: Millis = Millis(6_000);
+const RESTART_INTERVAL: Millis = Millis(3_000);
+/// A quarantined request is told to come back later than after this time.
+const MIN_RETRY_AFTER_S: f64 = 60.0;
 
 async fn start_gateways(site: &CrashSite, count: usize) -> Vec<Gateway> {
     let mut gateways: Vec<Gateway> = Vec::new();
@@ -45,13 +56,36 @@
     gateways
 }
 
-async fn try_get(gateway: std::net::SocketAddr, path: &str, id: &str) -> Option<Response<Bytes>> {
-    let request = Request::get(path)
-        .header("host", HOST)
-        .header("request-id", id)
-        .header("deadline-milliseconds", "1000")
-        .body(Payload::default())
-        .unwrap();
+/// What happens to the gateways and the store during a test.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    None,
+    /// One gateway after the other is killed and started again.
+    Restarts,
+    /// All gateways are killed at once and started again.
+    AllRestarted,
+    /// The store refuses calls from the start of the requests on.
+    StoreAway,
+}
+
+async fn try_get(gateway: SocketAddr, path: &str, id: &str) -> Option<Response<Bytes>> {
+    let request = Request::get(path).body(Payload::default()).unwrap();
+    try_send(gateway, request, id).await
+}
+
+async fn try_send(
+    gateway: SocketAddr,
+    mut request: Request<Payload>,
+    id: &str,
+) -> Option<Response<Bytes>> {
+    let headers = [
+        ("host", HOST),
+        ("request-id", id),
+        ("deadline-milliseconds", "1000"),
+    ];
+    for (name, value) in headers {
+        request.headers_mut().insert(name, value.parse().unwrap());
+    }
     let sent = transport::request(gateway, request, ANSWER_LIMIT_BYTES, TIMEOUT);
     sent.await.ok()
 }
@@ -76,6 +110,7 @@
             for n in 0.. {
                 compio::time::sleep(HARMLESS_INTERVAL.into()).await;
                 let path = match n % 2 {
+                    _ if n % NEAR_INTERVAL == 0 => format!("{prefix}{CRASHING}"),
                     0 => format!("{prefix}once-{number}-{n}"),
                     _ => format!("{prefix}often-{}", n % REPEATED_PATHS),
                 };
@@ -90,9 +125,13 @@
         })
     }
 
-    async fn send(&self, gateway: std::net::SocketAddr, path: &str, id: &str) {
+    async fn send(&self, gateway: SocketAddr, path: &str, id: &str) {
         self.sent.set(self.sent.get() + 1);
-        match try_get(gateway, path, id).await {
+        let request = Request::get(path)
+            .header("authorization", "harmless")
+            .body(Payload::default())
+            .unwrap();
+        match try_send(gateway, request, id).await {
             Some(answer) if answer.status() == StatusCode::OK => {
                 self.answered.set(self.answered.get() + 1);
             }
@@ -104,18 +143,71 @@
     }
 }
 
+/// Sends the crashing request to the gateways in turn, with trouble meanwhile;
+/// returns the last answer.
+async fn send_crashing(
+    site: &CrashSite,
+    gateways: &mut [Gateway],
+    path: &str,
+    trouble: Trouble,
+) -> Response<Bytes> {
+    let begin = Millis::now();
+    let (mut last, mut troubles) = (None, 0);
+    site.store.is_down.set(trouble == Trouble::StoreAway);
+    for n in 0.. {
+        let elapsed = Millis::now().since(begin);
+        if elapsed > RUN_TIME {
+            break;
+        }
+        compio::time::sleep(CRASH_INTERVAL.into()).await;
+        let address = gateways[n % gateways.len()].endpoints.callers();
+        last = try_get(address, path, &format!("c-{n}")).await.or(last);
+        match trouble {
+            Trouble::Restarts if elapsed.0 / RESTART_INTERVAL.0 > troubles => {
+                let next = troubles as usize % gateways.len();
+                gateways[next].restart().await;
+                troubles += 1;
+            }
+            Trouble::AllRestarted if elapsed > TROUBLE_AT && troubles == 0 => {
+                gateways.iter_mut().for_each(|g| g.process.kill());
+                for gateway in gateways.iter_mut() {
+                    gateway.restart().await;
+                }
+                troubles += 1;
+            }
+            _ => {}
+        }
+    }
+    last.expect("a gateway answered")
+}
+
+fn print_logs(gateways: &[Gateway]) {
+    for (n, gateway) in gateways.iter().enumerate() {
+        let log = gateway.process.read_log();
+        let count = |line: &str| log.lines().filter(|l| l.contains(line)).count();
+        println!(
+            "gateway {n}: {} connections lost, {} crashes, {} quarantined",
+            count("connection lost under requests"),
+            count("upstream ended under request"),
+            count("request quarantined"),
+        );
+    }
+}
+
 #[rstest]
-#[case::one_gateway(1, 1, false)]
-#[case::seven_gateways(7, 1, false)]
-#[case::seven_gateways_with_restarts(7, 1, true)]
-#[case::seven_gateways_on_a_search_over_shards(7, 4, false)]
+#[case::one_gateway(1, 1, Trouble::None)]
+#[case::seven_gateways(7, 1, Trouble::None)]
+#[case::seven_gateways_with_restarts(7, 1, Trouble::Restarts)]
+#[case::seven_gateways_on_a_search_over_shards(7, 4, Trouble::None)]
+#[case::all_gateways_restarted_at_once(7, 1, Trouble::AllRestarted)]
+#[case::no_store(7, 1, Trouble::StoreAway)]
 #[compio::test]
 async fn a_crashing_request_reaches_upstreams_of_all_gateways_together_three_times(
     #[case] gateways: usize,
     #[case] shards: usize,
-    #[case] restarts: bool,
+    #[case] trouble: Trouble,
 ) {
-    let site = CrashSite::start(shards, 16 / shards).await;
+    let site = CrashSite::start(shards, UPSTREAMS / shards).await;
     let mut gateways = start_gateways(&site, gateways).await;
     let prefix = match shards {
         1 => READ,
@@ -127,25 +219,10 @@
         .enumerate()
         .map(|(n, g)| harmless.start(g, n, prefix))
         .collect();
-    let path = format!("{prefix}crashing");
-    let end = Millis::now() + RUN_TIME;
-    let mut last = None;
-    for n in 0.. {
-        if Millis::now() > end {
-            break;
-        }
-        compio::time::sleep(CRASH_INTERVAL.into()).await;
-        let address = gateways[n % gateways.len()].endpoints.callers();
-        last = try_get(address, &path, &format!("c-{n}")).await.or(last);
-        // A restart every 3 s, each time of the next gateway.
-        if restarts && n % 12 == 11 {
-            let next = n / 12 % gateways.len();
-            gateways[next].restart().await;
-        }
-    }
+    let path = format!("{prefix}{CRASHING}");
+    let last = send_crashing(&site, &mut gateways, &path, trouble).await;
     drop(load);
     let late = site.log.late_arrivals(STABLE_WINDOW);
-    let last = last.expect("a gateway answered");
     println!(
         "{} ends, {} sends, {late} of them late; harmless: {} sent, {} answered, {} quarantined",
         site.log.ends.borrow().len(),
@@ -154,16 +231,7 @@
         harmless.answered.get(),
         harmless.quarantined.borrow().len(),
     );
-    for (n, gateway) in gateways.iter().enumerate() {
-        let log = gateway.process.read_log();
-        let count = |line: &str| log.lines().filter(|l| l.contains(line)).count();
-        println!(
-            "gateway {n}: {} connections lost, {} crashes, {} quarantined",
-            count("connection lost under requests"),
-            count("upstream ended under request"),
-            count("request quarantined"),
-        );
-    }
+    print_logs(&gateways);
     let refused = harmless.quarantined.borrow();
     assert!(refused.is_empty(), "harmless requests refused: {refused:?}");
     assert!(
@@ -171,4 +239,11 @@
         "{late} late sends, last answer {last:?}"
     );
     assert!(is_quarantined(&last), "{last:?}");
+    assert_eq!(last.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let retry_after: f64 = last.headers()["retry-after"]
+        .to_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(retry_after > MIN_RETRY_AFTER_S, "{retry_after}");
 }
