Keep the crashes under a request in the store for all gateways

Callers saw a request that ends upstreams sent by one gateway after the other: each counted alone and needed three ends of its own, and a gateway that was restarted began at zero.

Every gateway reads them with its directory, so also before it is ready after a restart. Writing one again changes nothing, so no compare-and-swap is needed. A record that a lapse of the store removed is written again; each daemon waits a random time for another one. What the store lacks goes to the peers that poll while it is away. A quarantined request is told the time until its quarantine ends, not a third of its deadline, and the digest of a request includes its method and query, so that searches that differ in their query are different requests.

--- a/components/discovery/src/directory.rs
+++ b/components/discovery/src/directory.rs
@@ -6,7 +6,7 @@
 use clock::Millis;
 use routes::Configuration;
 
-use crate::entry::{Decode, Entry, InstanceEntry, Record, UpstreamEntry};
+use crate::entry::{CrashEntry, Decode, Entry, InstanceEntry, Record, UpstreamEntry};
 use crate::feed::{Change, Changes, Snapshot, Update};
 use crate::history::History;
 
@@ -82,6 +82,14 @@
         })
     }
 
+    /// Returns the upstreams that ended under requests.
+    pub fn crashes(&self) -> impl Iterator<Item = &CrashEntry> {
+        self.known.values().filter_map(|k| match &k.entry {
+            Entry::Crash(entry) => Some(entry),
+            _ => None,
+        })
+    }
+
     /// Returns what a peer at the revision `after` needs to become current.
     pub fn update_since(&self, after: u64) -> Update {
         match self.history.since(after) {
--- a/components/discovery/src/entry.rs
+++ b/components/discovery/src/entry.rs
@@ -27,6 +27,8 @@
     Upstream(UpstreamEntry),
     /// A daemon of this system.
     Instance(InstanceEntry),
+    /// An upstream that ended under a request.
+    Crash(CrashEntry),
     /// A record that this system does not use.
     Foreign,
 }
@@ -103,3 +105,23 @@
     #[serde(default)]
     pub domain: String,
 }
+
+/// An upstream that ended under a request, as the daemon that saw it writes it.
+/// There is one entry for each pair of a request and an upstream's process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashEntry {
+    /// Digest of the request.
+    pub fingerprint: u64,
+    /// Process of the upstream.
+    pub upstream: String,
+    /// Shard for which the request ran.
+    pub shard: String,
+    /// Failure domain of the upstream.
+    pub domain: String,
+    /// Whether the request was a suspect before.
+    pub alone: bool,
+    /// Whether a later success of the request voided the crash.
+    pub cleared: bool,
+    /// Wall-clock time of the crash.
+    pub crashed_at: Millis,
+}
--- a/components/discovery/src/follow.rs
+++ b/components/discovery/src/follow.rs
@@ -10,6 +10,7 @@
 use rand::seq::IndexedRandom;
 use slog::{Logger, info, warn};
 
+use crate::crash_records::CrashExchange;
 use crate::directory::Directory;
 use crate::feed::{Error, Feed, Result};
 use crate::relay::{PeerUpdate, RelayClient};
@@ -54,6 +55,7 @@
     /// When the [`DIRECT_PERIOD_MS`] ends.
     direct_until: Cell<Millis>,
     waiting_peers: RefCell<Vec<oneshot::Sender<()>>>,
+    crash_exchange: RefCell<Option<Rc<dyn CrashExchange>>>,
     log: Logger,
 }
 
@@ -79,6 +81,7 @@
             watcher: RefCell::default(),
             direct_until: Cell::new(Millis::ZERO),
             waiting_peers: RefCell::default(),
+            crash_exchange: RefCell::default(),
             log: log.clone(),
         })
     }
@@ -88,6 +91,11 @@
         self.listeners.borrow_mut().push(Box::new(listener));
     }
 
+    /// Sends and merges the crashes of an exchange beside relayed records.
+    pub fn set_crash_exchange(&self, exchange: Rc<dyn CrashExchange>) {
+        *self.crash_exchange.borrow_mut() = Some(exchange);
+    }
+
     /// Replaces the peers to poll besides the registered ones.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
         *self.seeds.borrow_mut() = seeds;
@@ -237,6 +245,9 @@
     }
 
     fn apply_update(&self, update: PeerUpdate) {
+        if let Some(exchange) = &*self.crash_exchange.borrow() {
+            exchange.merge_crashes(&update.crashes);
+        }
         let _ = self.update(|d, now| {
             d.record_lapse(update.lapse_left, now);
             d.apply_update(update.update, now)
--- a/components/discovery/src/follow/peers.rs
+++ b/components/discovery/src/follow/peers.rs
@@ -27,10 +27,14 @@
         }
         let now = Millis::now();
         let directory = self.directory.borrow();
+        let exchange = self.crash_exchange.borrow();
         PeerUpdate {
             update: directory.update_since(after),
             age: self.store_age(now),
             lapse_left: directory.lapse_left(now),
+            crashes: exchange
+                .as_ref()
+                .map_or_else(Vec::new, |e| e.unwritten_crashes()),
         }
     }
 
--- a/components/discovery/src/lib.rs
+++ b/components/discovery/src/lib.rs
@@ -2,6 +2,7 @@
 //! other daemons, read from a watched store or from peers, which relay its
 //! records and stand in while it is unreachable.
 
+mod crash_records;
 mod directory;
 mod entry;
 mod feed;
@@ -11,8 +12,9 @@
 mod relay;
 mod watchers;
 
+pub use crash_records::{CRASH_BATCH, CrashExchange, CrashRecords};
 pub use directory::Directory;
-pub use entry::{Decode, Entry, InstanceEntry, Lifecycle, Record, UpstreamEntry};
+pub use entry::{CrashEntry, Decode, Entry, InstanceEntry, Lifecycle, Record, UpstreamEntry};
 pub use feed::{Change, Changes, Error, Feed, Result, Snapshot, Update};
 pub use follow::{Follower, Listeners, SharedDirectory};
 pub use registration::{Leases, Registration};
--- a/components/discovery/src/relay.rs
+++ b/components/discovery/src/relay.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use transport::{Client, Payload};
 
-use crate::entry::Record;
+use crate::entry::{CrashEntry, Record};
 use crate::feed::{Change, Changes, Error, Result, Snapshot, Update};
 
 /// Added to the time for which a peer may wait before it responds.
@@ -27,6 +27,8 @@
     pub age: Millis,
     /// For how long missing records may still be written again.
     pub lapse_left: Millis,
+    /// Crashes that the daemon knows and the store is not known to hold.
+    pub crashes: Vec<CrashEntry>,
 }
 
 /// JSON form of a [`PeerUpdate`].
@@ -38,6 +40,9 @@
     age_ms: u64,
     lapse_left_ms: u64,
     records: Vec<RelayRecord>,
+    // Absent from daemons that don't exchange crashes.
+    #[serde(default)]
+    crashes: Vec<CrashEntry>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -105,6 +110,7 @@
             age_ms: update.age.0,
             lapse_left_ms: update.lapse_left.0,
             records,
+            crashes: update.crashes,
         }
     }
 }
@@ -131,6 +137,7 @@
             update,
             age: Millis(state.age_ms),
             lapse_left: Millis(state.lapse_left_ms),
+            crashes: state.crashes,
         })
     }
 }
--- a/components/discovery/tests/watchers.rs
+++ b/components/discovery/tests/watchers.rs
@@ -4,8 +4,8 @@
 
 use clock::Millis;
 use discovery::{
-    Change, Changes, Directory, InstanceEntry, PeerUpdate, Record, RelayState, Snapshot, Update,
-    watchers,
+    Change, Changes, CrashEntry, Directory, InstanceEntry, PeerUpdate, Record, RelayState,
+    Snapshot, Update, watchers,
 };
 use rstest::rstest;
 
@@ -111,6 +111,15 @@
         update,
         age: Millis(300),
         lapse_left: Millis(7),
+        crashes: vec![CrashEntry {
+            fingerprint: u64::MAX,
+            upstream: "s/u1@100".to_owned(),
+            shard: "s".to_owned(),
+            domain: "a".to_owned(),
+            alone: true,
+            cleared: false,
+            crashed_at: Millis(1_770_000_000_000),
+        }],
     };
     let json = serde_json::to_string(&RelayState::from(sent.clone())).unwrap();
     let received: RelayState = serde_json::from_str(&json).unwrap();
--- /dev/null
+++ b/components/gateway/src/crash_sharing.rs
@@ -0,0 +1,241 @@
+//! Shares the crashes of upstreams with the other gateways, so that a request that
+//! ends upstreams is quarantined by all of them and after a restart: crashes are
+//! written to the store, and those that are not written yet are sent to peers.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use clock::Millis;
+use discovery::{
+    CRASH_BATCH, CrashEntry, CrashExchange, CrashRecords, Directory, Error, Leases, Result,
+    SharedDirectory,
+};
+use futures_channel::oneshot;
+use rand::RngExt;
+use slog::{Logger, info, warn};
+use upstreams::{CRASH_TTL, Crash, Shared, SharedCrash};
+
+/// Delay before a crash is written; most harmless requests are served by another
+/// upstream meanwhile and need no record.
+const SETTLE_DELAY: Millis = Millis(150);
+/// Interval between checks for crashes that the store lacks.
+const REVIEW_INTERVAL: Millis = Millis(1_000);
+/// Mean interval between the daemons that write what another one has seen, and the
+/// shortest time that it has to write it itself.
+const DAEMON_INTERVAL_MS: u64 = 50;
+const OTHERS_DELAY_MS: u64 = 2_000;
+/// A lease is used for new crashes for so long.
+const LEASE_REUSE: Millis = Millis(30_000);
+/// Crashes that expire sooner are not written again when their lease has ended.
+const MIN_REMAINING: Millis = Millis(60_000);
+
+/// What the store holds of a crash, by request and process of the upstream.
+type CrashKey = (u64, String);
+
+/// Shares the crashes that one gateway knows.
+pub(crate) struct CrashSharing {
+    shared: Rc<Shared>,
+    directory: SharedDirectory,
+    records: Rc<dyn CrashRecords>,
+    leases: Rc<dyn Leases>,
+    /// When crashes that the store lacks are to be written.
+    due: RefCell<HashMap<CrashKey, Millis>>,
+    lease: Cell<Option<(u64, Millis)>>,
+    wake: RefCell<Option<oneshot::Sender<()>>>,
+    is_failing: Cell<bool>,
+    log: Logger,
+}
+
+impl CrashSharing {
+    pub(crate) fn new(
+        shared: Rc<Shared>,
+        directory: SharedDirectory,
+        records: Rc<dyn CrashRecords>,
+        leases: Rc<dyn Leases>,
+        log: &Logger,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            shared,
+            directory,
+            records,
+            leases,
+            due: RefCell::default(),
+            lease: Cell::new(None),
+            wake: RefCell::default(),
+            is_failing: Cell::new(false),
+            log: log.clone(),
+        })
+    }
+
+    /// Merges the crashes that the store holds.
+    pub(crate) fn merge_directory(&self, directory: &Directory) {
+        self.merge(directory.crashes(), "store");
+    }
+
+    fn merge<'a>(&self, entries: impl Iterator<Item = &'a CrashEntry>, source: &str) {
+        let (now, wall) = (Millis::now(), Millis::wall());
+        for entry in entries {
+            let crash = to_shared_crash(entry, now, wall);
+            if self.shared.crashes.merge_shared(crash, now) {
+                warn!(self.log, "request quarantined"; "fingerprint" => entry.fingerprint,
+                    "upstream" => &entry.upstream, "source" => source);
+            }
+        }
+    }
+
+    /// Writes crashes to the store until the task is dropped.
+    pub(crate) async fn run(self: Rc<Self>) {
+        loop {
+            self.wait_for_change().await;
+            let result = self.write_due(Millis::now()).await;
+            self.log_result(&result);
+        }
+    }
+
+    /// Wakes [`CrashSharing::run`].
+    pub(crate) fn notify(&self) {
+        // Dropping the sender wakes the receiver.
+        self.wake.borrow_mut().take();
+    }
+
+    async fn wait_for_change(&self) {
+        let (sender, receiver) = oneshot::channel::<()>();
+        *self.wake.borrow_mut() = Some(sender);
+        let waiting = compio::time::timeout(REVIEW_INTERVAL.into(), receiver);
+        if waiting.await.is_ok() {
+            compio::time::sleep(SETTLE_DELAY.into()).await;
+        }
+    }
+
+    async fn write_due(&self, now: Millis) -> Result<()> {
+        for batch in self.find_due(now).chunks(CRASH_BATCH) {
+            let lease = self.current_lease(now).await?;
+            let written = self.records.write_crashes(lease, batch).await;
+            if matches!(written, Err(Error::LeaseEnded)) {
+                self.lease.set(None);
+            }
+            written?;
+            info!(self.log, "crashes written to the store"; "count" => batch.len(),
+                "fingerprints" => ?batch.iter().map(|c| c.fingerprint).collect::<Vec<u64>>());
+        }
+        Ok(())
+    }
+
+    /// Returns the crashes that the store lacks and that are to be written now.
+    fn find_due(&self, now: Millis) -> Vec<CrashEntry> {
+        let missing = self.find_missing(now);
+        let mut due = self.due.borrow_mut();
+        let at = |shared: &SharedCrash| {
+            let known = due.get(&key(shared)).copied();
+            known.unwrap_or_else(|| now + self.delay(shared))
+        };
+        *due = missing.iter().map(|m| (key(m), at(m))).collect();
+        let is_due = |m: &&SharedCrash| due.get(&key(m)).is_some_and(|at| *at <= now);
+        let wall = Millis::wall();
+        let listed = missing.iter().filter(is_due);
+        listed.map(|m| to_entry(m, now, wall)).collect()
+    }
+
+    /// Returns the crashes that the store lacks, or that it lists though a success
+    /// voided them.
+    fn find_missing(&self, now: Millis) -> Vec<SharedCrash> {
+        let directory = self.directory.borrow();
+        let stored: HashMap<(u64, &str), bool> = directory
+            .crashes()
+            .map(|c| ((c.fingerprint, c.upstream.as_str()), c.cleared))
+            .collect();
+        let is_missing = |s: &SharedCrash| {
+            let stored = stored.get(&(s.fingerprint, s.crash.upstream.as_str()));
+            match (stored, s.is_cleared) {
+                (None, false) => s.crash.expires_at.since(now) > MIN_REMAINING,
+                (Some(is_cleared), true) => !is_cleared,
+                (None, true) | (Some(_), false) => false,
+            }
+        };
+        let mut all = self.shared.crashes.shared(now);
+        all.retain(is_missing);
+        all
+    }
+
+    /// Returns how long to wait before a crash is written: another daemon that has
+    /// seen it writes it first, and the others don't all take its place at once.
+    fn delay(&self, shared: &SharedCrash) -> Millis {
+        if shared.is_own && !shared.is_cleared {
+            return Millis::ZERO;
+        }
+        let daemons = self.directory.borrow().instances().count() as u64;
+        let spread = rand::rng().random_range(0..=daemons * DAEMON_INTERVAL_MS);
+        Millis(OTHERS_DELAY_MS + spread)
+    }
+
+    async fn current_lease(&self, now: Millis) -> Result<u64> {
+        match self.lease.get() {
+            Some((lease, granted)) if now.since(granted) < LEASE_REUSE => Ok(lease),
+            _ => {
+                let lease = self.leases.grant(CRASH_TTL).await?;
+                self.lease.set(Some((lease, now)));
+                Ok(lease)
+            }
+        }
+    }
+
+    fn log_result(&self, result: &Result<()>) {
+        match result {
+            Ok(()) if self.is_failing.replace(false) => {
+                info!(self.log, "crashes are written to the store again");
+            }
+            Err(e) if !self.is_failing.replace(true) => {
+                warn!(self.log, "crashes not written to the store"; "error" => %e);
+            }
+            _ => {}
+        }
+    }
+}
+
+impl CrashExchange for CrashSharing {
+    fn unwritten_crashes(&self) -> Vec<CrashEntry> {
+        let (now, wall) = (Millis::now(), Millis::wall());
+        let missing = self.find_missing(now);
+        missing.iter().map(|m| to_entry(m, now, wall)).collect()
+    }
+
+    fn merge_crashes(&self, crashes: &[CrashEntry]) {
+        self.merge(crashes.iter(), "peer");
+    }
+}
+
+fn key(shared: &SharedCrash) -> CrashKey {
+    (shared.fingerprint, shared.crash.upstream.clone())
+}
+
+/// Converts a crash for other daemons, whose monotonic clocks differ.
+fn to_entry(shared: &SharedCrash, now: Millis, wall: Millis) -> CrashEntry {
+    let age = CRASH_TTL.since(shared.crash.expires_at.since(now));
+    CrashEntry {
+        fingerprint: shared.fingerprint,
+        upstream: shared.crash.upstream.clone(),
+        shard: shared.crash.shard.clone(),
+        domain: shared.crash.domain.clone(),
+        alone: shared.crash.alone,
+        cleared: shared.is_cleared,
+        crashed_at: wall - age,
+    }
+}
+
+fn to_shared_crash(entry: &CrashEntry, now: Millis, wall: Millis) -> SharedCrash {
+    let age = wall.since(entry.crashed_at);
+    let crash = Crash {
+        upstream: entry.upstream.clone(),
+        shard: entry.shard.clone(),
+        domain: entry.domain.clone(),
+        alone: entry.alone,
+        expires_at: now + CRASH_TTL.since(age),
+    };
+    SharedCrash {
+        fingerprint: entry.fingerprint,
+        crash,
+        is_cleared: entry.cleared,
+        is_own: false,
+    }
+}
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -9,7 +9,7 @@
 use http::Response;
 use routes::{Delivery, Gather, Target};
 use slog::info;
-use upstreams::{Answer, Failure, Pool, Ran, Shard, UpstreamKey};
+use upstreams::{Answer, Failure, Pool, Ran, Reason, Shard, UpstreamKey};
 
 use crate::gather::{Progress, Step, partial_answer_after};
 use crate::merge::top_records;
@@ -35,12 +35,7 @@
 pub(crate) async fn run(gateway: &Gateway, request: &RoutedRequest) -> Result<Response<Bytes>> {
     let crashes = &gateway.fleet.shared().crashes;
     if let Some(failure) = crashes.quarantine_failure(request.call.fingerprint, Millis::now()) {
-        let refusal = Refusal::from_failure(&failure);
-        return Err(with_retry_after(
-            refusal,
-            failure.retry_after,
-            request.call.deadline,
-        ));
+        return Err(Refusal::from_failure(&failure));
     }
     let route = &request.entry.route;
     let permit = gateway.limiters.admit(route).map_err(|wait| {
@@ -102,6 +97,7 @@
 fn to_refusal(request: &RoutedRequest, failure: &Failure, pool: &Pool) -> Refusal {
     let refusal = Refusal::from_failure(failure);
     match failure.ran {
+        Ran::No if refusal.cause == Cause::Quarantined => refusal,
         Ran::No => {
             let wait = Millis(pool.expected_wait(&pool.keys(), 1) as u64);
             with_retry_after(refusal, wait, request.call.deadline)
@@ -146,6 +142,23 @@
         reasons.collect::<Vec<_>>().join(" ")
     }
 
+    /// Returns the failure of a search that was quarantined, with whether any shard
+    /// may have run it.
+    fn quarantine_failure(&self) -> Option<Failure> {
+        let is_quarantined = |f: &&Failure| f.reason == Reason::Quarantined;
+        let failures = self.failures.iter().map(|(_, failure)| failure);
+        let quarantined = failures.clone().find(is_quarantined)?;
+        let is_running = self.answers.len() + self.failures.len() < self.covered.len();
+        let ran = match is_running {
+            true => Ran::Unknown,
+            false => self.ran(),
+        };
+        Some(Failure {
+            ran,
+            ..quarantined.clone()
+        })
+    }
+
     /// Returns whether any shard has or may have run the search.
     fn ran(&self) -> Ran {
         let failed = self.failures.iter().map(|(_, f)| f.ran).max();
@@ -179,7 +192,7 @@
         match pool {
             Some(pool) => running.push(fetch(pool, request, shard)),
             None => {
-                let failure = Failure::not_run(upstreams::Reason::NoReplica);
+                let failure = Failure::not_run(Reason::NoReplica);
                 results.failures.push((shard, failure));
             }
         }
@@ -240,6 +253,9 @@
     pools: &[Option<Rc<Pool>>],
 ) -> Refusal {
     let progress = results.progress();
+    if let Some(failure) = results.quarantine_failure() {
+        return Refusal::from_failure(&failure);
+    }
     let detail = format!(
         "{} of {} shards answered, {} required; missing: {}",
         progress.covered,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod admin;
 mod concurrency;
+mod crash_sharing;
 mod fleet;
 mod forward;
 mod gather;
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -89,11 +89,13 @@
             _ if failure.ran == Ran::No => Cause::Overloaded,
             _ => Cause::UpstreamFailed,
         };
+        // A quarantined request told to come back sooner would only be refused again.
+        let is_quarantined = cause == Cause::Quarantined && failure.ran == Ran::No;
         Self {
             cause,
             ran: failure.ran,
             detail: failure.reason.name().to_owned(),
-            retry_after: None,
+            retry_after: is_quarantined.then_some(failure.retry_after),
         }
     }
 
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -78,7 +78,7 @@
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
     let route = &entry.route;
     let deadline = deadline_before_exit(gateway, route, deadline)?;
-    let fingerprint = fingerprint(&head.headers, &head.uri, &body);
+    let fingerprint = fingerprint(&head, &body);
     let forwarded = Rc::new(forwarded_request(context.id, head, body, &route.target));
     let call = Call {
         message: gateway.wire.message(forwarded.clone()),
@@ -167,16 +167,20 @@
     }
 }
 
-/// Returns a digest of the host, the credentials, the path and the body, which
-/// stay the same when a request that crashes upstreams is repeated.
-fn fingerprint(headers: &HeaderMap, uri: &Uri, body: &[u8]) -> u64 {
+/// Returns a digest of the method, the host, the credentials, the path with its
+/// query and the body, which stay the same when a request that crashes upstreams
+/// is repeated.
+fn fingerprint(head: &Parts, body: &[u8]) -> u64 {
     let mut text = Vec::with_capacity(body.len() + 128);
-    for part in [header::HOST, header::AUTHORIZATION] {
-        text.extend_from_slice(headers.get(part).map_or(b"", |v| v.as_bytes()));
+    let path = head.uri.path_and_query().map_or("", |p| p.as_str());
+    for part in [head.method.as_str(), path] {
+        text.extend_from_slice(part.as_bytes());
+        text.push(b'\n');
+    }
+    for name in [header::HOST, header::AUTHORIZATION] {
+        text.extend_from_slice(head.headers.get(name).map_or(b"", |v| v.as_bytes()));
         text.push(b'\n');
     }
-    text.extend_from_slice(uri.path().as_bytes());
-    text.push(b'\n');
     text.extend_from_slice(body);
     xxh3_64(&text)
 }
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -5,14 +5,19 @@
 use std::rc::Rc;
 
 use axum::Router;
-use discovery::{Decode, Directory, Feed, Follower, InstanceEntry, Leases, Registration};
+use discovery::{
+    CrashRecords, Decode, Directory, Feed, Follower, InstanceEntry, Leases, Registration,
+    SharedDirectory,
+};
 use routes::Limits;
 use slog::{Logger, info};
 use snafu::{ResultExt, Snafu};
 use telemetry::Recorder;
 use transport::{Event, Listener, ServerLimits, serve, serve_with_shared_limits};
+use upstreams::Shared;
 
 use crate::admin;
+use crate::crash_sharing::CrashSharing;
 use crate::fleet::Fleet;
 use crate::handler;
 use crate::reload::{self, HangupFlag, ReadSettings};
@@ -57,6 +62,8 @@
     pub decoder: Rc<dyn Decode>,
     /// Registers this daemon in the store and renews its lease.
     pub leases: Rc<dyn Leases>,
+    /// Writes the crashes of upstreams to the store.
+    pub crashes: Rc<dyn CrashRecords>,
     /// Reads and writes the headers of callers and upstreams.
     pub wire: Rc<dyn WireFormat>,
     /// Reads the settings for a reload.
@@ -131,13 +138,14 @@
         crash_limit: CRASHES_TO_QUARANTINE,
         preferred_domain: Some(settings.domain.clone()),
     };
-    let shared = upstreams::Shared::with_config(log, config);
+    let shared = Shared::with_config(log, config);
     let fleet = Fleet::new(&shared, settings.retry_budget);
     let (updated, limits) = (
         fleet.clone(),
         Rc::new(Cell::new(server_limits(&Limits::default()))),
     );
     let caller_limits = limits.clone();
+    share_crashes(&shared, &directory, &follower, adapters, log);
     follower.add_listener(move |directory| {
         updated.update(directory);
         if let Some(table) = updated.table() {
@@ -163,6 +171,28 @@
     })
 }
 
+/// Starts to share the crashes of upstreams with the other gateways.
+fn share_crashes(
+    shared: &Rc<Shared>,
+    directory: &SharedDirectory,
+    follower: &Rc<Follower>,
+    adapters: &PlatformAdapters,
+    log: &Logger,
+) {
+    let sharing = CrashSharing::new(
+        shared.clone(),
+        directory.clone(),
+        adapters.crashes.clone(),
+        adapters.leases.clone(),
+        log,
+    );
+    let (notified, merged) = (sharing.clone(), sharing.clone());
+    *shared.peer_notifier.borrow_mut() = Some(Rc::new(move || notified.notify()));
+    follower.add_listener(move |directory| merged.merge_directory(directory));
+    follower.set_crash_exchange(sharing.clone());
+    compio::runtime::spawn(sharing.run()).detach();
+}
+
 /// The HTTP library has one timeout for the arrival of a request's headers, which
 /// includes the idle time of the connection before the request; hence the
 /// larger of both.
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -24,7 +24,8 @@
     let adapters = PlatformAdapters {
         feed: store.clone(),
         decoder: Rc::new(PlatformDecoder),
-        leases: store,
+        leases: store.clone(),
+        crashes: store,
         wire: Rc::new(PlatformWire),
         read_settings: Box::new(move || {
             let settings = platform::load(&path).map_err(|e| e.to_string())?;
