Tell peers at once of upstreams that ended under a request

On a search over shards one send ends an upstream of each shard, and harmless searches that ran on three of them were refused as quarantined until the cause was known, 0.5 to 1 s later through the store.

A gateway now sends its new crashes to up to 16 peers at once; the store keeps them for all others and for restarts. A request that would be refused waits until 100 ms after the last crash under it, so that a crash which another request explains is not held against it; its own sends wait too.

--- a/components/discovery/src/lib.rs
+++ b/components/discovery/src/lib.rs
@@ -18,5 +18,5 @@
 pub use feed::{Change, Changes, Error, Feed, Result, Snapshot, Update};
 pub use follow::{Follower, Listeners, SharedDirectory};
 pub use registration::{Leases, Registration};
-pub use relay::{PeerUpdate, RelayClient, RelayState};
+pub use relay::{CRASHES_PATH, PeerUpdate, RelayClient, RelayState};
 pub use watchers::watchers;
--- a/components/discovery/src/relay.rs
+++ b/components/discovery/src/relay.rs
@@ -7,15 +7,19 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use clock::Millis;
-use http::{Request, StatusCode, header};
+use http::{Method, Request, StatusCode, header};
 use serde::{Deserialize, Serialize};
 use transport::{Client, Payload};
 
 use crate::entry::{CrashEntry, Record};
 use crate::feed::{Change, Changes, Error, Result, Snapshot, Update};
 
+/// Path at which a daemon accepts the crashes of its peers.
+pub const CRASHES_PATH: &str = "/v1/crashes";
 /// Added to the time for which a peer may wait before it responds.
 const RESPONSE_MARGIN: Millis = Millis(500);
+/// Time for a peer to accept crashes.
+const SEND_TIMEOUT: Millis = Millis(500);
 const RESPONSE_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 
 /// An update of the directory that a daemon sends to a peer.
@@ -167,20 +171,41 @@
     pub async fn poll(&self, after: u64, wait: Millis) -> Result<PeerUpdate> {
         let unavailable = |detail: String| Error::Unavailable { detail };
         let uri = format!("/v1/directory?after={after}&wait_ms={}", wait.0);
-        let request = Request::get(uri)
+        let body = self
+            .send(Method::GET, &uri, Bytes::new(), wait + RESPONSE_MARGIN)
+            .await?;
+        let state: RelayState =
+            serde_json::from_slice(&body).map_err(|e| unavailable(e.to_string()))?;
+        PeerUpdate::try_from(state).map_err(|e| unavailable(e.to_string()))
+    }
+
+    /// Sends crashes that the peer may not know.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer is unreachable or does not accept them.
+    pub async fn send_crashes(&self, crashes: &[CrashEntry]) -> Result<()> {
+        let body = serde_json::to_vec(crashes).map_err(|e| Error::Unavailable {
+            detail: e.to_string(),
+        })?;
+        self.send(Method::POST, CRASHES_PATH, body.into(), SEND_TIMEOUT)
+            .await
+            .map(|_| ())
+    }
+
+    async fn send(&self, method: Method, uri: &str, body: Bytes, timeout: Millis) -> Result<Bytes> {
+        let unavailable = |detail: String| Error::Unavailable { detail };
+        let request = Request::builder()
+            .method(method)
+            .uri(uri)
             .header(header::HOST, "peer")
-            .body(Payload::new(Bytes::new()))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Payload::new(body))
             .map_err(|e| unavailable(e.to_string()))?;
-        let sent = self
-            .client
-            .send(request, RESPONSE_LIMIT_BYTES, wait + RESPONSE_MARGIN);
+        let sent = self.client.send(request, RESPONSE_LIMIT_BYTES, timeout);
         let response = sent.await.map_err(|e| unavailable(e.to_string()))?;
         match response.status() {
-            StatusCode::OK => {
-                let state: RelayState = serde_json::from_slice(response.body())
-                    .map_err(|e| unavailable(e.to_string()))?;
-                PeerUpdate::try_from(state).map_err(|e| unavailable(e.to_string()))
-            }
+            StatusCode::OK => Ok(response.into_body()),
             status => Err(unavailable(format!("unexpected status {status}"))),
         }
     }
--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -4,12 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use axum::Router;
 use axum::extract::{Query, State};
 use axum::response::{IntoResponse, Response};
-use axum::routing::get;
+use axum::routing::{get, post};
+use axum::{Json, Router};
 use clock::Millis;
-use discovery::RelayState;
+use discovery::{CRASHES_PATH, CrashEntry, CrashExchange, RelayState};
 use http::StatusCode;
 use telemetry::names;
 use transport::{Local, local};
@@ -32,6 +32,7 @@
 pub(crate) fn peer_router(gateway: &Rc<Gateway>) -> Router {
     Router::new()
         .route("/v1/directory", get(directory))
+        .route(CRASHES_PATH, post(crashes))
         .with_state(App(Local::new(gateway.clone())))
 }
 
@@ -55,11 +56,15 @@
     let (after, wait) = (number("after"), Millis(number("wait_ms")));
     local(async move {
         let state = app.0.follower.serve_peer(after, wait).await;
-        axum::Json(RelayState::from(state)).into_response()
+        Json(RelayState::from(state)).into_response()
     })
     .await
 }
 
+async fn crashes(State(app): State<App>, Json(crashes): Json<Vec<CrashEntry>>) {
+    app.0.crash_sharing.merge_crashes(&crashes);
+}
+
 async fn metrics(State(app): State<App>) -> String {
     refresh_gauges(&app.0);
     app.0.recorder.render()
@@ -68,7 +73,7 @@
 /// Returns the state of the gateway and its pools as JSON, with the age of the
 /// data from the store.
 async fn state(State(app): State<App>) -> Response {
-    axum::Json(StateView::new(&app.0)).into_response()
+    Json(StateView::new(&app.0)).into_response()
 }
 
 fn refresh_gauges(gateway: &Gateway) {
--- a/components/gateway/src/crash_sharing.rs
+++ b/components/gateway/src/crash_sharing.rs
@@ -1,19 +1,22 @@
 //! Shares the crashes of upstreams with the other gateways, so that a request that
-//! ends upstreams is quarantined by all of them and after a restart: crashes are
-//! written to the store, and those that are not written yet are sent to peers.
+//! ends upstreams is quarantined by all of them and after a restart: a crash is
+//! sent to some peers at once and written to the store soon after, and peers that
+//! poll get those that are not written yet.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use clock::Millis;
 use discovery::{
-    CRASH_BATCH, CrashEntry, CrashExchange, CrashRecords, Directory, Error, Leases, Result,
-    SharedDirectory,
+    CRASH_BATCH, CrashEntry, CrashExchange, CrashRecords, Directory, Error, Leases, RelayClient,
+    Result, SharedDirectory,
 };
 use futures_channel::oneshot;
 use rand::RngExt;
-use slog::{Logger, info, warn};
+use rand::seq::IndexedRandom;
+use slog::{Logger, debug, info, warn};
 use upstreams::{CRASH_TTL, Crash, Shared, SharedCrash};
 
 /// Delay before a crash is written; most harmless requests are served by another
@@ -21,6 +24,8 @@
 const SETTLE_DELAY: Millis = Millis(150);
 /// Interval between checks for crashes that the store lacks.
 const REVIEW_INTERVAL: Millis = Millis(1_000);
+/// Peers that a daemon sends its crashes to; the others read them from the store.
+const NOTIFIED_PEERS: usize = 16;
 /// Mean interval between the daemons that write what another one has seen, and the
 /// shortest time that it has to write it itself.
 const DAEMON_INTERVAL_MS: u64 = 50;
@@ -39,6 +44,10 @@
     directory: SharedDirectory,
     records: Rc<dyn CrashRecords>,
     leases: Rc<dyn Leases>,
+    /// Address of this daemon for its peers.
+    me: SocketAddr,
+    /// Own crashes that peers were told, and whether they were told as cleared.
+    told: RefCell<HashMap<CrashKey, bool>>,
     /// When crashes that the store lacks are to be written.
     due: RefCell<HashMap<CrashKey, Millis>>,
     lease: Cell<Option<(u64, Millis)>>,
@@ -53,6 +62,7 @@
         directory: SharedDirectory,
         records: Rc<dyn CrashRecords>,
         leases: Rc<dyn Leases>,
+        me: SocketAddr,
         log: &Logger,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -60,6 +70,8 @@
             directory,
             records,
             leases,
+            me,
+            told: RefCell::default(),
             due: RefCell::default(),
             lease: Cell::new(None),
             wake: RefCell::default(),
@@ -84,10 +96,14 @@
         }
     }
 
-    /// Writes crashes to the store until the task is dropped.
+    /// Tells peers of crashes and writes them to the store until the task is
+    /// dropped.
     pub(crate) async fn run(self: Rc<Self>) {
         loop {
-            self.wait_for_change().await;
+            if self.wait_for_change().await {
+                self.tell_peers(Millis::now());
+                compio::time::sleep(SETTLE_DELAY.into()).await;
+            }
             let result = self.write_due(Millis::now()).await;
             self.log_result(&result);
         }
@@ -99,13 +115,52 @@
         self.wake.borrow_mut().take();
     }
 
-    async fn wait_for_change(&self) {
+    /// Waits for a change, at most for [`REVIEW_INTERVAL`]; `true` if there is one.
+    async fn wait_for_change(&self) -> bool {
         let (sender, receiver) = oneshot::channel::<()>();
         *self.wake.borrow_mut() = Some(sender);
         let waiting = compio::time::timeout(REVIEW_INTERVAL.into(), receiver);
-        if waiting.await.is_ok() {
-            compio::time::sleep(SETTLE_DELAY.into()).await;
+        waiting.await.is_ok()
+    }
+
+    /// Sends the own crashes that are new, or newly cleared, to some peers.
+    fn tell_peers(&self, now: Millis) {
+        let entries = self.find_untold(now);
+        if entries.is_empty() {
+            return;
         }
+        for peer in self.choose_peers() {
+            let (entries, log) = (entries.clone(), self.log.clone());
+            compio::runtime::spawn(async move {
+                if let Err(e) = RelayClient::new(peer).send_crashes(&entries).await {
+                    debug!(log, "crashes not sent to a peer"; "peer" => %peer, "error" => %e);
+                }
+            })
+            .detach();
+        }
+    }
+
+    fn find_untold(&self, now: Millis) -> Vec<CrashEntry> {
+        let wall = Millis::wall();
+        let own = self.shared.crashes.shared(now).into_iter();
+        let own: Vec<SharedCrash> = own.filter(|s| s.is_own).collect();
+        let mut told = self.told.borrow_mut();
+        let is_untold = |s: &&SharedCrash| match told.get(&key(s)) {
+            Some(was_cleared) => s.is_cleared && !was_cleared,
+            None => !s.is_cleared,
+        };
+        let entries = own.iter().filter(is_untold);
+        let entries = entries.map(|s| to_entry(s, now, wall)).collect();
+        *told = own.iter().map(|s| (key(s), s.is_cleared)).collect();
+        entries
+    }
+
+    fn choose_peers(&self) -> Vec<SocketAddr> {
+        let directory = self.directory.borrow();
+        let instances = directory.instances().map(|i| i.address);
+        let peers: Vec<SocketAddr> = instances.filter(|a| *a != self.me).collect();
+        let chosen = peers.sample(&mut rand::rng(), NOTIFIED_PEERS);
+        chosen.copied().collect()
     }
 
     async fn write_due(&self, now: Millis) -> Result<()> {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -33,10 +33,10 @@
 /// Serves a routed request, subject to quarantine and to the route's
 /// concurrency limit.
 pub(crate) async fn run(gateway: &Gateway, request: &RoutedRequest) -> Result<Response<Bytes>> {
-    let crashes = &gateway.fleet.shared().crashes;
-    if let Some(failure) = crashes.quarantine_failure(request.call.fingerprint, Millis::now()) {
-        return Err(Refusal::from_failure(&failure));
-    }
+    let (fingerprint, deadline) = (request.call.fingerprint, request.call.deadline);
+    let shared = gateway.fleet.shared();
+    let checked = shared.check_quarantine(fingerprint, deadline).await;
+    checked.map_err(|failure| Refusal::from_failure(&failure))?;
     let route = &request.entry.route;
     let permit = gateway.limiters.admit(route).map_err(|wait| {
         let refusal = Refusal::not_run(Cause::Overloaded, "the limit of the route is reached");
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use axum::Router;
+use clock::Millis;
 use discovery::{
     CrashRecords, Decode, Directory, Feed, Follower, InstanceEntry, Leases, Registration,
     SharedDirectory,
@@ -34,6 +35,9 @@
 /// chance; it must not be refused for that.
 const CRASHES_TO_QUARANTINE: usize = 3;
 
+/// Peers are told of a crash within this time.
+const CRASH_SETTLE_TIME: Millis = Millis(100);
+
 /// Result of running a gateway.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -136,6 +140,7 @@
         failures_to_eject: FAILURES_TO_EJECT,
         confirms_crashes: true,
         crash_limit: CRASHES_TO_QUARANTINE,
+        settle_time: CRASH_SETTLE_TIME,
         preferred_domain: Some(settings.domain.clone()),
     };
     let shared = Shared::with_config(log, config);
@@ -145,7 +150,14 @@
         Rc::new(Cell::new(server_limits(&Limits::default()))),
     );
     let caller_limits = limits.clone();
-    share_crashes(&shared, &directory, &follower, adapters, log);
+    let crash_sharing = share_crashes(
+        &shared,
+        &directory,
+        &follower,
+        adapters,
+        settings.peer_address,
+        log,
+    );
     follower.add_listener(move |directory| {
         updated.update(directory);
         if let Some(table) = updated.table() {
@@ -157,6 +169,7 @@
         fleet,
         follower,
         directory,
+        crash_sharing,
         limiters: RouteLimiters::default(),
         wire: adapters.wire.clone(),
         recorder,
@@ -177,20 +190,23 @@
     directory: &SharedDirectory,
     follower: &Rc<Follower>,
     adapters: &PlatformAdapters,
+    me: SocketAddr,
     log: &Logger,
-) {
+) -> Rc<CrashSharing> {
     let sharing = CrashSharing::new(
         shared.clone(),
         directory.clone(),
         adapters.crashes.clone(),
         adapters.leases.clone(),
+        me,
         log,
     );
     let (notified, merged) = (sharing.clone(), sharing.clone());
     *shared.peer_notifier.borrow_mut() = Some(Rc::new(move || notified.notify()));
     follower.add_listener(move |directory| merged.merge_directory(directory));
     follower.set_crash_exchange(sharing.clone());
-    compio::runtime::spawn(sharing.run()).detach();
+    compio::runtime::spawn(sharing.clone().run()).detach();
+    sharing
 }
 
 /// The HTTP library has one timeout for the arrival of a request's headers, which
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -8,6 +8,7 @@
 use telemetry::Recorder;
 use transport::{Event, ServerLimits};
 
+use crate::crash_sharing::CrashSharing;
 use crate::fleet::Fleet;
 use crate::in_flight::InFlight;
 use crate::route_limiters::RouteLimiters;
@@ -21,6 +22,7 @@
     pub(crate) fleet: Rc<Fleet>,
     pub(crate) follower: Rc<Follower>,
     pub(crate) directory: discovery::SharedDirectory,
+    pub(crate) crash_sharing: Rc<CrashSharing>,
     pub(crate) limiters: RouteLimiters,
     pub(crate) wire: Rc<dyn WireFormat>,
     pub(crate) recorder: Recorder,
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -98,15 +98,12 @@
     if call.caller_left.get() {
         return Err(Failure::not_run(Reason::CallerLeft));
     }
-    let started = Millis::now();
     // It may have been quarantined while it waited for its slot and connection.
-    if let Some(failure) = pool
-        .shared
-        .crashes
-        .quarantine_failure(call.fingerprint, started)
-    {
-        return Err(failure);
-    }
+    let shared = &pool.shared;
+    shared
+        .check_quarantine(call.fingerprint, call.deadline)
+        .await?;
+    let started = Millis::now();
     let time_left = call.deadline.since(started);
     let recipient = Recipient {
         upstream: &upstream.name,
--- a/components/upstreams/src/crashes.rs
+++ b/components/upstreams/src/crashes.rs
@@ -159,6 +159,15 @@
         counted.map(|c| c.domain.clone()).collect()
     }
 
+    /// Returns the time since the last crash under a request; [`CRASH_TTL`] if there
+    /// is none.
+    pub(crate) fn last_crash_age(&self, fingerprint: u64, now: Millis) -> Millis {
+        let entries = self.entries.borrow();
+        let crashes = entries.get(&fingerprint).into_iter();
+        let expiry = crashes.flat_map(|e| e.counted(now)).map(|c| c.expires_at);
+        CRASH_TTL - (expiry.max().unwrap_or(now) - now)
+    }
+
     /// Returns the failure of a quarantined request that did not run yet, or
     /// `None` if the request is not quarantined.
     pub fn quarantine_failure(&self, fingerprint: u64, now: Millis) -> Option<Failure> {
--- a/components/upstreams/src/dispatch.rs
+++ b/components/upstreams/src/dispatch.rs
@@ -40,7 +40,11 @@
             if attempts > 0 && !(attempts < call.policy.attempts && self.retries.spend()) {
                 return Err(last);
             }
-            let slot = match self.acquire(self.booking_request(&candidates, call)?).await {
+            let checked = self
+                .shared
+                .check_quarantine(call.fingerprint, call.deadline);
+            checked.await?;
+            let slot = match self.acquire(booking_request(&candidates, call)).await {
                 Ok(slot) => slot,
                 Err(AcquireError::NoReplica) => return Err(last),
                 Err(AcquireError::QueueFull | AcquireError::Timeout) => {
@@ -62,21 +66,13 @@
         }
         Err(last)
     }
+}
 
-    fn booking_request(&self, candidates: &[UpstreamKey], call: &Call) -> Result<SlotRequest> {
-        let now = Millis::now();
-        match self
-            .shared
-            .crashes
-            .quarantine_failure(call.fingerprint, now)
-        {
-            Some(failure) => Err(failure),
-            None => Ok(SlotRequest {
-                candidates: candidates.to_vec(),
-                deadline: call.deadline,
-                fingerprint: call.fingerprint,
-                priority: call.priority,
-            }),
-        }
+fn booking_request(candidates: &[UpstreamKey], call: &Call) -> SlotRequest {
+    SlotRequest {
+        candidates: candidates.to_vec(),
+        deadline: call.deadline,
+        fingerprint: call.fingerprint,
+        priority: call.priority,
     }
 }
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -65,10 +65,10 @@
         self.pool.retries.earn(self.call.policy.retry_percent);
         self.pool.hedges.earn(self.call.policy.hedge_percent);
         metrics::counter!(names::SUBREQUESTS_TOTAL).increment(1);
-        let crashes = &self.pool.shared.crashes;
+        let shared = &self.pool.shared;
         loop {
-            let now = Millis::now();
-            if let Some(failure) = crashes.quarantine_failure(self.call.fingerprint, now) {
+            let checked = shared.check_quarantine(self.call.fingerprint, self.call.deadline);
+            if let Err(failure) = checked.await {
                 return Err(Failure {
                     ran: self.ran,
                     ..failure
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -4,11 +4,13 @@
 use std::rc::Rc;
 
 use catalog::Topology;
+use clock::Millis;
 use slog::Logger;
 use telemetry::RequestLogLimiter;
 
 use crate::crashes::{CrashTable, DEFAULT_CRASH_LIMIT};
 use crate::drains::Drains;
+use crate::failure::Result;
 
 /// Decides whether this daemon owns a group of a topology.
 pub type OwnsGroup = dyn Fn(&Topology, usize) -> bool;
@@ -23,6 +25,9 @@
     pub confirms_crashes: bool,
     /// Crashes after which a request is quarantined.
     pub crash_limit: usize,
+    /// Time after the last crash under a request before it is refused: what peers
+    /// know may explain the crash by another request.
+    pub settle_time: Millis,
     /// Failure domain whose upstreams are preferred.
     pub preferred_domain: Option<String>,
 }
@@ -33,6 +38,7 @@
             failures_to_eject: 1,
             confirms_crashes: false,
             crash_limit: DEFAULT_CRASH_LIMIT,
+            settle_time: Millis::ZERO,
             preferred_domain: None,
         }
     }
@@ -77,6 +83,27 @@
         })
     }
 
+    /// Fails if a request is quarantined; waits first until the crashes under it are
+    /// [settled](PoolConfig::settle_time), unless its deadline comes sooner.
+    ///
+    /// # Errors
+    ///
+    /// The failure tells the time until the quarantine ends.
+    pub async fn check_quarantine(&self, fingerprint: u64, deadline: Millis) -> Result<()> {
+        loop {
+            let now = Millis::now();
+            let Some(failure) = self.crashes.quarantine_failure(fingerprint, now) else {
+                return Ok(());
+            };
+            let age = self.crashes.last_crash_age(fingerprint, now);
+            let left = self.config.settle_time - age;
+            if left == Millis::ZERO || now + left >= deadline {
+                return Err(failure);
+            }
+            compio::time::sleep(left.into()).await;
+        }
+    }
+
     pub(crate) fn notify_peers(&self) {
         let notifier = self.peer_notifier.borrow().clone();
         if let Some(notify) = notifier {
