Name time limits for what they are, and split large files

The field budget of searches and bookings meant a time, beside the budget of retry tokens: it is timeout now, and what is left of it time_left. Reading a caller's request is a module of its own (daemon/src/callers/request.rs).

--- a/components/daemon/src/callers.rs
+++ b/components/daemon/src/callers.rs
@@ -1,5 +1,7 @@
 //! The HTTP interface for callers.
 
+mod request;
+
 use std::rc::Rc;
 
 use axum::Router;
@@ -8,28 +10,21 @@
 use axum::middleware::map_response_with_state;
 use axum::response::Response;
 use axum::routing::{get, post};
-use bytes::Bytes;
 use clock::Millis;
-use http::{HeaderMap, HeaderValue, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
-use ledger::Key;
+use http::{HeaderValue, StatusCode, header};
 use query::{BookRequest, Kind, Refusal, Result, SearchRequest};
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::value::RawValue;
 use transport::{Local, local};
 use upstreams::Ran;
-use uuid::Uuid;
 
+use self::request::{check_request_id, decode, idempotency_key, read_body, request_id, timeout};
 use crate::in_flight::{End, InFlightRequest};
 use crate::problem;
 use crate::state::Daemon;
 
 const REQUEST_ID_HEADER: &str = "x-request-id";
-const DEADLINE_MS_HEADER: &str = "x-deadline-ms";
-const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
-const MAX_REQUEST_ID_LENGTH: usize = 128;
-const MAX_DEADLINE: Millis = Millis(60_000);
 const CUT_RETRY_AFTER: Millis = Millis(500);
 
 #[derive(Clone)]
@@ -97,13 +92,13 @@
 ) -> Result<Vec<u8>> {
     let headers = request.headers().clone();
     check_request_id(&headers)?;
-    let budget = budget(&headers)?;
+    let timeout = timeout(&headers)?;
     let body = read_body(daemon, request).await?;
     let body: SearchBody = decode(&body)?;
     let request = SearchRequest {
         request_id: id.to_owned(),
         service,
-        budget,
+        timeout,
         shards: body.shards,
         body: body.query.get().to_owned().into(),
     };
@@ -141,7 +136,7 @@
 ) -> Result<Vec<u8>> {
     let headers = request.headers().clone();
     check_request_id(&headers)?;
-    let budget = budget(&headers)?;
+    let timeout = timeout(&headers)?;
     let key = idempotency_key(&headers)?;
     let body = read_body(daemon, request).await?;
     let body: BookBody = decode(&body)?;
@@ -149,7 +144,7 @@
         request_id: id.to_owned(),
         service,
         key,
-        budget,
+        timeout,
         shard: body.shard,
         body: body.booking.get().to_owned().into(),
     };
@@ -239,88 +234,3 @@
     // All values of the answer types can be written as JSON.
     serde_json::to_vec(answer).unwrap_or_default()
 }
-
-fn decode<'a, T: Deserialize<'a>>(body: &'a Bytes) -> Result<T> {
-    serde_json::from_slice(body).map_err(|e| {
-        Refusal::invalid(
-            Kind::BadRequest,
-            format!("the body is not a valid request: {e}"),
-        )
-    })
-}
-
-async fn read_body(daemon: &Daemon, request: Request) -> Result<Bytes> {
-    let limit = daemon.settings.body_bytes;
-    let body = Limited::new(request.into_body(), limit).collect();
-    let Some(body) = daemon.in_flight.until_cut(body).await else {
-        let detail = "this daemon shut down before the body arrived";
-        return Err(Refusal::not_run(Kind::Unready, detail, CUT_RETRY_AFTER));
-    };
-    match body {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(Refusal::invalid(
-            Kind::BodyTooLarge,
-            format!("the body is larger than {limit} bytes"),
-        )),
-        Err(e) => Err(Refusal::invalid(
-            Kind::BadRequest,
-            format!("the body could not be read: {e}"),
-        )),
-    }
-}
-
-/// Returns the caller's request identifier, or a new one if it is absent or
-/// invalid.
-fn request_id(headers: &HeaderMap) -> String {
-    let supplied = headers
-        .get(REQUEST_ID_HEADER)
-        .and_then(|v| v.to_str().ok())
-        .filter(|v| is_valid_request_id(v));
-    supplied.map_or_else(|| Uuid::new_v4().to_string(), str::to_owned)
-}
-
-fn is_valid_request_id(id: &str) -> bool {
-    !id.is_empty() && id.len() <= MAX_REQUEST_ID_LENGTH && id.bytes().all(|b| b.is_ascii_graphic())
-}
-
-fn check_request_id(headers: &HeaderMap) -> Result<()> {
-    let is_valid = headers
-        .get(REQUEST_ID_HEADER)
-        .is_none_or(|v| v.to_str().is_ok_and(is_valid_request_id));
-    match is_valid {
-        true => Ok(()),
-        false => {
-            let detail = format!(
-                "X-Request-Id must be 1 to {MAX_REQUEST_ID_LENGTH} visible ASCII characters"
-            );
-            Err(Refusal::invalid(Kind::BadRequest, detail))
-        }
-    }
-}
-
-fn budget(headers: &HeaderMap) -> Result<Option<Millis>> {
-    let Some(value) = headers.get(DEADLINE_MS_HEADER) else {
-        return Ok(None);
-    };
-    let number: Option<i64> = value.to_str().ok().and_then(|v| v.trim().parse().ok());
-    match number {
-        None => Err(Refusal::invalid(
-            Kind::BadRequest,
-            "X-Deadline-Ms is not a whole number of milliseconds",
-        )),
-        Some(ms) if ms <= 0 => Err(Refusal::invalid(
-            Kind::BadRequest,
-            "the deadline in X-Deadline-Ms has passed",
-        )),
-        Some(ms) => Ok(Some(Millis(ms.unsigned_abs()).min(MAX_DEADLINE))),
-    }
-}
-
-fn idempotency_key(headers: &HeaderMap) -> Result<Key> {
-    let value = headers.get(IDEMPOTENCY_KEY_HEADER);
-    let value = value.ok_or_else(|| {
-        Refusal::invalid(Kind::BadRequest, "the Idempotency-Key header is missing")
-    })?;
-    let text = value.to_str().unwrap_or_default();
-    Key::parse(text).map_err(|e| Refusal::invalid(Kind::BadRequest, e.to_string()))
-}
--- a/components/daemon/src/peers.rs
+++ b/components/daemon/src/peers.rs
@@ -24,15 +24,15 @@
 impl PeerService {
     /// Refuses a sub-request as not run if it may need more time than this daemon
     /// has left.
-    fn check_time(&self, service: &str, budget_ms: u64) -> Result<(), Status> {
+    fn check_time(&self, service: &str, timeout_ms: u64) -> Result<(), Status> {
         if self.0.in_flight.is_cut() {
             return Err(not_run_status("this daemon is about to exit"));
         }
-        let budget = Millis(budget_ms);
+        let timeout = Millis(timeout_ms);
         let pool = self.0.pools.find(service);
-        let declared = pool.map_or(budget, |p| p.topology().service.deadline_ms);
+        let declared = pool.map_or(timeout, |p| p.topology().service.deadline_ms);
         let exit = &self.0.server.exit;
-        match exit.deadline(Millis::now(), Some(budget), declared) {
+        match exit.deadline(Millis::now(), Some(timeout), declared) {
             Ok(_) => Ok(()),
             Err(refusal) => Err(not_run_status(&refusal.detail)),
         }
--- a/components/query/src/booking.rs
+++ b/components/query/src/booking.rs
@@ -38,7 +38,7 @@
     /// The idempotency key.
     pub key: Key,
     /// Time limit for the answer; the service's deadline if absent.
-    pub budget: Option<Millis>,
+    pub timeout: Option<Millis>,
     /// The shard to book on; chosen by a hash of the key if absent.
     pub shard: Option<String>,
     /// The body that is sent to the upstream.
@@ -77,7 +77,7 @@
         let shard = choose_shard(&topology, request)?;
         let deadline = self
             .exit
-            .deadline(started, request.budget, service.deadline_ms)?;
+            .deadline(started, request.timeout, service.deadline_ms)?;
         let _in_flight = self.admit(&topology)?;
         let fingerprint = fingerprint(&request.service, &request.body);
         self.check_quarantine(fingerprint)?;
@@ -194,15 +194,15 @@
             .root
             .owners(&topology.group_key(group), topology.group_domain(group));
         for member in owners.iter() {
-            let budget = self.deadline().since(Millis::now() + HOP_MARGIN);
-            if budget == Millis::ZERO {
+            let time_left = self.deadline().since(Millis::now() + HOP_MARGIN);
+            if time_left == Millis::ZERO {
                 break;
             }
-            let message = self.dispatch_request(budget);
+            let message = self.dispatch_request(time_left);
             match self
                 .root
                 .owner(member)
-                .dispatch(message, budget + HOP_MARGIN)
+                .dispatch(message, time_left + HOP_MARGIN)
                 .await
             {
                 Ok(reply) => return reply,
@@ -219,7 +219,7 @@
         not_run_reply(Reason::OwnerUnreachable)
     }
 
-    fn dispatch_request(&self, budget: Millis) -> DispatchRequest {
+    fn dispatch_request(&self, time_left: Millis) -> DispatchRequest {
         DispatchRequest {
             request_id: Uuid::new_v4().simple().to_string(),
             service: self.request.service.clone(),
@@ -227,7 +227,7 @@
             partitioning: self.topology.service.partitioning.clone(),
             shard: self.shard.clone(),
             key: self.request.key.text.clone(),
-            budget_ms: budget.0,
+            budget_ms: time_left.0,
             body: self.request.body.to_vec(),
             fingerprint: self.fingerprint,
         }
--- a/components/query/src/exit_time.rs
+++ b/components/query/src/exit_time.rs
@@ -29,7 +29,7 @@
     /// that this process has left.
     ///
     /// A request is expected to need the service's declared deadline, or the
-    /// caller's budget if that is shorter. A longer budget is cut to the time left.
+    /// caller's timeout if that is shorter. A longer timeout is cut to the time left.
     ///
     /// # Errors
     ///
@@ -37,11 +37,11 @@
     pub fn deadline(
         &self,
         started: Millis,
-        budget: Option<Millis>,
+        timeout: Option<Millis>,
         declared: Millis,
     ) -> Result<Millis> {
-        let deadline = started + budget.unwrap_or(declared);
-        let need = budget.unwrap_or(declared).min(declared);
+        let deadline = started + timeout.unwrap_or(declared);
+        let need = timeout.unwrap_or(declared).min(declared);
         match self.0.get() {
             Some(at) if at.since(started) < need => Err(too_late(at.since(started), need)),
             _ => Ok(self.bound(deadline)),
--- a/components/query/src/root.rs
+++ b/components/query/src/root.rs
@@ -42,7 +42,7 @@
     /// Name of the service.
     pub service: String,
     /// Time limit for the answer; the service's deadline if absent.
-    pub budget: Option<Millis>,
+    pub timeout: Option<Millis>,
     /// The shards to search; all if absent.
     pub shards: Option<Vec<String>>,
     /// The body that is sent to the upstreams.
--- a/components/query/src/search.rs
+++ b/components/query/src/search.rs
@@ -43,7 +43,7 @@
     ) -> Result<SearchAnswer> {
         let (revision, topology) = self.find_service(&request.service).await?;
         let declared = topology.service.deadline_ms;
-        let deadline = self.exit.deadline(started, request.budget, declared)?;
+        let deadline = self.exit.deadline(started, request.timeout, declared)?;
         let requested = requested_shards(&topology, request)?;
         let groups = groups_of(&topology, &requested);
         let keys = groups.iter().map(|&g| view_key(&topology, g)).collect();
@@ -63,10 +63,10 @@
 }
 
 impl Search<'_> {
-    async fn run(&self, budget: Millis) -> Result<SearchAnswer> {
+    async fn run(&self, time_left: Millis) -> Result<SearchAnswer> {
         let fingerprint = fingerprint(&self.request.service, &self.request.body);
         self.root.check_quarantine(fingerprint)?;
-        self.check_wait(budget)?;
+        self.check_wait(time_left)?;
         self.root
             .refresh_views(&self.topology, &self.groups, self.deadline)
             .await;
@@ -75,9 +75,9 @@
     }
 
     /// Refuses a search if the wait that an owner reported is too long.
-    fn check_wait(&self, budget: Millis) -> Result<()> {
+    fn check_wait(&self, time_left: Millis) -> Result<()> {
         let wait = self.root.waits.longest(&self.keys, Millis::now());
-        if !is_too_long(wait, budget) {
+        if !is_too_long(wait, time_left) {
             return Ok(());
         }
         let detail = format!("sub-requests wait {wait} for a slot");
--- a/tests/daemon_shutdown.rs
+++ b/tests/daemon_shutdown.rs
@@ -15,14 +15,18 @@
 };
 use serde_json::{Value, json};
 use standins::client::{Answer, JsonClient};
-use standins::fleet::{Binaries, Fleet, Plan, ServicePlan, book, search};
+use standins::fleet::{Binaries, Fleet, Plan, book, search};
 use tonic::{Code, Status};
 use transport::{Client, Payload, PeerClient, operator_client, peer_client};
 use uuid::Uuid;
 
+#[path = "support/local_fleet.rs"]
+mod local_fleet;
+
+use local_fleet::{UPSTREAMS, hang_upstreams, jobs_service, start_fleet};
+
 const EXIT_TIMEOUT: Duration = Duration::from_secs(10);
-const LONG_BUDGET: Millis = Millis(20_000);
-const UPSTREAMS: usize = 3;
+const LONG_TIMEOUT: Millis = Millis(20_000);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Request {
@@ -44,39 +48,20 @@
     Leave,
 }
 
-/// Starts two daemons, each of which owns all shards for its own callers.
 async fn start(deadline: Millis, grace: Millis, drain: Millis) -> Fleet {
-    let mut service = ServicePlan::new("jobs", UPSTREAMS);
-    service.service.deadline_ms = deadline;
-    let settings = json!({ "grace_ms": grace.0, "drain_ms": drain.0, "heartbeat_ms": 200,
-        "ownership": "local" });
-    let plan = Plan {
-        daemons: 2,
-        services: vec![service],
-        settings,
-        ..Plan::default()
-    };
-    Fleet::ready(&Binaries::find(), plan).await
-}
-
-/// Lets all upstreams keep requests without an answer.
-async fn hang_upstreams(fleet: &Fleet) {
-    for number in 1..=UPSTREAMS {
-        let name = format!("jobs-{number}");
-        fleet.control(&name, json!({ "mode": "hanging" })).await;
-    }
+    start_fleet(jobs_service(deadline), grace, drain).await
 }
 
 async fn send(
     client: &JsonClient,
     request: Request,
     id: &str,
-    budget: Millis,
+    timeout: Millis,
 ) -> transport::Result<Answer> {
-    let (budget, key) = (budget.0.to_string(), Uuid::now_v7().to_string());
+    let (timeout, key) = (timeout.0.to_string(), Uuid::now_v7().to_string());
     let headers = [
         ("x-request-id", id),
-        ("x-deadline-ms", budget.as_str()),
+        ("x-deadline-ms", timeout.as_str()),
         ("idempotency-key", key.as_str()),
     ];
     let (path, body): (_, Bytes) = match request {
@@ -109,7 +94,7 @@
         let mut fleet = start(Millis(1_000), Millis(200), Millis(800)).await;
         hang_upstreams(&fleet).await;
         let client = fleet.client(0);
-        let sent = send(&client, request, "r-cut", LONG_BUDGET);
+        let sent = send(&client, request, "r-cut", LONG_TIMEOUT);
         let (answer, code) = join(sent, terminate(&mut fleet, Duration::from_millis(300))).await;
         let answer = answer.expect("the request is answered before the exit");
         assert_eq!(code, Some(0));
@@ -135,7 +120,7 @@
         let client = fleet.client(0);
         let sent = async {
             compio::time::sleep(Duration::from_millis(600)).await;
-            send(&client, request, "r-late", LONG_BUDGET).await
+            send(&client, request, "r-late", LONG_TIMEOUT).await
         };
         let (answer, code) = join(sent, terminate(&mut fleet, Duration::from_millis(100))).await;
         let answer = answer.expect("the request is answered before the exit");
@@ -153,7 +138,7 @@
         let client = fleet.client(0);
         let sent = async {
             compio::time::sleep(Duration::from_millis(600)).await;
-            send(&client, request, "r-refused", LONG_BUDGET).await
+            send(&client, request, "r-refused", LONG_TIMEOUT).await
         };
         let (answer, code) = join(sent, terminate(&mut fleet, Duration::from_millis(100))).await;
         let answer = answer.expect("the request is answered before the exit");
@@ -197,7 +182,7 @@
         fleet.control(&name, json!({ "service_ms": 1_500.0 })).await;
     }
     let client = fleet.client(0);
-    let sent = send(&client, Request::Booking, "b-left", LONG_BUDGET);
+    let sent = send(&client, Request::Booking, "b-left", LONG_TIMEOUT);
     let left = compio::time::timeout(Duration::from_millis(300), sent).await;
     assert!(left.is_err(), "the caller leaves before the outcome");
     drop(client);
@@ -212,7 +197,7 @@
 async fn send_to_peer(
     mut client: PeerClient,
     request: SubRequest,
-    budget: Millis,
+    timeout: Millis,
 ) -> Result<(), Status> {
     let (service, partitioning) = ("jobs".to_owned(), "p1".to_owned());
     let (key, body) = (Uuid::now_v7().to_string(), b"\"sub\"".to_vec());
@@ -224,7 +209,7 @@
                 partitioning,
                 snapshot: 1,
                 shards: vec!["s0".to_owned()],
-                budget_ms: budget.0,
+                budget_ms: timeout.0,
                 body,
                 ..ScatterRequest::default()
             };
@@ -237,7 +222,7 @@
                 partitioning,
                 shard: "s0".to_owned(),
                 key,
-                budget_ms: budget.0,
+                budget_ms: timeout.0,
                 body,
                 ..DispatchRequest::default()
             };
@@ -249,7 +234,7 @@
                 key,
                 nonce: "nonce".to_owned(),
                 claimer: "entry-2".to_owned(),
-                budget_ms: budget.0,
+                budget_ms: timeout.0,
             };
             client.claim(message).await.map(|_| ())
         }
@@ -266,7 +251,7 @@
         hang_upstreams(&fleet).await;
         fleet.set_store_faults(json!({ "hang": true })).await;
         let client = peer_client(fleet.daemons[0].peers);
-        let sent = send_to_peer(client, request, LONG_BUDGET);
+        let sent = send_to_peer(client, request, LONG_TIMEOUT);
         let (reply, code) = join(sent, terminate(&mut fleet, Duration::from_millis(300))).await;
         assert_eq!(code, Some(0));
         // A status without a source was sent by the peer; the others report a closed
@@ -289,7 +274,7 @@
         let client = peer_client(fleet.daemons[0].peers);
         let sent = async {
             compio::time::sleep(Duration::from_millis(600)).await;
-            send_to_peer(client, request, LONG_BUDGET).await
+            send_to_peer(client, request, LONG_TIMEOUT).await
         };
         let (reply, code) = join(sent, terminate(&mut fleet, Duration::from_millis(100))).await;
         assert_eq!(code, Some(0));
@@ -337,7 +322,7 @@
         let found = search(&client, "jobs", &json!("late")).await;
         (
             found,
-            send(&client, Request::Booking, "b-late", LONG_BUDGET).await,
+            send(&client, Request::Booking, "b-late", LONG_TIMEOUT).await,
         )
     };
     let ((found, booked), code) = join(sent, terminate(&mut fleet, Duration::ZERO)).await;
--- a/tests/daemon_signals.rs
+++ b/tests/daemon_signals.rs
@@ -7,34 +7,21 @@
 use futures_util::future::{join, join_all};
 use serde_json::json;
 use standins::client::Answer;
-use standins::fleet::{Binaries, Fleet, Plan, ServicePlan, search};
+use standins::fleet::{Fleet, search};
+
+#[path = "support/local_fleet.rs"]
+mod local_fleet;
+
+use local_fleet::{hang_upstreams, jobs_service, start_fleet};
 
 const CALLERS: usize = 60;
-const UPSTREAMS: usize = 3;
 const EXIT_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Starts two daemons with upstreams that take `service_ms` for each request.
 async fn start(service_ms: f64, grace_ms: u64, drain_ms: u64) -> Fleet {
-    let mut service = ServicePlan::new("jobs", UPSTREAMS);
+    let mut service = jobs_service(Millis(5_000));
     service.behaviour.service_ms = service_ms;
-    service.service.deadline_ms = Millis(5_000);
-    let settings = json!({ "grace_ms": grace_ms, "drain_ms": drain_ms, "heartbeat_ms": 200,
-        "ownership": "local" });
-    let plan = Plan {
-        daemons: 2,
-        services: vec![service],
-        settings,
-        ..Plan::default()
-    };
-    Fleet::ready(&Binaries::find(), plan).await
-}
-
-/// Lets all upstreams keep requests without an answer.
-async fn hang_upstreams(fleet: &Fleet) {
-    for number in 1..=UPSTREAMS {
-        let name = format!("jobs-{number}");
-        fleet.control(&name, json!({ "mode": "hanging" })).await;
-    }
+    start_fleet(service, Millis(grace_ms), Millis(drain_ms)).await
 }
 
 /// Sends searches, each on a connection of its own, and returns their answers.
