--- a/components/routes/tests/table.rs
+++ b/components/routes/tests/table.rs
@@ -83,3 +83,21 @@
     };
     assert_eq!(gather.required_shards(), required);
 }
+
+/// A new configuration and a restart make a new splitter, so that the first
+/// requests of many daemons count as much as a long run of one.
+#[test]
+fn the_first_requests_of_many_splitters_are_proportional_to_the_weights() {
+    const SPLITTERS: usize = 2_000;
+    // The rule allows a share to be off by this much.
+    const TOLERANCE: f64 = 0.2;
+    let weighted = |service: &str, weight| WeightedService {
+        service: service.to_owned(),
+        weight,
+    };
+    let services = [weighted("a", 0.75), weighted("b", 0.25)];
+    let first = |_: &usize| Splitter::default().next(&services) == Some("b");
+    let count = (0..SPLITTERS).filter(first).count();
+    let share = count as f64 / SPLITTERS as f64;
+    assert!((share - 0.25).abs() < TOLERANCE, "{share}");
+}
