Let daemons earn all their retry tokens, and share less than one each

BUDGET bounds the repeats of all daemons together. Each daemon started with tokens that it had not earned, though the process that it replaced might have spent its share just before, and each could save up one token at least, however many daemons there were.

A daemon starts with no tokens now. Where the share is below one token, a full bucket gives one with the probability of its size, so that all together give what they may. The sum is below 0.9 of the slack, or 0.8 where chance decides.

--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -14,11 +14,9 @@
 
 /// Share of the slack that all daemons together may save up as earned tokens.
 const TOKEN_LIMIT_SHARE: f64 = 0.9;
-/// Share of the slack that all daemons together start with. Saved-up tokens and
-/// those that requests earn keep within the slack and the ratio; a rolling restart
-/// of all daemons can spend these initial tokens within one window on top of the
-/// saved ones.
-const INITIAL_TOKENS_SHARE: f64 = 0.3;
+/// As [`TOKEN_LIMIT_SHARE`], if each daemon's share is below one token, so that how
+/// many are spent at once is up to chance.
+const PARTIAL_TOKEN_LIMIT_SHARE: f64 = 0.8;
 /// Connections per upstream of a service that the configuration does not
 /// contain yet.
 const DEFAULT_CONNECTIONS: usize = 16;
@@ -167,9 +165,10 @@
 
     fn get_or_create(&self, service: &str) -> Rc<Pool> {
         let mut pools = self.pools.borrow_mut();
+        // A daemon that starts has earned nothing: what it replaces may have spent
+        // its share just before.
         let create = || {
-            let tokens = initial_tokens(self.slack(), self.daemons.get());
-            let budget = Rc::new(Budget::starting_with(tokens));
+            let budget = Rc::new(Budget::starting_with(0.0));
             Pool::with_budget(&self.shared, service, budget)
         };
         pools
@@ -179,16 +178,14 @@
     }
 }
 
-/// Returns the retry tokens that each of `daemons` daemons may save up: its
-/// share of the slack, but at least one token, which its own requests must
-/// earn.
+/// Returns the retry tokens that each of `daemons` daemons may save up: its share
+/// of the slack, which may be less than one token.
 pub fn token_limit(slack: f64, daemons: usize) -> f64 {
-    (slack * TOKEN_LIMIT_SHARE / daemons as f64).max(1.0)
-}
-
-/// Returns the retry tokens that each of `daemons` daemons starts with.
-pub fn initial_tokens(slack: f64, daemons: usize) -> f64 {
-    slack * INITIAL_TOKENS_SHARE / daemons as f64
+    let share = slack / daemons as f64;
+    match share * TOKEN_LIMIT_SHARE {
+        limit if limit >= 1.0 => limit,
+        _ => share * PARTIAL_TOKEN_LIMIT_SHARE,
+    }
 }
 
 /// Returns the connections that each of `daemons` daemons may hold to an
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -24,7 +24,7 @@
 mod wire;
 
 pub use concurrency::ConcurrencyLimiter;
-pub use fleet::{connection_share, initial_tokens, token_limit};
+pub use fleet::{connection_share, token_limit};
 pub use gather::{Progress, Step, partial_answer_after};
 pub use merge::top_records;
 pub use refusal::{Cause, Refusal, Result};
--- a/components/gateway/tests/decisions.rs
+++ b/components/gateway/tests/decisions.rs
@@ -3,8 +3,8 @@
 
 use clock::Millis;
 use gateway::{
-    Cause, ConcurrencyLimiter, Progress, Refusal, Step, connection_share, initial_tokens,
-    partial_answer_after, retry_after, token_limit, top_records,
+    Cause, ConcurrencyLimiter, Progress, Refusal, Step, connection_share, partial_answer_after,
+    retry_after, token_limit, top_records,
 };
 use http::StatusCode;
 use rstest::rstest;
@@ -162,7 +162,7 @@
 fn daemons_share_the_budget_of_a_service(#[case] daemons: usize, #[case] requests: usize) {
     const SLACK: f64 = 206.0;
     let new = || {
-        let budget = Budget::starting_with(initial_tokens(SLACK, daemons));
+        let budget = Budget::starting_with(0.0);
         budget.set_limit(token_limit(SLACK, daemons));
         budget
     };
--- a/components/upstreams/src/budget.rs
+++ b/components/upstreams/src/budget.rs
@@ -7,6 +7,10 @@
 const INITIAL_LIMIT: f64 = 4.0;
 
 /// Tokens for hedges or retries; each sub-request adds a fraction of a token.
+///
+/// A budget that may hold less than one token is one of many that share a bound.
+/// When it is full, it gives a whole token with a probability equal to its limit,
+/// and is empty afterwards, so that all together give what they may.
 #[derive(Debug)]
 pub struct Budget {
     tokens: Cell<f64>,
@@ -43,16 +47,24 @@
 
     /// Takes one token and returns `true`, or returns `false` if there is none.
     pub fn spend(&self) -> bool {
-        let has_token = self.has_token();
-        if has_token {
-            self.tokens.set(self.tokens.get() - 1.0);
+        let limit = self.limit.get();
+        match self.has_token() {
+            true if limit < 1.0 => {
+                self.tokens.set(0.0);
+                rand::random::<f64>() < limit
+            }
+            true => {
+                self.tokens.set(self.tokens.get() - 1.0);
+                true
+            }
+            false => false,
         }
-        has_token
     }
 
-    /// Whether at least one token is left.
+    /// Whether a token may be taken: at least one is left, or the budget is full.
     pub fn has_token(&self) -> bool {
-        self.tokens.get() >= 1.0
+        let limit = self.limit.get();
+        limit > 0.0 && self.tokens.get() >= limit.min(1.0)
     }
 
     /// Returns the tokens that are left.
