--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -121,6 +121,14 @@
         self.history.borrow_mut().push(event);
     }
 
+    /// Deletes all items whose keys start with a prefix.
+    pub fn delete_all(&self, prefix: &str) {
+        let all: Vec<String> = self.items.borrow().keys().cloned().collect();
+        all.iter()
+            .filter(|key| key.starts_with(prefix))
+            .for_each(|key| self.delete(key));
+    }
+
     /// Drops the history, so that watches from an older revision get status 410.
     pub fn compact(&self) {
         self.history.borrow_mut().clear();
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -5,6 +5,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use clock::Millis;
@@ -247,3 +248,33 @@
         .unwrap();
     assert!(retry_after > MIN_RETRY_AFTER_S, "{retry_after}");
 }
+
+/// Leases can expire while the store is away, and their records with them.
+#[compio::test]
+async fn a_quarantine_outlives_the_loss_of_its_records_and_all_gateways() {
+    const RECORDS: &str = "coltsfootgw/crashes/";
+    const REWRITE_TIME: Duration = Duration::from_secs(6);
+    let site = CrashSite::start(1, UPSTREAMS).await;
+    let mut gateways = start_gateways(&site, 2).await;
+    let path = format!("{READ}{CRASHING}");
+    for n in 0..6 {
+        let address = gateways[n % 2].endpoints.callers();
+        try_get(address, &path, &format!("c-{n}")).await;
+        compio::time::sleep(CRASH_INTERVAL.into()).await;
+    }
+    let ends = site.log.ends.borrow().len();
+    let is_recorded = async || site.store.has(RECORDS);
+    wait_until("the crashes are in the store", PROPAGATION, is_recorded).await;
+    site.store.delete_all(RECORDS);
+    wait_until("the crashes are written again", REWRITE_TIME, is_recorded).await;
+    compio::time::sleep(PROPAGATION).await;
+    gateways.iter_mut().for_each(|g| g.process.kill());
+    gateways[0].restart().await;
+    wait_until("the gateway is ready", PROPAGATION, async || {
+        gateways[0].is_ready().await
+    })
+    .await;
+    let answer = gateways[0].get(&path, "last").await;
+    assert!(is_quarantined(&answer), "{answer:?}");
+    assert_eq!(site.log.ends.borrow().len(), ends);
+}
