--- a/components/upstreams/src/budget.rs
+++ b/components/upstreams/src/budget.rs
@@ -8,9 +8,9 @@
 
 /// Tokens for hedges or retries; each sub-request adds a fraction of a token.
 ///
-/// A budget that may hold less than one token is one of many that share a bound.
-/// When it is full, it gives a whole token with a probability equal to its limit,
-/// and is empty afterwards, so that all together give what they may.
+/// A budget that may hold less than one token is one of many that share a bound. It
+/// gives a whole token with the probability of what it holds, and is empty
+/// afterwards, so that all together give what they may.
 #[derive(Debug)]
 pub struct Budget {
     tokens: Cell<f64>,
@@ -47,12 +47,8 @@
 
     /// Takes one token and returns `true`, or returns `false` if there is none.
     pub fn spend(&self) -> bool {
-        let limit = self.limit.get();
         match self.has_token() {
-            true if limit < 1.0 => {
-                self.tokens.set(0.0);
-                rand::random::<f64>() < limit
-            }
+            true if self.is_partial() => rand::random::<f64>() < self.tokens.replace(0.0),
             true => {
                 self.tokens.set(self.tokens.get() - 1.0);
                 true
@@ -61,10 +57,18 @@
         }
     }
 
-    /// Whether a token may be taken: at least one is left, or the budget is full.
+    /// Whether a token may be taken: at least one is left, or a part of one if the
+    /// budget can't hold more.
     pub fn has_token(&self) -> bool {
-        let limit = self.limit.get();
-        limit > 0.0 && self.tokens.get() >= limit.min(1.0)
+        match self.is_partial() {
+            true => self.tokens.get() > 0.0,
+            false => self.tokens.get() >= 1.0,
+        }
+    }
+
+    /// Whether the budget can't hold a whole token.
+    fn is_partial(&self) -> bool {
+        self.limit.get() < 1.0
     }
 
     /// Returns the tokens that are left.
