Test the end check alone, and untie it from the records of attempts

Recording a crash stands beside the check that decides it; attempt/record.rs and end_check.rs no longer import each other. Lines about crashes are limited like all others about single requests.

--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: a request sent to one upstream while a slot is held.
 
-pub(crate) mod record;
+mod record;
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/components/upstreams/src/attempt/record.rs
+++ b/components/upstreams/src/attempt/record.rs
@@ -7,8 +7,7 @@
 use telemetry::names;
 
 use crate::call::{Call, HEDGE_QUANTILE};
-use crate::crashes::{CRASH_TTL, Crash};
-use crate::end_check::check_end;
+use crate::end_check::{check_end, record_crashes};
 use crate::failure::{Failure, Ran, Reason, Result};
 use crate::message::{Answer, UpstreamReport};
 use crate::pool::Pool;
@@ -68,36 +67,6 @@
     upstream.close_idle();
 }
 
-/// Records that an upstream ended under requests.
-pub(crate) fn record_crashes(
-    pool: &Pool,
-    upstream: &Upstream,
-    requests: &[SentRequest],
-    now: Millis,
-) {
-    if requests.is_empty() {
-        return;
-    }
-    for request in requests {
-        metrics::counter!(names::CRASHES_TOTAL).increment(1);
-        slog::warn!(pool.shared.log, "upstream ended under request"; "fingerprint" => request.fingerprint,
-            "upstream" => &upstream.id, "shard" => &*request.shard, "alone" => request.is_suspect,
-            "known_crashes" => pool.shared.crashes.crash_domains(request.fingerprint, now).len());
-        let crash = Crash {
-            upstream: upstream.process_id(),
-            shard: request.shard.to_string(),
-            domain: upstream.domain.clone(),
-            alone: request.is_suspect,
-            expires_at: now + CRASH_TTL,
-        };
-        if pool.shared.crashes.record(request.fingerprint, crash, now) {
-            slog::warn!(pool.shared.log, "request quarantined"; "fingerprint" => request.fingerprint,
-                "upstream" => &upstream.id);
-        }
-    }
-    pool.shared.notify_peers();
-}
-
 pub(crate) fn record_report(
     pool: &Pool,
     upstream: &Upstream,
--- a/components/upstreams/src/end_check.rs
+++ b/components/upstreams/src/end_check.rs
@@ -7,8 +7,9 @@
 
 use clock::Millis;
 use futures_channel::oneshot;
+use telemetry::names;
 
-use crate::attempt::record::record_crashes;
+use crate::crashes::{CRASH_TTL, Crash};
 use crate::pool::Pool;
 use crate::sent::SentRequest;
 use crate::upstream::Upstream;
@@ -86,3 +87,40 @@
         Ok(Err(_)) | Err(_) => false,
     }
 }
+
+/// Records that an upstream ended under requests.
+pub(crate) fn record_crashes(
+    pool: &Pool,
+    upstream: &Upstream,
+    requests: &[SentRequest],
+    now: Millis,
+) {
+    if requests.is_empty() {
+        return;
+    }
+    for request in requests {
+        log_crash(pool, upstream, request, now);
+        let crash = Crash {
+            upstream: upstream.process_id(),
+            shard: request.shard.to_string(),
+            domain: upstream.domain.clone(),
+            alone: request.is_suspect,
+            expires_at: now + CRASH_TTL,
+        };
+        if pool.shared.crashes.record(request.fingerprint, crash, now) {
+            slog::warn!(pool.shared.log, "request quarantined"; "fingerprint" => request.fingerprint,
+                "upstream" => &upstream.id);
+        }
+    }
+    pool.shared.notify_peers();
+}
+
+fn log_crash(pool: &Pool, upstream: &Upstream, request: &SentRequest, now: Millis) {
+    metrics::counter!(names::CRASHES_TOTAL).increment(1);
+    let known = pool.shared.crashes.crash_domains(request.fingerprint, now);
+    pool.shared.log_limiter.write(|| {
+        slog::warn!(pool.shared.log, "upstream ended under request"; "fingerprint" => request.fingerprint,
+            "upstream" => &upstream.id, "shard" => &*request.shard, "alone" => request.is_suspect,
+            "known_crashes" => known.len());
+    });
+}
--- /dev/null
+++ b/components/upstreams/tests/end_check.rs
@@ -0,0 +1,131 @@
+//! Whether a lost connection counts as a crash: the upstream may have ended, or
+//! only dropped the connection.
+
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use clock::Millis;
+use futures_util::future::join;
+use http::{Request, Response};
+use rstest::rstest;
+use transport::Payload;
+use upstreams::{
+    Call, CrashStatus, Endpoint, Message, Pool, PoolConfig, Recipient, Reply, RetryPolicy,
+};
+
+#[path = "support/test_pool.rs"]
+mod test_pool;
+
+use test_pool::{AllUpstreams, empty_pool};
+
+const TIMEOUT: Millis = Millis(2_000);
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
+
+struct PlainRequest;
+
+impl Message for PlainRequest {
+    fn id(&self) -> &str {
+        "r"
+    }
+
+    fn to_request(&self, _: &Recipient<'_>, _: Millis) -> Option<Request<Payload>> {
+        Request::get("/").body(Payload::default()).ok()
+    }
+
+    fn read(&self, _: &Recipient<'_>, _: Response<Bytes>) -> Reply {
+        unreachable!("nothing is answered")
+    }
+}
+
+fn call(fingerprint: u64) -> Call {
+    let policy = RetryPolicy {
+        attempts: 1,
+        hedge_percent: 0,
+        retry_percent: 0,
+        awaits_replicas: false,
+        hedge_within: None,
+    };
+    Call {
+        fingerprint,
+        ..test_pool::call(PlainRequest, TIMEOUT, policy)
+    }
+}
+
+/// A pool with one upstream of two slots.
+fn pool(listener: &TcpListener) -> Rc<Pool> {
+    let config = PoolConfig {
+        confirms_crashes: true,
+        ..PoolConfig::default()
+    };
+    let pool = empty_pool(config);
+    listener.set_nonblocking(true).unwrap();
+    pool.install(&[Endpoint {
+        id: "u1".to_owned(),
+        address: listener.local_addr().unwrap(),
+        domain: "a".to_owned(),
+        started_at: Some(Millis(7)),
+        slots: 2,
+        connections: 2,
+        is_drained: false,
+    }]);
+    pool
+}
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => return stream,
+            Err(_) => compio::time::sleep(ACCEPT_INTERVAL).await,
+        }
+    }
+}
+
+fn status(pool: &Pool, fingerprint: u64) -> CrashStatus {
+    pool.shared().crashes.status(fingerprint, Millis::now())
+}
+
+#[rstest]
+#[case::ended(true, CrashStatus::Suspect)]
+#[case::dropped_the_connection(false, CrashStatus::Clear)]
+#[compio::test]
+async fn only_an_upstream_that_refuses_connections_has_ended(
+    #[case] has_ended: bool,
+    #[case] expected: CrashStatus,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let pool = pool(&listener);
+    let call = call(1);
+    let shard = AllUpstreams(pool.clone());
+    let serve = async {
+        let stream = accept(&listener).await;
+        compio::time::sleep(Duration::from_millis(20)).await;
+        let kept = (!has_ended).then_some(listener);
+        drop(stream);
+        compio::time::sleep(Duration::from_millis(200)).await;
+        drop(kept);
+    };
+    let (result, ()) = join(pool.fetch(&shard, &call), serve).await;
+    result.expect_err("the connection is lost");
+    assert_eq!(status(&pool, 1), expected);
+}
+
+#[compio::test]
+async fn a_request_that_was_not_sent_to_an_ended_upstream_is_no_suspect() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let pool = pool(&listener);
+    let calls = [call(1), call(2)];
+    let shard = AllUpstreams(pool.clone());
+    let serve = async {
+        let stream = accept(&listener).await;
+        drop(listener);
+        drop(stream);
+    };
+    let (result, ()) = join(pool.fetch(&shard, &calls[0]), serve).await;
+    result.expect_err("the connection is lost");
+    let result = pool.fetch(&shard, &calls[1]).await;
+    result.expect_err("the upstream refuses connections");
+    assert_eq!(status(&pool, 1), CrashStatus::Suspect);
+    assert_eq!(status(&pool, 2), CrashStatus::Clear);
+}
--- a/components/upstreams/tests/placement.rs
+++ b/components/upstreams/tests/placement.rs
@@ -7,7 +7,7 @@
 use clock::Millis;
 use http::{Request, Response};
 use transport::Payload;
-use upstreams::{Call, Crash, Endpoint, Message, Pool, Recipient, Reply, RetryPolicy};
+use upstreams::{Call, Crash, Endpoint, Message, Pool, PoolConfig, Recipient, Reply, RetryPolicy};
 
 #[path = "support/test_pool.rs"]
 mod test_pool;
@@ -92,7 +92,7 @@
 #[compio::test]
 async fn a_suspect_avoids_the_failure_domain_of_its_crash() {
     let (same, other) = (silent(), silent());
-    let pool = empty_pool();
+    let pool = empty_pool(PoolConfig::default());
     pool.install(&[endpoint("u1", "a", &same), endpoint("u2", "b", &other)]);
     run_suspects(&pool).await;
     assert!(same.accept().is_err(), "the whole domain may be failing");
@@ -102,7 +102,7 @@
 #[compio::test]
 async fn a_suspect_runs_in_the_same_failure_domain_if_there_is_no_other() {
     let same = silent();
-    let pool = empty_pool();
+    let pool = empty_pool(PoolConfig::default());
     pool.install(&[endpoint("u1", "a", &same)]);
     run_suspects(&pool).await;
     assert!(same.accept().is_ok());
--- a/components/upstreams/tests/support/test_pool.rs
+++ b/components/upstreams/tests/support/test_pool.rs
@@ -4,7 +4,7 @@
 
 use clock::Millis;
 use slog::{Discard, Logger, o};
-use upstreams::{Call, Message, Pool, RetryPolicy, Shard, Shared, UpstreamKey};
+use upstreams::{Call, Message, Pool, PoolConfig, RetryPolicy, Shard, Shared, UpstreamKey};
 
 /// A shard whose replicas are all upstreams of a pool.
 pub struct AllUpstreams(pub Rc<Pool>);
@@ -20,9 +20,9 @@
 }
 
 /// A pool without upstreams.
-pub fn empty_pool() -> Rc<Pool> {
+pub fn empty_pool(config: PoolConfig) -> Rc<Pool> {
     let log = Logger::root(Discard, o!());
-    let pool = Pool::new(&Shared::new(&log), "s");
+    let pool = Pool::new(&Shared::with_config(&log, config), "s");
     pool.set_queue_limit(8);
     pool
 }
--- a/components/upstreams/tests/unsent.rs
+++ b/components/upstreams/tests/unsent.rs
@@ -9,7 +9,9 @@
 use clock::Millis;
 use http::{Request, Response};
 use transport::Payload;
-use upstreams::{Call, Endpoint, Message, Pool, Ran, Reason, Recipient, Reply, RetryPolicy};
+use upstreams::{
+    Call, Endpoint, Message, Pool, PoolConfig, Ran, Reason, Recipient, Reply, RetryPolicy,
+};
 
 #[path = "support/test_pool.rs"]
 mod test_pool;
@@ -59,7 +61,7 @@
 }
 
 fn pool() -> Rc<Pool> {
-    let pool = empty_pool();
+    let pool = empty_pool(PoolConfig::default());
     pool.install(&[draining("u1"), draining("u2")]);
     pool
 }
@@ -100,7 +102,7 @@
 
 #[compio::test]
 async fn a_service_without_upstreams_has_no_replica() {
-    let pool = empty_pool();
+    let pool = empty_pool(PoolConfig::default());
     let result = pool.fetch(&AllUpstreams(pool.clone()), &call(false)).await;
     let failure = result.expect_err("there is no replica");
     assert_eq!((failure.reason, failure.ran), (Reason::NoReplica, Ran::No));
@@ -108,7 +110,7 @@
 
 #[compio::test]
 async fn a_request_whose_caller_disconnected_is_not_dispatched() {
-    let pool = empty_pool();
+    let pool = empty_pool(PoolConfig::default());
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     pool.install(&[Endpoint {
         address: listener.local_addr().unwrap(),
