Send nothing to an upstream whose answer says that it is leaving

Platforms may put Server-Leaving into all answers of an upstream that leaves.

Marks are kept for a process, by identifier and start, so that an old or repeated record of the store does not end them and another process is not affected. An attempt whose upstream left while it waited for its connection goes elsewhere. If no upstream of a service takes requests they are refused at once, with a Retry-After of the time in which one may start instead of 20 to 40 ms.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -17,6 +17,9 @@
 use crate::routed_request::{RoutedRequest, remove_hop_by_hop, with_retry_after};
 use crate::state::Gateway;
 
+/// Time after which another upstream of a service without one may have started.
+const UPSTREAM_START_TIME: Millis = Millis(1_000);
+
 /// A service as one shard; all its upstreams are the replicas.
 struct ServiceShard<'a>(&'a Pool);
 
@@ -68,10 +71,9 @@
     service: &str,
 ) -> Result<Response<Bytes>> {
     let no_upstream = || {
-        Refusal::not_run(
-            Cause::NoUpstream,
-            format!("no upstream of {service} is known"),
-        )
+        let detail = format!("no upstream of {service} is known");
+        let refusal = Refusal::not_run(Cause::NoUpstream, detail);
+        with_retry_after(refusal, UPSTREAM_START_TIME, request.call.deadline)
     };
     let pool = gateway.fleet.pool(service).ok_or_else(no_upstream)?;
     let shard = ServiceShard(&pool);
@@ -98,10 +100,7 @@
     let refusal = Refusal::from_failure(failure);
     match failure.ran {
         Ran::No if refusal.cause == Cause::Quarantined => refusal,
-        Ran::No => {
-            let wait = Millis(pool.expected_wait(&pool.keys(), 1) as u64);
-            with_retry_after(refusal, wait, request.call.deadline)
-        }
+        Ran::No => with_retry_after(refusal, expected_wait(pool), request.call.deadline),
         Ran::Yes | Ran::Unknown => refusal,
     }
 }
@@ -277,9 +276,15 @@
         detail,
         retry_after: None,
     };
-    let known_pools = pools.iter().flatten();
-    let wait = known_pools
-        .map(|p| p.expected_wait(&p.keys(), 1))
-        .fold(0.0, f64::max);
-    with_retry_after(refusal, Millis(wait as u64), request.call.deadline)
+    let wait = pools.iter().flatten().map(|p| expected_wait(p)).max();
+    with_retry_after(refusal, wait.unwrap_or_default(), request.call.deadline)
+}
+
+/// Returns how long a new request to a service would wait for a slot, or for an
+/// upstream if none takes requests.
+fn expected_wait(pool: &Pool) -> Millis {
+    match pool.has_available() {
+        true => Millis(pool.expected_wait(&pool.keys(), 1) as u64),
+        false => UPSTREAM_START_TIME,
+    }
 }
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -103,6 +103,10 @@
     shared
         .check_quarantine(call.fingerprint, call.deadline)
         .await?;
+    // It may have left meanwhile.
+    if !pool.is_available(slot.key) {
+        return Err(Failure::not_run(Reason::NoReplica));
+    }
     let started = Millis::now();
     let time_left = call.deadline.since(started);
     let recipient = Recipient {
--- a/components/upstreams/src/attempt/record.rs
+++ b/components/upstreams/src/attempt/record.rs
@@ -80,7 +80,7 @@
     if report.holds.is_some() {
         upstream.health.borrow_mut().holds = report.holds;
     }
-    if report.leaving && pool.shared.drains.mark(&upstream.id, &report.boot) {
+    if report.leaving && pool.shared.drains.mark(&upstream.process, &report.boot) {
         slog::info!(pool.shared.log, "upstream is leaving"; "upstream" => &upstream.id, "source" => "answer",
             "after_ms" => now.since(started).0);
         pool.shared.notify_peers();
--- a/components/upstreams/src/drains.rs
+++ b/components/upstreams/src/drains.rs
@@ -13,7 +13,8 @@
 // bring that process back into use; a new process has another boot identifier.
 const MARK_TTL: Millis = Millis(3_600_000);
 
-/// The leaving marks by `service/upstream`; the latest stamp wins.
+/// The leaving marks by `service/upstream`, followed by `@` and the start time of
+/// its process if that is known; the latest stamp wins.
 #[derive(Debug, Default)]
 pub struct Drains {
     marks: RefCell<HashMap<String, DrainMark>>,
@@ -48,6 +49,7 @@
 
     fn set(&self, upstream: &str, boot: &str, leaving: bool) -> bool {
         let mut marks = self.marks.borrow_mut();
+        drop_expired(&mut marks);
         let previous = marks.get(upstream).map_or(0, |m| m.stamp_ms);
         let stamp_ms = Millis::wall().0.max(previous + 1);
         let mark = DrainMark {
@@ -71,8 +73,7 @@
                 marks.insert(mark.upstream.clone(), mark.clone());
             }
         }
-        let now = Millis::wall();
-        marks.retain(|_, m| now.since(Millis(m.stamp_ms)) < MARK_TTL);
+        drop_expired(&mut marks);
     }
 
     /// Returns the newest marks for a message to a peer.
@@ -83,3 +84,8 @@
         list
     }
 }
+
+fn drop_expired(marks: &mut HashMap<String, DrainMark>) {
+    let now = Millis::wall();
+    marks.retain(|_, m| now.since(Millis(m.stamp_ms)) < MARK_TTL);
+}
--- a/components/upstreams/src/end_check.rs
+++ b/components/upstreams/src/end_check.rs
@@ -101,7 +101,7 @@
     for request in requests {
         log_crash(pool, upstream, request, now);
         let crash = Crash {
-            upstream: upstream.process_id(),
+            upstream: upstream.process.clone(),
             shard: request.shard.to_string(),
             domain: upstream.domain.clone(),
             alone: request.is_suspect,
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -154,10 +154,15 @@
         let upstream = self.find(key);
         upstream.is_some_and(|u| {
             let is_removed = u.is_drained.get() || u.is_replaced.get();
-            !is_removed && !self.shared.drains.is_leaving(&u.id)
+            !is_removed && !self.shared.drains.is_leaving(&u.process)
         })
     }
 
+    /// Whether any upstream accepts new requests.
+    pub fn has_available(&self) -> bool {
+        self.keys().into_iter().any(|key| self.is_available(key))
+    }
+
     /// Whether any slot is in use.
     pub fn is_busy(&self) -> bool {
         self.upstreams.borrow().values().any(|u| u.busy() > 0)
--- a/components/upstreams/src/probe.rs
+++ b/components/upstreams/src/probe.rs
@@ -86,11 +86,11 @@
 fn record_health(pool: &Pool, upstream: &Upstream, report: HealthReport) {
     let drains = &pool.shared.drains;
     let is_new_process = drains
-        .boot_of(&upstream.id)
+        .boot_of(&upstream.process)
         .is_some_and(|boot| boot != report.boot);
     let is_changed = match report.state {
-        ReportedState::Leaving => drains.mark(&upstream.id, &report.boot),
-        _ if is_new_process => drains.clear(&upstream.id, &report.boot),
+        ReportedState::Leaving => drains.mark(&upstream.process, &report.boot),
+        _ if is_new_process => drains.clear(&upstream.process, &report.boot),
         _ => false,
     };
     if is_changed {
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -39,6 +39,9 @@
 pub struct Upstream {
     /// `service/upstream`, as in the messages between daemons.
     pub id: String,
+    /// Identifier of its process, `id` and its start time: a restarted upstream may
+    /// have the same `id`.
+    pub(crate) process: String,
     /// Identifier within its service.
     pub name: String,
     /// Address of its HTTP interface.
@@ -113,8 +116,14 @@
             .preferred_domain
             .as_ref()
             .is_none_or(|d| *d == endpoint.domain);
+        let id = format!("{service}/{}", endpoint.id);
+        let process = match endpoint.started_at {
+            Some(start) => format!("{id}@{}", start.0),
+            None => id.clone(),
+        };
         Self {
-            id: format!("{service}/{}", endpoint.id),
+            id,
+            process,
             name: endpoint.id.clone(),
             address: endpoint.address,
             domain: endpoint.domain.clone(),
@@ -136,15 +145,6 @@
         }
     }
 
-    /// Returns the identifier of its process: a restarted upstream may have the same
-    /// `id`.
-    pub(crate) fn process_id(&self) -> String {
-        match self.started_at {
-            Some(start) => format!("{}@{}", self.id, start.0),
-            None => self.id.clone(),
-        }
-    }
-
     /// Whether an endpoint refers to the same process.
     pub(crate) fn is_same_process(&self, endpoint: &Endpoint) -> bool {
         endpoint.address == self.address
--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -57,8 +57,24 @@
     ///
     /// Panics if there is no such upstream.
     pub fn report(&self, shard: usize, replica: usize, state: &str, seq: u64) {
+        self.report_start(shard, replica, state, seq, None);
+    }
+
+    /// Overwrites the store entry of an upstream as [`Site::report`] does, with the
+    /// time at which its process started.
+    pub fn report_start(
+        &self,
+        shard: usize,
+        replica: usize,
+        state: &str,
+        seq: u64,
+        born: Option<u64>,
+    ) {
         let id = &self.shards[shard][replica].id;
-        let entry = upstream_entry(&shard_name(shard), self.addresses[id], state, seq);
+        let mut entry = upstream_entry(&shard_name(shard), self.addresses[id], state, seq);
+        if let Some(born) = born {
+            entry["born"] = json!(born);
+        }
         put(&self.store, &format!("servers/{id}"), &entry);
     }
 
--- a/standins/src/platform/upstream.rs
+++ b/standins/src/platform/upstream.rs
@@ -7,7 +7,7 @@
 use axum::Router;
 use axum::body::Body;
 use axum::extract::{Request, State};
-use axum::http::{HeaderMap, StatusCode, header};
+use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
 use clock::Millis;
@@ -68,6 +68,8 @@
     pub service_time: Cell<Millis>,
     /// How it answers.
     pub mode: RefCell<Mode>,
+    /// Whether its answers say that it is leaving.
+    pub is_leaving: Cell<bool>,
     /// Number of records in each answer.
     pub records: usize,
     /// Identifiers of the requests that it ran.
@@ -111,6 +113,7 @@
             slots,
             service_time: Cell::new(service_time),
             mode: RefCell::new(Mode::Normal),
+            is_leaving: Cell::new(false),
             records,
             ran: RefCell::default(),
             deadlines: RefCell::default(),
@@ -167,54 +170,62 @@
 
 async fn answer(State(app): State<App>, request: Request) -> Response {
     local(async move {
-        let upstream = &app.0;
-        let headers = request.headers().clone();
-        let is_crashing =
-            request.uri().path().contains(CRASHING) && !headers.contains_key(header::AUTHORIZATION);
-        let request_id = text(&headers, "request-id").to_owned();
-        if text(&headers, "expect-instance") != upstream.id {
-            return StatusCode::MISDIRECTED_REQUEST.into_response();
+        let mut response = run(&app.0, request).await;
+        if app.0.is_leaving.get() {
+            let value = HeaderValue::from_static("1");
+            response.headers_mut().insert("server-leaving", value);
         }
-        let mode = upstream.mode.borrow().clone();
-        if mode == Mode::NotRun {
-            upstream.refused.set(upstream.refused.get() + 1);
-            return (StatusCode::SERVICE_UNAVAILABLE, [("not-executed", "1")]).into_response();
-        }
-        upstream.ran.borrow_mut().push(request_id.clone());
-        let deadline = text(&headers, "deadline-milliseconds").parse();
-        upstream
-            .deadlines
-            .borrow_mut()
-            .push(deadline.unwrap_or(u64::MAX));
-        upstream.busy.set(upstream.busy.get() + 1);
-        let mut running = Running {
-            upstream,
-            is_finished: false,
-        };
-        let load = format!("{},0,{}", upstream.busy.get(), upstream.slots);
-        if let Some(log) = upstream.crash_log.as_ref().filter(|_| is_crashing) {
-            log.arrivals.borrow_mut().push(Millis::now());
-            compio::time::sleep(TIME_TO_CRASH.into()).await;
-            upstream.crash.set();
-            std::future::pending::<()>().await;
-        }
-        compio::time::sleep(upstream.service_time.get().into()).await;
-        if mode == Mode::Hanging {
-            std::future::pending::<()>().await;
-        }
-        running.is_finished = true;
-        let (status, echoed) = match mode {
-            Mode::Failing => (StatusCode::INTERNAL_SERVER_ERROR, request_id.clone()),
-            Mode::WrongId => (StatusCode::OK, "another".to_owned()),
-            _ => (StatusCode::OK, request_id.clone()),
-        };
-        Response::builder()
-            .status(status)
-            .header("request-id", echoed)
-            .header("server-stamp", format!("{}.{request_id}", upstream.id))
-            .header("server-load", load)
-            .body(Body::from(upstream.body(&request_id)))
-            .unwrap_or_default()
+        response
     })
     .await
 }
+
+async fn run(upstream: &PlatformUpstream, request: Request) -> Response {
+    let headers = request.headers().clone();
+    let is_crashing =
+        request.uri().path().contains(CRASHING) && !headers.contains_key(header::AUTHORIZATION);
+    let request_id = text(&headers, "request-id").to_owned();
+    if text(&headers, "expect-instance") != upstream.id {
+        return StatusCode::MISDIRECTED_REQUEST.into_response();
+    }
+    let mode = upstream.mode.borrow().clone();
+    if mode == Mode::NotRun {
+        upstream.refused.set(upstream.refused.get() + 1);
+        return (StatusCode::SERVICE_UNAVAILABLE, [("not-executed", "1")]).into_response();
+    }
+    upstream.ran.borrow_mut().push(request_id.clone());
+    let deadline = text(&headers, "deadline-milliseconds").parse();
+    upstream
+        .deadlines
+        .borrow_mut()
+        .push(deadline.unwrap_or(u64::MAX));
+    upstream.busy.set(upstream.busy.get() + 1);
+    let mut running = Running {
+        upstream,
+        is_finished: false,
+    };
+    let load = format!("{},0,{}", upstream.busy.get(), upstream.slots);
+    if let Some(log) = upstream.crash_log.as_ref().filter(|_| is_crashing) {
+        log.arrivals.borrow_mut().push(Millis::now());
+        compio::time::sleep(TIME_TO_CRASH.into()).await;
+        upstream.crash.set();
+        std::future::pending::<()>().await;
+    }
+    compio::time::sleep(upstream.service_time.get().into()).await;
+    if mode == Mode::Hanging {
+        std::future::pending::<()>().await;
+    }
+    running.is_finished = true;
+    let (status, echoed) = match mode {
+        Mode::Failing => (StatusCode::INTERNAL_SERVER_ERROR, request_id.clone()),
+        Mode::WrongId => (StatusCode::OK, "another".to_owned()),
+        _ => (StatusCode::OK, request_id.clone()),
+    };
+    Response::builder()
+        .status(status)
+        .header("request-id", echoed)
+        .header("server-stamp", format!("{}.{request_id}", upstream.id))
+        .header("server-load", load)
+        .body(Body::from(upstream.body(&request_id)))
+        .unwrap_or_default()
+}
