Send nothing to an upstream for the time that its 503 asks for

Platforms let an upstream that turns a request away add Retry-After: it wants nothing from that machine for so long. The gateway ignored it and went on with each request, hedge and trial.

Such an upstream is no candidate for anything until its time has passed, also as the only one; then it starts with one request at a time. Requests that wait in the queue are refused as soon as no upstream that they may use is left, before only at their deadline. If no upstream of a service wants requests, callers are refused at once and told the soonest of these times, spread over 0.5 s.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -20,6 +20,9 @@
 /// Time after which another upstream of a service without one may have started.
 const UPSTREAM_START_TIME: Millis = Millis(1_000);
 
+/// Callers that wait for the end of a backoff are spread over this time.
+const BACKOFF_SPREAD_MS: u64 = 500;
+
 /// A service as one shard; all its upstreams are the replicas.
 struct ServiceShard<'a>(&'a Pool);
 
@@ -100,7 +103,7 @@
     let refusal = Refusal::from_failure(failure);
     match failure.ran {
         Ran::No if refusal.cause == Cause::Quarantined => refusal,
-        Ran::No => with_retry_after(refusal, expected_wait(pool), request.call.deadline),
+        Ran::No => with_expected_wait(refusal, &[Some(pool)], request.call.deadline),
         Ran::Yes | Ran::Unknown => refusal,
     }
 }
@@ -276,15 +279,32 @@
         detail,
         retry_after: None,
     };
-    let wait = pools.iter().flatten().map(|p| expected_wait(p)).max();
-    with_retry_after(refusal, wait.unwrap_or_default(), request.call.deadline)
+    let pools: Vec<Option<&Pool>> = pools.iter().map(Option::as_deref).collect();
+    with_expected_wait(refusal, &pools, request.call.deadline)
+}
+
+/// Tells the caller when to come back: when a slot is expected to be free in all
+/// services, when an upstream may have started where none is left, or when one
+/// takes requests again where all have asked this daemon to back off. Only the last
+/// is known, so that it is told even if the caller has less time left.
+fn with_expected_wait(refusal: Refusal, pools: &[Option<&Pool>], deadline: Millis) -> Refusal {
+    let now = Millis::now();
+    let known = pools.iter().flatten();
+    let backoff = known.clone().filter_map(|p| p.shortest_backoff(now)).max();
+    let wait = known.map(|p| expected_wait(p, now)).max();
+    let refusal = with_retry_after(refusal, wait.unwrap_or(UPSTREAM_START_TIME), deadline);
+    match backoff {
+        Some(left) if left > Millis::ZERO => Refusal {
+            retry_after: Some(left + Millis(rand::random_range(0..BACKOFF_SPREAD_MS))),
+            ..refusal
+        },
+        _ => refusal,
+    }
 }
 
-/// Returns how long a new request to a service would wait for a slot, or for an
-/// upstream if none takes requests.
-fn expected_wait(pool: &Pool) -> Millis {
-    match pool.has_available() {
-        true => Millis(pool.expected_wait(&pool.keys(), 1) as u64),
-        false => UPSTREAM_START_TIME,
+fn expected_wait(pool: &Pool, now: Millis) -> Millis {
+    match pool.shortest_backoff(now) {
+        Some(_) => Millis(pool.expected_wait(&pool.keys(), 1) as u64),
+        None => UPSTREAM_START_TIME,
     }
 }
--- a/components/telemetry/src/metric.rs
+++ b/components/telemetry/src/metric.rs
@@ -54,6 +54,8 @@
     pub const LOST_CONNECTIONS_TOTAL: &str = "coltsfootgw_lost_connections_total";
     /// Requests that ran on an upstream when it ended.
     pub const CRASHES_TOTAL: &str = "coltsfootgw_crashes_total";
+    /// Answers that asked this daemon to send nothing to an upstream for a while.
+    pub const BACKOFFS_TOTAL: &str = "coltsfootgw_backoffs_total";
     /// Tasks that panicked.
     pub const PANICS_TOTAL: &str = "coltsfootgw_panics_total";
     /// Bytes of control messages sent to peers.
--- a/components/upstreams/src/attempt/record.rs
+++ b/components/upstreams/src/attempt/record.rs
@@ -68,7 +68,7 @@
 }
 
 pub(crate) fn record_report(
-    pool: &Pool,
+    pool: &Rc<Pool>,
     upstream: &Upstream,
     report: UpstreamReport,
     started: Millis,
@@ -80,11 +80,35 @@
     if report.holds.is_some() {
         upstream.health.borrow_mut().holds = report.holds;
     }
+    if let Some(header) = report.unreadable {
+        pool.shared.log_limiter.write(|| {
+            slog::warn!(pool.shared.log, "header of an answer ignored"; "upstream" => &upstream.id,
+                "header" => &header);
+        });
+    }
+    if let Some(wait) = report.backoff {
+        record_backoff(pool, upstream, wait, now);
+    }
     if report.leaving && pool.shared.drains.mark(&upstream.process, &report.boot) {
         slog::info!(pool.shared.log, "upstream is leaving"; "upstream" => &upstream.id, "source" => "answer",
             "after_ms" => now.since(started).0);
         pool.shared.notify_peers();
+        pool.grant_slots();
+    }
+}
+
+/// Sends nothing to an upstream for a while, and little at first afterwards.
+fn record_backoff(pool: &Rc<Pool>, upstream: &Upstream, wait: Millis, now: Millis) {
+    if !pool.shared.backoffs.record(&upstream.process, wait, now) {
+        return;
     }
+    upstream.health.borrow_mut().ramp = 1;
+    metrics::counter!(names::BACKOFFS_TOTAL).increment(1);
+    pool.shared.log_limiter.write(|| {
+        slog::info!(pool.shared.log, "upstream wants no requests for a while"; "upstream" => &upstream.id,
+            "wait_ms" => wait.0);
+    });
+    pool.grant_slots();
 }
 
 pub(crate) fn record_outcome(
--- a/components/upstreams/src/lib.rs
+++ b/components/upstreams/src/lib.rs
@@ -2,6 +2,7 @@
 //! retries.
 
 mod attempt;
+mod backoffs;
 mod batch;
 mod budget;
 mod call;
@@ -28,6 +29,7 @@
 mod view;
 mod wire;
 
+pub use backoffs::Backoffs;
 pub use batch::jittered_wait;
 pub use budget::Budget;
 pub use call::{Call, RetryPolicy, Shard};
--- a/components/upstreams/src/message.rs
+++ b/components/upstreams/src/message.rs
@@ -48,6 +48,10 @@
 pub struct UpstreamReport {
     /// Whether the upstream reports that it will stop.
     pub leaving: bool,
+    /// Time for which the upstream wants no requests from this daemon.
+    pub backoff: Option<Millis>,
+    /// A header of the answer that could not be read, with its value.
+    pub unreadable: Option<String>,
     /// Identifier of the upstream's process.
     pub boot: String,
     /// Load of the upstream: 1 if all slots are in use, more if requests wait.
--- a/components/upstreams/src/placement.rs
+++ b/components/upstreams/src/placement.rs
@@ -67,9 +67,13 @@
             return Err(AcquireError::QueueFull);
         }
         let left = request.deadline.since(now);
+        let candidates = request.candidates.clone();
         let receiver = self.queue.push(request);
         match compio::time::timeout(left.into(), receiver).await {
             Ok(Ok(slot)) => Ok(slot),
+            Ok(Err(_)) if !candidates.iter().any(|&k| self.is_available(k)) => {
+                Err(AcquireError::NoReplica)
+            }
             Ok(Err(_)) => Err(AcquireError::Timeout),
             Err(_) => Err(AcquireError::Timeout),
         }
@@ -175,6 +179,7 @@
         if self.queue.len() == 0 {
             return;
         }
+        self.queue.drop_unservable(|key| self.is_available(key));
         let now = Millis::now();
         let end = now + Millis(self.latency.borrow().mean_ms() as u64);
         let mut free = self.free_upstreams();
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -5,6 +5,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
+use clock::Millis;
 use slotmap::SlotMap;
 use telemetry::names;
 
@@ -148,9 +149,16 @@
         upstreams.iter().map(|(k, u)| (k, u.clone())).collect()
     }
 
-    /// Whether an upstream accepts new requests: it is in the pool, not drained,
-    /// not replaced and not leaving.
+    /// Whether an upstream accepts new requests: it is [staying](Pool::is_staying),
+    /// and has not asked this daemon to back off.
     pub(crate) fn is_available(&self, key: UpstreamKey) -> bool {
+        let now = Millis::now();
+        let left = |u: Rc<Upstream>| self.shared.backoffs.time_left(&u.process, now);
+        self.is_staying(key) && self.find(key).map(left) == Some(Millis::ZERO)
+    }
+
+    /// Whether an upstream is in the pool, not drained, not replaced and not leaving.
+    pub(crate) fn is_staying(&self, key: UpstreamKey) -> bool {
         let upstream = self.find(key);
         upstream.is_some_and(|u| {
             let is_removed = u.is_drained.get() || u.is_replaced.get();
@@ -158,9 +166,13 @@
         })
     }
 
-    /// Whether any upstream accepts new requests.
-    pub fn has_available(&self) -> bool {
-        self.keys().into_iter().any(|key| self.is_available(key))
+    /// Returns the time until an upstream accepts requests again, zero if one does;
+    /// `None` if none stays.
+    pub fn shortest_backoff(&self, now: Millis) -> Option<Millis> {
+        let staying = self.entries().into_iter();
+        let staying = staying.filter(|(key, _)| self.is_staying(*key));
+        let left = staying.map(|(_, u)| self.shared.backoffs.time_left(&u.process, now));
+        left.min()
     }
 
     /// Whether any slot is in use.
--- a/components/upstreams/src/queue.rs
+++ b/components/upstreams/src/queue.rs
@@ -78,6 +78,19 @@
         Some(NextWaiter { at, request })
     }
 
+    /// Drops the waiters that may use none of the upstreams for which `is_available`
+    /// holds.
+    pub(crate) fn drop_unservable(&self, is_available: impl Fn(UpstreamKey) -> bool) {
+        let dropped: Vec<Waiter> = {
+            let mut waiters = self.waiters.borrow_mut();
+            let is_unservable =
+                |w: &mut Waiter| !w.request.candidates.iter().any(|&k| is_available(k));
+            waiters.extract_if(.., is_unservable).collect()
+        };
+        // Wakes the receivers, which are told that there is no replica.
+        drop(dropped);
+    }
+
     pub(crate) fn remove(&self, at: usize) -> Waiter {
         self.waiters.borrow_mut().remove(at)
     }
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -8,6 +8,7 @@
 use slog::Logger;
 use telemetry::RequestLogLimiter;
 
+use crate::backoffs::Backoffs;
 use crate::crashes::{CrashTable, DEFAULT_CRASH_LIMIT};
 use crate::drains::Drains;
 use crate::failure::Result;
@@ -48,6 +49,8 @@
 pub struct Shared {
     /// Marks of leaving upstreams.
     pub drains: Drains,
+    /// Upstreams that want no requests for a while.
+    pub backoffs: Backoffs,
     /// Crashes of upstreams, by the requests that ran there.
     pub crashes: CrashTable,
     /// Called when the marks or crashes have changed and peers should be
@@ -74,6 +77,7 @@
     pub fn with_config(log: &Logger, config: PoolConfig) -> Rc<Self> {
         Rc::new(Self {
             drains: Drains::default(),
+            backoffs: Backoffs::default(),
             crashes: CrashTable::new(config.crash_limit),
             peer_notifier: RefCell::default(),
             owns_group: RefCell::default(),
--- a/components/upstreams/src/wire.rs
+++ b/components/upstreams/src/wire.rs
@@ -90,6 +90,8 @@
 
 fn report(headers: &HeaderMap) -> UpstreamReport {
     UpstreamReport {
+        backoff: None,
+        unreadable: None,
         leaving: text(headers, LEAVING_HEADER).is_some_and(|v| v == "1"),
         boot: text(headers, BOOT_HEADER).unwrap_or_default().to_owned(),
         load: text(headers, LOAD_HEADER).and_then(|v| v.parse().ok()),
--- a/standins/src/platform/upstream.rs
+++ b/standins/src/platform/upstream.rs
@@ -29,6 +29,8 @@
     Normal,
     /// Refuses the request and reports that it did not run it.
     NotRun,
+    /// As `NotRun`, with a `Retry-After` header.
+    BackOff(String),
     /// Runs the request and answers with status 500.
     Failing,
     /// Answers with the identifier of another request.
@@ -193,6 +195,11 @@
         upstream.refused.set(upstream.refused.get() + 1);
         return (StatusCode::SERVICE_UNAVAILABLE, [("not-executed", "1")]).into_response();
     }
+    if let Mode::BackOff(wait) = &mode {
+        upstream.refused.set(upstream.refused.get() + 1);
+        let headers = [("not-executed", "1"), ("retry-after", wait.as_str())];
+        return (StatusCode::SERVICE_UNAVAILABLE, headers).into_response();
+    }
     upstream.ran.borrow_mut().push(request_id.clone());
     let deadline = text(&headers, "deadline-milliseconds").parse();
     upstream
