--- a/components/gateway/src/crash_sharing.rs
+++ b/components/gateway/src/crash_sharing.rs
@@ -35,7 +35,7 @@
 /// Crashes that expire sooner are not written again when their lease has ended.
 const MIN_REMAINING: Millis = Millis(60_000);
 
-/// What the store holds of a crash, by request and process of the upstream.
+/// The request and the process of the upstream.
 type CrashKey = (u64, String);
 
 /// Shares the crashes that one gateway knows.
@@ -195,6 +195,10 @@
     /// Returns the crashes that the store lacks, or that it lists though a success
     /// voided them.
     fn find_missing(&self, now: Millis) -> Vec<SharedCrash> {
+        let mut all = self.shared.crashes.shared(now);
+        if all.is_empty() {
+            return all;
+        }
         let directory = self.directory.borrow();
         let stored: HashMap<(u64, &str), bool> = directory
             .crashes()
@@ -208,7 +212,6 @@
                 (None, true) | (Some(_), false) => false,
             }
         };
-        let mut all = self.shared.crashes.shared(now);
         all.retain(is_missing);
         all
     }
