Keep the clock and the queue scan off the path of each request

Each choice among upstreams read the clock once for each candidate, although no upstream had asked for a pause, each send read it again for a quarantine although no crash was known, and each freed slot scanned all waiters for such that no upstream is left for. The scan now runs when an upstream becomes unavailable, also when another process has its address, and the tables are asked only when they hold something. Found on the last read of the change; what it gains was not measured yet.

--- a/components/upstreams/src/attempt/record.rs
+++ b/components/upstreams/src/attempt/record.rs
@@ -93,7 +93,7 @@
         slog::info!(pool.shared.log, "upstream is leaving"; "upstream" => &upstream.id, "source" => "answer",
             "after_ms" => now.since(started).0);
         pool.shared.notify_peers();
-        pool.grant_slots();
+        pool.drop_unservable();
     }
 }
 
@@ -108,7 +108,7 @@
         slog::info!(pool.shared.log, "upstream wants no requests for a while"; "upstream" => &upstream.id,
             "wait_ms" => wait.0);
     });
-    pool.grant_slots();
+    pool.drop_unservable();
 }
 
 pub(crate) fn record_outcome(
@@ -148,6 +148,7 @@
             slog::info!(pool.shared.log, "upstream was replaced"; "upstream" => &upstream.id,
                 "address" => %upstream.address);
             upstream.is_replaced.set(true);
+            pool.drop_unservable();
         }
         Err(f) if f.ran == Ran::Unknown => upstream.health.borrow_mut().record_failure(now),
         Err(_) => {}
--- a/components/upstreams/src/backoffs.rs
+++ b/components/upstreams/src/backoffs.rs
@@ -29,6 +29,11 @@
         end > known
     }
 
+    /// Whether no upstream asked for it lately.
+    pub fn is_empty(&self) -> bool {
+        self.until.borrow().is_empty()
+    }
+
     /// Returns how much longer an upstream wants no requests; zero if it takes them.
     pub fn time_left(&self, upstream: &str, now: Millis) -> Millis {
         let until = self.until.borrow();
--- a/components/upstreams/src/crashes.rs
+++ b/components/upstreams/src/crashes.rs
@@ -155,6 +155,11 @@
         CRASH_TTL - (expiry.max().unwrap_or(now) - now)
     }
 
+    /// Whether no crash is known.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.entries.borrow().is_empty()
+    }
+
     /// Returns the failure of a quarantined request that did not run yet, or
     /// `None` if the request is not quarantined.
     pub fn quarantine_failure(&self, fingerprint: u64, now: Millis) -> Option<Failure> {
--- a/components/upstreams/src/placement.rs
+++ b/components/upstreams/src/placement.rs
@@ -48,9 +48,15 @@
     /// and measured state.
     pub fn install(self: &Rc<Self>, endpoints: &[Endpoint]) {
         self.replace_upstreams(endpoints);
+        self.drop_unservable();
         self.grant_slots();
     }
 
+    /// Refuses the waiters whose upstreams have all become unavailable.
+    pub(crate) fn drop_unservable(&self) {
+        self.queue.drop_unservable(|key| self.is_available(key));
+    }
+
     /// Waits for a slot on one of the candidates.
     pub(crate) async fn acquire(
         self: &Rc<Self>,
@@ -179,7 +185,6 @@
         if self.queue.len() == 0 {
             return;
         }
-        self.queue.drop_unservable(|key| self.is_available(key));
         let now = Millis::now();
         let end = now + Millis(self.latency.borrow().mean_ms() as u64);
         let mut free = self.free_upstreams();
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -152,9 +152,10 @@
     /// Whether an upstream accepts new requests: it is [staying](Pool::is_staying),
     /// and has not asked this daemon to back off.
     pub(crate) fn is_available(&self, key: UpstreamKey) -> bool {
-        let now = Millis::now();
-        let left = |u: Rc<Upstream>| self.shared.backoffs.time_left(&u.process, now);
-        self.is_staying(key) && self.find(key).map(left) == Some(Millis::ZERO)
+        let backoffs = &self.shared.backoffs;
+        let wants_none = |u: Rc<Upstream>| backoffs.time_left(&u.process, Millis::now()).0 > 0;
+        let is_backing_off = !backoffs.is_empty() && self.find(key).is_some_and(wants_none);
+        !is_backing_off && self.is_staying(key)
     }
 
     /// Whether an upstream is in the pool, not drained, not replaced and not leaving.
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -94,7 +94,7 @@
     ///
     /// The failure tells the time until the quarantine ends.
     pub async fn check_quarantine(&self, fingerprint: u64, deadline: Millis) -> Result<()> {
-        loop {
+        while !self.crashes.is_empty() {
             let now = Millis::now();
             let Some(failure) = self.crashes.quarantine_failure(fingerprint, now) else {
                 return Ok(());
@@ -106,6 +106,7 @@
             }
             compio::time::sleep(left.into()).await;
         }
+        Ok(())
     }
 
     pub(crate) fn notify_peers(&self) {
