Follow a store that comes back from a copy

Cause: a daemon ordered what it knows by revision alone. A store that goes back to a copy gives revisions out again, so its records looked older than the known ones: a gateway read all records again and again and ignored them, renewed a lease that could belong to another daemon by then, and a new configuration came in force only once the revisions had caught up.

Change: the order is (era, revision). The store's client reads Store-Era in all answers; a change makes the daemon read all records anew, an answer of an earlier era fails, and leases carry the era in which they were granted: those of an earlier one have ended, without a call. Records that the copy lacks get 2.3 s to return, again after a second restore; a configuration never gives way to a lower version. Relays carry the era, a peer of an earlier one is not believed, and a daemon that polls it watches the store itself after 2.5 s. Registrations are made again spread over 2 s. Peers are no longer sent records whose deletion may be a lapse: they kept them for good. Without the header all is of era 0.

The stand-in store can be copied and restored; its HTTP calls have a file of their own.

--- a/components/discovery/src/crash_records.rs
+++ b/components/discovery/src/crash_records.rs
@@ -5,6 +5,7 @@
 
 use crate::entry::CrashEntry;
 use crate::feed::Result;
+use crate::registration::Lease;
 
 /// Largest number of crashes that one call writes.
 pub const CRASH_BATCH: usize = 32;
@@ -14,7 +15,7 @@
 pub trait CrashRecords {
     /// Writes up to [`CRASH_BATCH`] crashes that last until the lease ends; fails with
     /// [`crate::Error::LeaseEnded`] if it is gone. Writing one again replaces it.
-    async fn write_crashes(&self, lease: u64, crashes: &[CrashEntry]) -> Result<()>;
+    async fn write_crashes(&self, lease: Lease, crashes: &[CrashEntry]) -> Result<()>;
 }
 
 /// The crashes that a daemon knows, which it sends to the peers that poll it.
--- a/components/discovery/src/directory.rs
+++ b/components/discovery/src/directory.rs
@@ -1,5 +1,6 @@
 //! The known records, merged by revision.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
@@ -7,11 +8,12 @@
 use routes::Configuration;
 
 use crate::entry::{CrashEntry, Decode, Entry, InstanceEntry, Record, UpstreamEntry};
-use crate::feed::{Change, Changes, Snapshot, Update};
+use crate::feed::{Change, Changes, Position, Snapshot, Update};
 use crate::history::History;
 
-/// Records that expired during an outage of the store are written again within
-/// 2 s of its return; the other 300 ms cover the delay of the watch.
+/// Records that expired during an outage of the store, or that the copy lacks from
+/// which it came back, are written again within 2 s of its return; the other 300 ms
+/// cover the delay of the watch.
 const LAPSE_GRACE: Millis = Millis(2_300);
 /// How long the last report of a removed upstream is kept, so that a late
 /// write of an older report does not bring it back.
@@ -29,14 +31,14 @@
     removed_at: Millis,
 }
 
-/// The known state of the system as of a revision.
+/// The known state of the system as of a position of the store.
 pub struct Directory {
     decoder: Rc<dyn Decode>,
     known: BTreeMap<String, KnownRecord>,
     departed: HashMap<String, Departed>,
-    configuration: Option<(u64, Rc<Configuration>)>,
+    configuration: Option<Rc<Configuration>>,
     history: History,
-    revision: u64,
+    position: Position,
     lapse_until: Millis,
     rejected: Vec<String>,
 }
@@ -50,20 +52,20 @@
             departed: HashMap::new(),
             configuration: None,
             history: History::default(),
-            revision: 0,
+            position: Position::default(),
             lapse_until: Millis::ZERO,
             rejected: Vec::new(),
         }
     }
 
-    /// Returns the revision up to which all changes are applied.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Returns the position up to which all changes are applied.
+    pub fn position(&self) -> Position {
+        self.position
     }
 
-    /// Returns the configuration in force with the revision of its record.
-    pub fn configuration(&self) -> Option<(u64, Rc<Configuration>)> {
-        self.configuration.clone()
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> Option<&Rc<Configuration>> {
+        self.configuration.as_ref()
     }
 
     /// Returns the known upstreams.
@@ -90,12 +92,18 @@
         })
     }
 
-    /// Returns what a peer at the revision `after` needs to become current.
-    pub fn update_since(&self, after: u64) -> Update {
-        match self.history.since(after) {
+    /// Returns what a peer at the position `after` needs to become current; nothing
+    /// if it is in a later era.
+    pub fn update_since(&self, after: Position) -> Update {
+        let known = match after.era.cmp(&self.position.era) {
+            Ordering::Less => None,
+            Ordering::Equal => self.history.since(after.revision),
+            Ordering::Greater => Some(Vec::new()),
+        };
+        match known {
             Some(list) => Update::Changes(Changes {
                 list,
-                revision: self.revision,
+                at: self.position,
             }),
             None => Update::Snapshot(self.snapshot()),
         }
@@ -109,11 +117,12 @@
         }
     }
 
-    /// Returns all records.
+    /// Returns all records without those whose deletion may be a lapse.
     pub fn snapshot(&self) -> Snapshot {
+        let present = self.known.values().filter(|k| k.drop_at.is_none());
         Snapshot {
-            records: self.known.values().map(|k| k.record.clone()).collect(),
-            revision: self.revision,
+            records: present.map(|k| k.record.clone()).collect(),
+            at: self.position,
         }
     }
 
@@ -140,11 +149,15 @@
         self.lapse_until.since(now)
     }
 
-    /// Applies changes; `true` if the state of an entry has changed.
+    /// Applies changes unless they are of another era; `true` if the state of an
+    /// entry has changed.
     pub fn apply(&mut self, changes: Changes, now: Millis) -> bool {
         let mut is_changed = false;
+        if changes.at.era != self.position.era {
+            return is_changed;
+        }
         for change in changes.list {
-            if change.revision() > self.revision {
+            if change.revision() > self.position.revision {
                 self.history.add(change.clone());
             }
             is_changed |= match change {
@@ -152,16 +165,20 @@
                 Change::Delete { key, revision } => self.delete(&key, revision, now),
             };
         }
-        self.revision = self.revision.max(changes.revision);
+        self.position = self.position.max(changes.at);
         is_changed
     }
 
     /// Replaces all records with a snapshot unless it is older; `true` if the
-    /// state of an entry has changed.
+    /// state of an entry has changed. Records that the copy of a restored store
+    /// lacks are kept for as long as they may be written again.
     pub fn replace(&mut self, snapshot: Snapshot, now: Millis) -> bool {
-        if snapshot.revision < self.revision {
+        if snapshot.at < self.position {
             return false;
         }
+        if snapshot.at.era > self.position.era {
+            self.start_era(now);
+        }
         let listed: std::collections::HashSet<&str> =
             snapshot.records.iter().map(|r| r.key.as_str()).collect();
         let missing: Vec<String> = self
@@ -172,16 +189,27 @@
             .collect();
         let mut is_changed = false;
         for key in missing {
-            is_changed |= self.delete(&key, snapshot.revision, now);
+            is_changed |= self.delete(&key, snapshot.at.revision, now);
         }
         for record in snapshot.records {
             is_changed |= self.put(record);
         }
-        self.revision = snapshot.revision;
-        self.history.reset(self.revision);
+        self.position = snapshot.at;
+        self.history.reset(self.position.revision);
         is_changed
     }
 
+    /// Makes the known records older than any of the new era, whose revisions start
+    /// again.
+    fn start_era(&mut self, now: Millis) {
+        for known in self.known.values_mut() {
+            known.record.revision = 0;
+        }
+        if !self.known.is_empty() {
+            self.record_reconnect(now);
+        }
+    }
+
     /// Drops records that were not written again after a lapse; `true` if there
     /// were any.
     pub fn expire(&mut self, now: Millis) -> bool {
@@ -200,7 +228,10 @@
 
     fn put(&mut self, record: Record) -> bool {
         let known = self.known.get(&record.key);
-        if known.is_some_and(|k| k.record.revision >= record.revision && k.drop_at.is_none()) {
+        let is_known =
+            known.is_some_and(|k| k.record.revision >= record.revision && k.drop_at.is_none());
+        let is_configuration = known.is_some_and(|k| matches!(k.entry, Entry::Configuration(_)));
+        if is_known && !is_configuration {
             return false;
         }
         let entry = match self.decoder.decode(&record) {
@@ -212,11 +243,7 @@
             }
         };
         match entry {
-            Entry::Configuration(configuration) => {
-                self.configuration = Some((record.revision, configuration.clone()));
-                self.insert(record, Entry::Configuration(configuration));
-                true
-            }
+            Entry::Configuration(read) => self.put_configuration(record, read, is_known),
             Entry::Upstream(entry) => self.put_upstream(record, entry),
             entry => {
                 let is_changed = known.is_none_or(|k| k.entry != entry);
@@ -226,6 +253,27 @@
         }
     }
 
+    /// Puts a configuration in force unless a higher version is: a store that came
+    /// back from a copy may hold an older one.
+    fn put_configuration(
+        &mut self,
+        record: Record,
+        read: Rc<Configuration>,
+        is_known: bool,
+    ) -> bool {
+        let is_changed = match &self.configuration {
+            Some(known) if read.version < known.version => return false,
+            Some(known) if read.version == known.version && is_known => return false,
+            Some(known) => **known != *read,
+            None => true,
+        };
+        if is_changed {
+            self.configuration = Some(read.clone());
+        }
+        self.insert(record, Entry::Configuration(read));
+        is_changed
+    }
+
     /// Stores an upstream's report unless a newer one is known: a report that
     /// is written late must not undo a newer one.
     fn put_upstream(&mut self, record: Record, entry: UpstreamEntry) -> bool {
@@ -267,7 +315,7 @@
             return false;
         }
         if now < self.lapse_until {
-            known.drop_at.get_or_insert(self.lapse_until);
+            known.drop_at = Some(self.lapse_until);
             return false;
         }
         self.remove(key, now);
--- a/components/discovery/src/feed.rs
+++ b/components/discovery/src/feed.rs
@@ -9,6 +9,16 @@
 /// Result with this crate's error.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+/// A point in the history of a store. Positions of a later era are later, whatever
+/// their revisions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    /// Rises each time that the store comes back from a copy; 0 if it tells none.
+    pub era: u64,
+    /// Revision within the era. The revisions that a copy lacks are given out again.
+    pub revision: u64,
+}
+
 /// Failure of a request to the store or to a peer.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
@@ -19,6 +29,12 @@
         /// The revision after which changes were requested.
         after: u64,
     },
+    /// The store came back from a copy, so that all records must be read anew.
+    #[snafu(display("the store came back from a copy, era {era}"))]
+    Restored {
+        /// The era of the answer.
+        era: u64,
+    },
     /// The source is unreachable, refuses the request or responds with an
     /// error.
     #[snafu(display("{detail}"))]
@@ -26,7 +42,7 @@
         /// The cause.
         detail: String,
     },
-    /// The lease has ended.
+    /// The lease has ended, or was granted before the store came back from a copy.
     #[snafu(display("the lease has ended"))]
     LeaseEnded,
 }
@@ -55,13 +71,13 @@
     }
 }
 
-/// All records as of `revision`; single records may be newer.
+/// All records as of a position; single records may be newer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Snapshot {
     /// The records.
     pub records: Vec<Record>,
-    /// Changes after this revision may be missing.
-    pub revision: u64,
+    /// Changes after this position may be missing.
+    pub at: Position,
 }
 
 /// Changes in the order of their revisions.
@@ -69,16 +85,16 @@
 pub struct Changes {
     /// Records that were written and keys that were deleted.
     pub list: Vec<Change>,
-    /// The list is complete up to this revision.
-    pub revision: u64,
+    /// The list is complete up to this position, and all of its era.
+    pub at: Position,
 }
 
-/// What a directory at some revision needs to become current.
+/// What a directory at some position needs to become current.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Update {
     /// All records, because some changes are no longer kept.
     Snapshot(Snapshot),
-    /// The changes after the revision.
+    /// The changes after the position.
     Changes(Changes),
 }
 
@@ -88,6 +104,14 @@
     /// Reads all records.
     async fn read(&self) -> Result<Snapshot>;
 
-    /// Waits at most `wait` for changes after a revision.
-    async fn watch(&self, after: u64, wait: Millis) -> Result<Changes>;
+    /// Waits at most `wait` for changes after a position; fails with
+    /// [`Error::Restored`] if the store is in another era.
+    async fn watch(&self, after: Position, wait: Millis) -> Result<Changes>;
+
+    /// Returns the latest era that any answer of the store told, or a peer.
+    fn era(&self) -> u64;
+
+    /// Records an era that a peer told; answers of earlier ones are ignored from now
+    /// on.
+    fn observe_era(&self, era: u64);
 }
--- a/components/discovery/src/follow.rs
+++ b/components/discovery/src/follow.rs
@@ -9,6 +9,7 @@
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use slog::{Logger, info, warn};
+use telemetry::names;
 
 use crate::crash_records::CrashExchange;
 use crate::directory::Directory;
@@ -138,8 +139,15 @@
 
     /// Polls a watcher; returns the delay before the next poll.
     async fn poll_watcher(&self, watcher: &RelayClient) -> Millis {
-        let after = self.directory.borrow().revision();
+        let after = self.directory.borrow().position();
         match watcher.poll(after, WATCH_WAIT).await {
+            Ok(update) if self.is_outdated(&update) => {
+                slog::debug!(self.log, "watcher is in an older era"; "peer" => %watcher.address,
+                    "era" => update.position().era);
+                if self.store_age(Millis::now()) < RELAY_SILENCE {
+                    return RELAY_DELAY;
+                }
+            }
             Ok(update) if update.age < RELAY_SILENCE => {
                 self.record_contact(update.age);
                 self.apply_update(update);
@@ -160,6 +168,13 @@
         Millis::ZERO
     }
 
+    /// Whether the store has come back from a copy since the sender of an update read
+    /// its records.
+    fn is_outdated(&self, update: &PeerUpdate) -> bool {
+        let known = self.directory.borrow().position().era;
+        update.position().era < known.max(self.feed.era())
+    }
+
     /// Reads or watches the store once; returns the delay before the next time.
     async fn poll_store(&self) -> Millis {
         let result = self.read_store().await;
@@ -182,7 +197,7 @@
             self.is_loaded.set(true);
             return self.update(|d, now| d.replace(snapshot, now));
         }
-        let after = self.directory.borrow().revision();
+        let after = self.directory.borrow().position();
         let changes = self.feed.watch(after, WATCH_WAIT).await?;
         self.record_contact(Millis::ZERO);
         self.update(|d, now| d.apply(changes, now))
@@ -190,10 +205,18 @@
 
     fn update(&self, change: impl FnOnce(&mut Directory, Millis) -> bool) -> Result<()> {
         let now = Millis::now();
-        let (is_changed, rejected) = {
+        let before = self.directory.borrow().position();
+        let (is_changed, rejected, after) = {
             let mut directory = self.directory.borrow_mut();
-            (change(&mut directory, now), directory.take_rejected())
+            let is_changed = change(&mut directory, now);
+            (is_changed, directory.take_rejected(), directory.position())
         };
+        if before.revision > 0 && after.era > before.era {
+            metrics::counter!(names::STORE_RESTORES_TOTAL).increment(1);
+            warn!(self.log, "store restored from a copy, records read anew"; "era" => after.era,
+                "revision" => after.revision, "era_before" => before.era,
+                "revision_before" => before.revision);
+        }
         for entry in rejected {
             warn!(self.log, "record ignored"; "entry" => entry);
         }
@@ -225,7 +248,7 @@
         let at = now.since(age);
         self.last_contact.set(self.last_contact.get().max(at));
         if self.is_store_lost.replace(false) {
-            info!(self.log, "store reachable again"; "revision" => self.directory.borrow().revision());
+            info!(self.log, "store reachable again"; "revision" => self.directory.borrow().position().revision);
             self.directory.borrow_mut().record_reconnect(now);
         }
     }
@@ -236,15 +259,17 @@
                 info!(self.log, "store compacted its history, reading all records"; "after" => after);
                 self.is_loaded.set(false);
             }
+            Err(Error::Restored { .. }) => self.is_loaded.set(false),
             Err(e) if !self.is_store_lost.replace(true) => {
                 warn!(self.log, "store unreachable"; "error" => %e,
-                    "revision" => self.directory.borrow().revision());
+                    "revision" => self.directory.borrow().position().revision);
             }
             _ => {}
         }
     }
 
     fn apply_update(&self, update: PeerUpdate) {
+        self.feed.observe_era(update.position().era);
         if let Some(exchange) = &*self.crash_exchange.borrow() {
             exchange.merge_crashes(&update.crashes);
         }
--- a/components/discovery/src/follow/peers.rs
+++ b/components/discovery/src/follow/peers.rs
@@ -11,6 +11,7 @@
 use slog::{debug, info};
 
 use super::{Follower, RELAY_SILENCE, WATCH_WAIT};
+use crate::feed::Position;
 use crate::relay::{PeerUpdate, RelayClient};
 
 /// Peers are polled if the store has not answered for longer.
@@ -18,10 +19,10 @@
 const PEER_INTERVAL_MS: std::ops::Range<u64> = 300..500;
 
 impl Follower {
-    /// Returns what a peer at the revision `after` needs to become current;
+    /// Returns what a peer at the position `after` needs to become current;
     /// waits at most `wait`, and no longer than one watch, for a change.
-    pub async fn serve_peer(&self, after: u64, wait: Millis) -> PeerUpdate {
-        if self.directory.borrow().revision() <= after {
+    pub async fn serve_peer(&self, after: Position, wait: Millis) -> PeerUpdate {
+        if self.directory.borrow().position() <= after {
             let change = self.wait_for_change();
             let _ = compio::time::timeout(wait.min(WATCH_WAIT).into(), change).await;
         }
@@ -67,14 +68,19 @@
         let Some(address) = self.choose_peer() else {
             return;
         };
-        let after = self.directory.borrow().revision();
+        let after = self.directory.borrow().position();
         match RelayClient::new(address).poll(after, Millis::ZERO).await {
+            Ok(update) if self.is_outdated(&update) => {
+                debug!(self.log, "peer is in an older era"; "peer" => %address,
+                    "era" => update.position().era);
+            }
             Ok(update) => {
                 self.apply_update(update);
-                let to = self.directory.borrow().revision();
+                let to = self.directory.borrow().position();
                 if to > after {
                     info!(self.log, "directory updated from a peer"; "peer" => %address,
-                        "from_revision" => after, "to_revision" => to);
+                        "era" => to.era, "from_revision" => after.revision,
+                        "to_revision" => to.revision);
                     self.is_loaded.set(true);
                 }
             }
--- a/components/discovery/src/registration.rs
+++ b/components/discovery/src/registration.rs
@@ -5,6 +5,7 @@
 
 use async_trait::async_trait;
 use clock::Millis;
+use rand::RngExt;
 use slog::{Logger, debug, info, warn};
 
 use crate::entry::InstanceEntry;
@@ -15,23 +16,40 @@
 const RENEWAL_INTERVAL: Millis = Millis(3_000);
 const RETRY_DELAY: Millis = Millis(1_000);
 const END_CHECK_INTERVAL: Millis = Millis(1_000);
+/// All daemons lose their registrations at once if the store comes back from a copy;
+/// they make them again spread over this time.
+const RESTORE_SPREAD_MS: std::ops::Range<u64> = 0..2_000;
+
+/// A lease and the era of the store in which it was granted. A store that came back
+/// from a copy can grant the same number again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// Number that the store gave it.
+    pub number: u64,
+    /// Era of the store.
+    pub era: u64,
+}
 
 /// Leases and the registrations that they hold.
 #[async_trait(?Send)]
 pub trait Leases {
     /// Returns a new lease that expires unless it is renewed within `ttl`.
-    async fn grant(&self, ttl: Millis) -> Result<u64>;
+    async fn grant(&self, ttl: Millis) -> Result<Lease>;
+
+    /// Whether the store has come back from a copy since the lease was granted. Such
+    /// a lease has ended for its holder; calls with it are not sent.
+    fn is_lost(&self, lease: Lease) -> bool;
 
     /// Registers an instance until the lease ends; fails with
     /// [`Error::LeaseEnded`] if it is gone.
-    async fn register(&self, lease: u64, instance: &InstanceEntry) -> Result<()>;
+    async fn register(&self, lease: Lease, instance: &InstanceEntry) -> Result<()>;
 
     /// Renews a lease; fails with [`Error::LeaseEnded`] if it is gone.
-    async fn renew(&self, lease: u64) -> Result<()>;
+    async fn renew(&self, lease: Lease) -> Result<()>;
 
     /// Ends a lease, which removes the registration; fails with
     /// [`Error::LeaseEnded`] if it is gone.
-    async fn end(&self, lease: u64) -> Result<()>;
+    async fn end(&self, lease: Lease) -> Result<()>;
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,12 +57,12 @@
     /// There is no lease.
     Unregistered,
     /// The registration was not written, or its answer was lost.
-    Granted(u64),
-    Registered(u64),
+    Granted(Lease),
+    Registered(Lease),
 }
 
 impl State {
-    fn lease(self) -> Option<u64> {
+    fn lease(self) -> Option<Lease> {
         match self {
             State::Unregistered => None,
             State::Granted(lease) | State::Registered(lease) => Some(lease),
@@ -77,6 +95,16 @@
     /// lease if that call has left one.
     pub async fn run(self: Rc<Self>) {
         while !self.is_ended.get() {
+            if self.is_lost() {
+                self.state.set(State::Unregistered);
+                warn!(
+                    self.log,
+                    "registration lost with a restored store, registering again"
+                );
+                let spread = Millis(rand::rng().random_range(RESTORE_SPREAD_MS));
+                self.wait(spread).await;
+                continue;
+            }
             let delay = match self.register_or_renew().await {
                 _ if self.is_ended.get() => break,
                 Ok(()) => RENEWAL_INTERVAL,
@@ -87,10 +115,17 @@
         self.end_lease().await;
     }
 
-    /// Waits; returns within [`END_CHECK_INTERVAL`] once the registration is ended.
+    /// Whether the store came back from a copy without the registration.
+    fn is_lost(&self) -> bool {
+        let lease = self.state.get().lease();
+        lease.is_some_and(|lease| self.leases.is_lost(lease))
+    }
+
+    /// Waits; returns within [`END_CHECK_INTERVAL`] once the registration is ended or
+    /// lost.
     async fn wait(&self, delay: Millis) {
         let end = Millis::now() + delay;
-        while !self.is_ended.get() && Millis::now() < end {
+        while !self.is_ended.get() && !self.is_lost() && Millis::now() < end {
             let left = end.since(Millis::now());
             compio::time::sleep(left.min(END_CHECK_INTERVAL).into()).await;
         }
@@ -106,7 +141,8 @@
             Err(Error::LeaseEnded) => {
                 let lease = self.state.replace(State::Unregistered).lease();
                 if !self.is_ended.get() {
-                    warn!(self.log, "registration expired, registering again"; "lease" => lease);
+                    warn!(self.log, "registration expired, registering again";
+                        "lease" => lease.map(|l| l.number), "era" => lease.map(|l| l.era));
                 }
             }
             Err(e) => debug!(self.log, "registration not made or renewed"; "error" => %e),
@@ -123,19 +159,20 @@
 
     /// Repeats a registration without an answer. It keeps its lease, so that a
     /// late execution of the first call changes nothing.
-    async fn register_again(&self, lease: u64) -> Result<()> {
+    async fn register_again(&self, lease: Lease) -> Result<()> {
         self.leases.renew(lease).await?;
         self.register(lease).await
     }
 
-    async fn register(&self, lease: u64) -> Result<()> {
+    async fn register(&self, lease: Lease) -> Result<()> {
         if self.is_ended.get() {
             return Ok(());
         }
         self.leases.register(lease, &self.instance).await?;
         if !self.is_ended.get() {
             self.state.set(State::Registered(lease));
-            info!(self.log, "registered"; "lease" => lease, "ttl_ms" => LEASE_TTL.0);
+            info!(self.log, "registered"; "lease" => lease.number, "era" => lease.era,
+                "ttl_ms" => LEASE_TTL.0);
         }
         Ok(())
     }
@@ -153,7 +190,7 @@
                 Ok(()) | Err(Error::LeaseEnded) => self.state.set(State::Unregistered),
                 Err(e) => {
                     info!(self.log, "registration not removed, it expires with its lease";
-                        "lease" => lease, "error" => %e);
+                        "lease" => lease.number, "error" => %e);
                     compio::time::sleep(RETRY_DELAY.into()).await;
                 }
             }
--- a/components/discovery/src/relay.rs
+++ b/components/discovery/src/relay.rs
@@ -12,7 +12,7 @@
 use transport::{Client, Payload};
 
 use crate::entry::{CrashEntry, Record};
-use crate::feed::{Change, Changes, Error, Result, Snapshot, Update};
+use crate::feed::{Change, Changes, Error, Position, Result, Snapshot, Update};
 
 /// Path at which a daemon accepts the crashes of its peers.
 pub const CRASHES_PATH: &str = "/v1/crashes";
@@ -38,6 +38,9 @@
 /// JSON form of a [`PeerUpdate`].
 #[derive(Debug, Serialize, Deserialize)]
 pub struct RelayState {
+    // Absent from daemons that don't know eras.
+    #[serde(default)]
+    era: u64,
     revision: u64,
     /// Whether the list holds all records; keys that it lacks don't exist then.
     is_all: bool,
@@ -96,20 +99,31 @@
     }
 }
 
+impl PeerUpdate {
+    /// Returns the position of the peer.
+    pub(crate) fn position(&self) -> Position {
+        match &self.update {
+            Update::Snapshot(snapshot) => snapshot.at,
+            Update::Changes(changes) => changes.at,
+        }
+    }
+}
+
 impl From<PeerUpdate> for RelayState {
     fn from(update: PeerUpdate) -> Self {
-        let (is_all, revision, records) = match update.update {
+        let (is_all, at, records) = match update.update {
             Update::Snapshot(all) => {
                 let records = all.records.into_iter().map(RelayRecord::from);
-                (true, all.revision, records.collect())
+                (true, all.at, records.collect())
             }
             Update::Changes(changes) => {
                 let records = changes.list.into_iter().map(RelayRecord::from);
-                (false, changes.revision, records.collect())
+                (false, changes.at, records.collect())
             }
         };
         Self {
-            revision,
+            era: at.era,
+            revision: at.revision,
             is_all,
             age_ms: update.age.0,
             lapse_left_ms: update.lapse_left.0,
@@ -123,7 +137,10 @@
     type Error = base64::DecodeError;
 
     fn try_from(state: RelayState) -> std::result::Result<Self, Self::Error> {
-        let revision = state.revision;
+        let at = Position {
+            era: state.era,
+            revision: state.revision,
+        };
         let changes = state.records.into_iter().map(Change::try_from);
         let list = changes.collect::<std::result::Result<Vec<Change>, _>>()?;
         let put = |change| match change {
@@ -133,9 +150,9 @@
         let update = match state.is_all {
             true => Update::Snapshot(Snapshot {
                 records: list.into_iter().filter_map(put).collect(),
-                revision,
+                at,
             }),
-            false => Update::Changes(Changes { list, revision }),
+            false => Update::Changes(Changes { list, at }),
         };
         Ok(Self {
             update,
@@ -162,15 +179,18 @@
         }
     }
 
-    /// Requests what this daemon at the revision `after` needs to become
+    /// Requests what this daemon at the position `after` needs to become
     /// current; the peer waits at most `wait` for a change.
     ///
     /// # Errors
     ///
     /// Fails if the peer is unreachable or its response is unusable.
-    pub async fn poll(&self, after: u64, wait: Millis) -> Result<PeerUpdate> {
+    pub async fn poll(&self, after: Position, wait: Millis) -> Result<PeerUpdate> {
         let unavailable = |detail: String| Error::Unavailable { detail };
-        let uri = format!("/v1/directory?after={after}&wait_ms={}", wait.0);
+        let uri = format!(
+            "/v1/directory?era={}&after={}&wait_ms={}",
+            after.era, after.revision, wait.0
+        );
         let body = self
             .send(Method::GET, &uri, Bytes::new(), wait + RESPONSE_MARGIN)
             .await?;
--- a/components/discovery/tests/registration.rs
+++ b/components/discovery/tests/registration.rs
@@ -8,7 +8,7 @@
 
 use async_trait::async_trait;
 use clock::Millis;
-use discovery::{Error, InstanceEntry, Leases, Registration, Result};
+use discovery::{Error, InstanceEntry, Lease, Leases, Registration, Result};
 
 /// Longer than the interval between two renewals.
 const OBSERVATION: Duration = Duration::from_millis(3_300);
@@ -36,6 +36,7 @@
 #[derive(Default)]
 struct FakeLeases {
     granted: Cell<u64>,
+    era: Cell<u64>,
     live: RefCell<BTreeSet<u64>>,
     /// Leases that hold a registration.
     registered: RefCell<BTreeSet<u64>>,
@@ -73,17 +74,24 @@
 
 #[async_trait(?Send)]
 impl Leases for FakeLeases {
-    async fn grant(&self, _: Millis) -> Result<u64> {
+    async fn grant(&self, _: Millis) -> Result<Lease> {
         let execute = || {
             let lease = self.granted.get() + 1;
             self.granted.set(lease);
             self.live.borrow_mut().insert(lease);
-            lease
+            Lease {
+                number: lease,
+                era: self.era.get(),
+            }
         };
         call(self.grant_fault.take(), execute).await
     }
 
-    async fn register(&self, lease: u64, _: &InstanceEntry) -> Result<()> {
+    fn is_lost(&self, lease: Lease) -> bool {
+        lease.era != self.era.get()
+    }
+
+    async fn register(&self, Lease { number: lease, .. }: Lease, _: &InstanceEntry) -> Result<()> {
         let execute = || match self.live.borrow().contains(&lease) {
             true => {
                 self.registered.borrow_mut().insert(lease);
@@ -94,14 +102,14 @@
         call(self.register_fault.take(), execute).await?
     }
 
-    async fn renew(&self, lease: u64) -> Result<()> {
-        match self.live.borrow().contains(&lease) {
+    async fn renew(&self, lease: Lease) -> Result<()> {
+        match self.live.borrow().contains(&lease.number) && !self.is_lost(lease) {
             true => Ok(()),
             false => Err(Error::LeaseEnded),
         }
     }
 
-    async fn end(&self, lease: u64) -> Result<()> {
+    async fn end(&self, Lease { number: lease, .. }: Lease) -> Result<()> {
         let execute = || {
             self.registered.borrow_mut().remove(&lease);
             self.live.borrow_mut().remove(&lease)
@@ -202,3 +210,20 @@
     compio::time::sleep(EXIT_DELAY - CALL_DELAY).await;
     assert!(!leases.is_registered());
 }
+
+/// The store grants the numbers of earlier leases again after it came back from a
+/// copy.
+#[compio::test]
+async fn a_registration_that_a_restored_store_lacks_is_made_again() {
+    let leases = Rc::new(FakeLeases::default());
+    let registration = start(&leases).await;
+    assert!(leases.is_registered());
+    leases.registered.borrow_mut().clear();
+    leases.era.set(1);
+    compio::time::sleep(OBSERVATION).await;
+    assert_eq!(leases.granted.get(), 2);
+    assert!(leases.is_registered());
+    registration.end().await;
+    let live = leases.live.borrow();
+    assert_eq!(live.iter().collect::<Vec<_>>(), [&1], "others may hold it");
+}
--- a/components/discovery/tests/watchers.rs
+++ b/components/discovery/tests/watchers.rs
@@ -4,8 +4,8 @@
 
 use clock::Millis;
 use discovery::{
-    Change, Changes, CrashEntry, Directory, InstanceEntry, PeerUpdate, Record, RelayState,
-    Snapshot, Update, watchers,
+    Change, Changes, CrashEntry, Directory, InstanceEntry, PeerUpdate, Position, Record,
+    RelayState, Snapshot, Update, watchers,
 };
 use rstest::rstest;
 
@@ -73,6 +73,11 @@
 }
 
 const NOW: Millis = Millis(1_000);
+const ERA: u64 = 3;
+
+fn at(revision: u64) -> Position {
+    Position { era: ERA, revision }
+}
 
 /// A directory that was read at revision 10 and applied a write and a deletion.
 fn watcher() -> Directory {
@@ -84,7 +89,7 @@
     directory.replace(
         Snapshot {
             records,
-            revision: 10,
+            at: at(10),
         },
         NOW,
     );
@@ -95,7 +100,7 @@
             revision: 12,
         },
     ];
-    directory.apply(Changes { list, revision: 12 }, NOW);
+    directory.apply(Changes { list, at: at(12) }, NOW);
     directory
 }
 
@@ -105,7 +110,7 @@
 #[case::all_records_if_far_behind(9, true)]
 fn a_relayed_update_brings_a_directory_up_to_date(#[case] after: u64, #[case] is_all: bool) {
     let watcher = watcher();
-    let update = watcher.update_since(after);
+    let update = watcher.update_since(at(after));
     assert_eq!(matches!(update, Update::Snapshot(_)), is_all);
     let sent = PeerUpdate {
         update,
@@ -140,12 +145,12 @@
     peer.replace(
         Snapshot {
             records,
-            revision: after,
+            at: at(after),
         },
         NOW,
     );
     peer.apply_update(received.update, NOW);
-    assert_eq!(peer.revision(), 12);
+    assert_eq!(peer.position(), at(12));
     let actual: Vec<_> = peer.upstreams().collect();
     let expected: Vec<_> = watcher.upstreams().collect();
     assert_eq!(actual, expected);
@@ -158,7 +163,7 @@
     peer.replace(
         Snapshot {
             records,
-            revision: 10,
+            at: at(10),
         },
         NOW,
     );
@@ -167,7 +172,7 @@
         key: "u1".to_owned(),
         revision: 11,
     }];
-    peer.apply_update(Update::Changes(Changes { list, revision: 11 }), NOW);
+    peer.apply_update(Update::Changes(Changes { list, at: at(11) }), NOW);
     assert_eq!(peer.upstreams().count(), 1);
     peer.expire(NOW + Millis(2_100));
     assert_eq!(peer.upstreams().count(), 0);
--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -9,7 +9,7 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use clock::Millis;
-use discovery::{CRASHES_PATH, CrashEntry, CrashExchange, RelayState};
+use discovery::{CRASHES_PATH, CrashEntry, CrashExchange, Position, RelayState};
 use http::StatusCode;
 use telemetry::names;
 use transport::{Local, local};
@@ -53,7 +53,11 @@
 
 async fn directory(State(app): State<App>, Query(query): Query<HashMap<String, u64>>) -> Response {
     let number = |name| query.get(name).copied().unwrap_or(0);
-    let (after, wait) = (number("after"), Millis(number("wait_ms")));
+    let wait = Millis(number("wait_ms"));
+    let after = Position {
+        era: number("era"),
+        revision: number("after"),
+    };
     local(async move {
         let state = app.0.follower.serve_peer(after, wait).await;
         Json(RelayState::from(state)).into_response()
--- a/components/gateway/src/crash_sharing.rs
+++ b/components/gateway/src/crash_sharing.rs
@@ -10,8 +10,8 @@
 
 use clock::Millis;
 use discovery::{
-    CRASH_BATCH, CrashEntry, CrashExchange, CrashRecords, Directory, Error, Leases, RelayClient,
-    Result, SharedDirectory,
+    CRASH_BATCH, CrashEntry, CrashExchange, CrashRecords, Directory, Error, Lease, Leases,
+    RelayClient, Result, SharedDirectory,
 };
 use futures_channel::oneshot;
 use rand::RngExt;
@@ -50,7 +50,7 @@
     told: RefCell<HashMap<CrashKey, bool>>,
     /// When crashes that the store lacks are to be written.
     due: RefCell<HashMap<CrashKey, Millis>>,
-    lease: Cell<Option<(u64, Millis)>>,
+    lease: Cell<Option<(Lease, Millis)>>,
     wake: RefCell<Option<oneshot::Sender<()>>>,
     is_failing: Cell<bool>,
     log: Logger,
@@ -227,7 +227,7 @@
         Millis(OTHERS_DELAY_MS + spread)
     }
 
-    async fn current_lease(&self, now: Millis) -> Result<u64> {
+    async fn current_lease(&self, now: Millis) -> Result<Lease> {
         match self.lease.get() {
             Some((lease, granted)) if now.since(granted) < LEASE_REUSE => Ok(lease),
             _ => {
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use clock::Millis;
 use discovery::{Directory, Lifecycle, UpstreamEntry};
-use routes::Table;
+use routes::{Configuration, Table};
 use slog::info;
 use upstreams::{Budget, Endpoint, Pool, Shared};
 
@@ -31,7 +31,7 @@
     shared: Rc<Shared>,
     pools: RefCell<HashMap<String, Rc<Pool>>>,
     table: RefCell<Option<Rc<Table>>>,
-    table_revision: Cell<u64>,
+    configuration: RefCell<Option<Rc<Configuration>>>,
     daemons: Cell<usize>,
     counted_at: Cell<Millis>,
     retry_budget: Cell<RetryBudget>,
@@ -43,7 +43,7 @@
             shared: shared.clone(),
             pools: RefCell::default(),
             table: RefCell::default(),
-            table_revision: Cell::new(0),
+            configuration: RefCell::default(),
             daemons: Cell::new(1),
             counted_at: Cell::new(Millis::ZERO),
             retry_budget: Cell::new(retry_budget),
@@ -120,16 +120,18 @@
     }
 
     fn update_table(&self, directory: &Directory) {
-        let Some((revision, configuration)) = directory.configuration() else {
+        let Some(configuration) = directory.configuration() else {
             return;
         };
-        if revision == self.table_revision.get() {
+        let known = self.configuration.replace(Some(configuration.clone()));
+        if known.is_some_and(|known| Rc::ptr_eq(&known, configuration)) {
             return;
         }
+        let position = directory.position();
         info!(self.shared.log, "configuration in force"; "version" => configuration.version,
-            "revision" => revision, "routes" => configuration.routes.len());
-        self.table_revision.set(revision);
-        *self.table.borrow_mut() = Some(Rc::new(Table::new(&configuration)));
+            "era" => position.era, "revision" => position.revision,
+            "routes" => configuration.routes.len());
+        *self.table.borrow_mut() = Some(Rc::new(Table::new(configuration)));
     }
 
     fn update_service(&self, service: &str, entries: &[&UpstreamEntry]) {
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -13,6 +13,7 @@
     instance: String,
     leaving: bool,
     version: u64,
+    era: u64,
     revision: u64,
     store_age_ms: Millis,
     daemons: usize,
@@ -32,6 +33,7 @@
 impl StateView {
     pub(crate) fn new(gateway: &Gateway) -> Self {
         let pools = gateway.fleet.pools();
+        let position = gateway.directory.borrow().position();
         let service = |pool: &std::rc::Rc<upstreams::Pool>| ServiceView {
             service: pool.name.clone(),
             queued: pool.queued(),
@@ -42,7 +44,8 @@
             instance: gateway.settings.borrow().instance.clone(),
             leaving: gateway.is_leaving(),
             version: gateway.fleet.table().map_or(0, |t| t.version),
-            revision: gateway.directory.borrow().revision(),
+            era: position.era,
+            revision: position.revision,
             store_age_ms: gateway.follower.store_age(Millis::now()),
             daemons: gateway.fleet.daemons(),
             in_flight: gateway.in_flight.count(),
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -1,22 +1,17 @@
 //! The key-value store of the gateways' platform: items, history, watches and
-//! leases. It can be made unavailable while it runs.
+//! leases. It can be made unavailable while it runs, and go back to an earlier copy.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
-use axum::extract::{Path, Query, State};
 use axum::http::StatusCode;
-use axum::response::{IntoResponse, Response};
-use axum::routing::{delete, get, post};
-use axum::{Json, Router};
 use clock::Millis;
-use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
-use transport::{Local, local};
+use serde::Serialize;
 
-const PAGE_ITEMS: usize = 500;
-const WATCH_POLL_INTERVAL: Millis = Millis(5);
+pub use routes::router;
+
+mod routes;
 
 /// An item as it is sent.
 #[derive(Clone, Debug, Serialize)]
@@ -77,14 +72,22 @@
     history: RefCell<Vec<Event>>,
     leases: RefCell<HashMap<u64, Lease>>,
     revision: Cell<u64>,
+    /// Sent with every answer, and raised by one each time that the store goes back
+    /// to a copy; 0 sends nothing.
+    pub era: Cell<u64>,
     /// Whether every call is refused with status 503.
     pub is_down: Cell<bool>,
     /// Number of calls of any kind, refused ones included.
     pub calls: Cell<u64>,
 }
 
-#[derive(Clone)]
-struct App(Local<Rc<PlatformStore>>);
+/// A copy of the store's state, to which it can go back.
+pub struct StoreCopy {
+    items: BTreeMap<String, Item>,
+    history: Vec<Event>,
+    leases: HashMap<u64, Lease>,
+    revision: u64,
+}
 
 impl PlatformStore {
     /// Returns an empty store.
@@ -134,6 +137,44 @@
         self.history.borrow_mut().clear();
     }
 
+    /// Returns a copy of the state.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            items: self.items.borrow().clone(),
+            history: self.history.borrow().clone(),
+            leases: self.leases.borrow().clone(),
+            revision: self.revision.get(),
+        }
+    }
+
+    /// Goes back to a copy: later writes and leases are lost, and their revisions
+    /// are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let renewed = |(lease, l): (&u64, &Lease)| (*lease, Lease::new(l.ttl));
+        *self.items.borrow_mut() = copy.items.clone();
+        *self.history.borrow_mut() = copy.history.clone();
+        *self.leases.borrow_mut() = copy.leases.iter().map(renewed).collect();
+        self.revision.set(copy.revision);
+        self.era.set(self.era.get() + 1);
+    }
+
+    /// Returns a new lease.
+    pub fn grant(&self, ttl: Millis) -> u64 {
+        let lease = self.next_revision();
+        self.leases.borrow_mut().insert(lease, Lease::new(ttl));
+        lease
+    }
+
+    /// Returns whether a lease has not ended.
+    pub fn is_live(&self, lease: u64) -> bool {
+        self.leases.borrow().contains_key(&lease)
+    }
+
+    /// Returns the current revision.
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
     /// Returns whether any key starts with a prefix.
     pub fn has(&self, prefix: &str) -> bool {
         let items = self.items.borrow();
@@ -183,8 +224,11 @@
     }
 
     /// Returns the events after a revision, or `None` if the history no longer
-    /// holds all of them.
+    /// holds all of them or has not reached the revision.
     fn events_after(&self, prefix: &str, after: u64) -> Option<Vec<Event>> {
+        if after > self.revision.get() {
+            return None;
+        }
         let history = self.history.borrow();
         let oldest = history
             .first()
@@ -198,129 +242,3 @@
         Some(newer.cloned().collect())
     }
 }
-
-/// Returns the store's routes.
-pub fn router(store: &Rc<PlatformStore>) -> Router {
-    Router::new()
-        .route("/api/kv-range", get(range))
-        .route("/api/kv-watch", get(watch))
-        .route("/api/kv-txn", post(change))
-        .route("/api/kv-lease", post(grant))
-        .route("/api/kv-keep/{lease}", post(keep))
-        .route("/api/kv-lease-end/{lease}", delete(end))
-        .with_state(App(Local::new(store.clone())))
-}
-
-#[derive(Deserialize)]
-struct RangeQuery {
-    prefix: String,
-    #[serde(default)]
-    after: String,
-}
-
-async fn range(State(app): State<App>, Query(query): Query<RangeQuery>) -> Response {
-    if let Err(status) = app.0.admit() {
-        return status.into_response();
-    }
-    let items = app.0.items.borrow();
-    let matching = items
-        .values()
-        .filter(|i| i.key.starts_with(&query.prefix) && i.key > query.after);
-    let mut page: Vec<&Item> = matching.take(PAGE_ITEMS + 1).collect();
-    let is_truncated = page.len() > PAGE_ITEMS;
-    page.truncate(PAGE_ITEMS);
-    Json(json!({ "items": page, "truncated": is_truncated, "at": app.0.revision.get() }))
-        .into_response()
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct WatchQuery {
-    prefix: String,
-    after: u64,
-    wait_ms: u64,
-}
-
-async fn watch(State(app): State<App>, Query(query): Query<WatchQuery>) -> Response {
-    local(async move {
-        let end = Millis::now() + Millis(query.wait_ms);
-        let mut served = app.0.admit();
-        loop {
-            if let Err(status) = served {
-                return status.into_response();
-            }
-            let Some(events) = app.0.events_after(&query.prefix, query.after) else {
-                return StatusCode::GONE.into_response();
-            };
-            if !events.is_empty() || Millis::now() >= end {
-                let at = app.0.revision.get();
-                return Json(json!({ "events": events, "at": at })).into_response();
-            }
-            compio::time::sleep(WATCH_POLL_INTERVAL.into()).await;
-            served = app.0.check();
-        }
-    })
-    .await
-}
-
-#[derive(Deserialize)]
-struct ChangeBody {
-    writes: Vec<Write>,
-}
-
-#[derive(Deserialize)]
-struct Write {
-    key: String,
-    value: String,
-    #[serde(default)]
-    lease: u64,
-}
-
-async fn change(State(app): State<App>, Json(body): Json<ChangeBody>) -> Response {
-    if let Err(status) = app.0.admit() {
-        return status.into_response();
-    }
-    let leases = app.0.leases.borrow().clone();
-    let is_known = |w: &Write| w.lease == 0 || leases.contains_key(&w.lease);
-    if !body.writes.iter().all(is_known) {
-        return StatusCode::NOT_FOUND.into_response();
-    }
-    for write in body.writes {
-        app.0.put(&write.key, &write.value, write.lease);
-    }
-    Json(json!({ "revision": app.0.revision.get() })).into_response()
-}
-
-async fn grant(State(app): State<App>, Json(body): Json<Value>) -> Response {
-    if let Err(status) = app.0.admit() {
-        return status.into_response();
-    }
-    let ttl = body["ttl-ms"].as_u64().unwrap_or(1_000);
-    let lease = app.0.next_revision();
-    let granted = Lease::new(Millis(ttl));
-    app.0.leases.borrow_mut().insert(lease, granted);
-    Json(json!({ "lease": lease, "ttl-ms": ttl })).into_response()
-}
-
-async fn keep(State(app): State<App>, Path(lease): Path<u64>) -> Response {
-    if let Err(status) = app.0.admit() {
-        return status.into_response();
-    }
-    match app.0.leases.borrow_mut().get_mut(&lease) {
-        Some(renewed) => {
-            *renewed = Lease::new(renewed.ttl);
-            Json(json!({ "ttl-ms": renewed.ttl })).into_response()
-        }
-        None => StatusCode::NOT_FOUND.into_response(),
-    }
-}
-
-async fn end(State(app): State<App>, Path(lease): Path<u64>) -> Response {
-    if let Err(status) = app.0.admit() {
-        return status.into_response();
-    }
-    match app.0.end_lease(lease) {
-        true => StatusCode::OK.into_response(),
-        false => StatusCode::NOT_FOUND.into_response(),
-    }
-}
