Run bookings at most once over a store that comes back from a copy

Cause: a claim that the store acknowledged and then lost left no trace. After a restore and a restart of the daemons, a booking that was sent again ran twice.

Change: the native store may tell its era as the platform's does. The first daemon to hear of a new one records it with a floor 10 s ahead of its clock, the furthest that a key's time may be; keys below are refused as "key-claimed", "ran: unknown", with the time after which new ones are accepted. Buckets of different eras have different keys in the store, so that a write sent in an earlier era, at a version that is given out again, undoes no claim; a claim counts only if its write was answered in the era in which the bucket was read. Without the header nothing changes. Weighed: a floor raised in each restored bucket, which refuses new keys whenever a bucket is first used, and which a late write can undo.

Four tests of the ledger with a store in memory pass.

Not covered: commits of the configuration (head) that a copy lacks, and clocks that differ by more than 10 s.

--- a/components/ledger/src/committer.rs
+++ b/components/ledger/src/committer.rs
@@ -13,6 +13,7 @@
 use telemetry::names;
 
 use crate::bucket::Bucket;
+use crate::era::Era;
 use crate::key::Key;
 use crate::pace::WritePacer;
 use crate::verdict::Verdict;
@@ -51,7 +52,16 @@
 struct Queue {
     pending: Vec<Pending>,
     is_running: bool,
-    cached: Option<(u64, Bucket)>,
+    cached: Option<CachedBucket>,
+}
+
+/// A bucket as it is in the store.
+#[derive(Clone)]
+struct CachedBucket {
+    /// Number of the store's era.
+    era: u64,
+    version: u64,
+    bucket: Bucket,
 }
 
 /// The state of one bucket, for the state dump.
@@ -69,7 +79,9 @@
 
 /// A daemon's access to the ledger that all daemons share through the store.
 pub struct Ledger {
-    store: Rc<dyn Store>,
+    pub(crate) store: Rc<dyn Store>,
+    /// The era of the store, as far as it is recorded.
+    pub(crate) era: Cell<Era>,
     queues: RefCell<HashMap<String, Queue>>,
     pacer: WritePacer,
     daemon_count: Box<dyn Fn() -> usize>,
@@ -77,7 +89,7 @@
     outage_until: Cell<Millis>,
     releases: Cell<usize>,
     failed_releases: Cell<usize>,
-    log: Logger,
+    pub(crate) log: Logger,
 }
 
 impl Ledger {
@@ -91,6 +103,7 @@
         let (queues, pacer) = (RefCell::default(), WritePacer::default());
         Rc::new(Self {
             store,
+            era: Cell::default(),
             queues,
             pacer,
             daemon_count,
@@ -152,11 +165,8 @@
         let queues = self.queues.borrow();
         let view = queues.iter().map(|(key, q)| BucketView {
             key: key.clone(),
-            version: q.cached.as_ref().map_or(0, |(version, _)| *version),
-            claims: q
-                .cached
-                .as_ref()
-                .map_or(0, |(_, bucket)| bucket.claims.len()),
+            version: q.cached.as_ref().map_or(0, |c| c.version),
+            claims: q.cached.as_ref().map_or(0, |c| c.bucket.claims.len()),
             pending: q.pending.len(),
         });
         view.collect()
@@ -221,27 +231,38 @@
             if batch.is_empty() {
                 return;
             }
-            let Some((version, old)) = self.load_bucket(key).await else {
+            let loaded = self.load_bucket(key).await;
+            let Some((era, old)) = loaded else {
                 refuse_claims(&mut batch);
                 compio::time::sleep(RETRY_PAUSE.into()).await;
                 continue;
             };
-            let (new, verdicts) = apply_batch(&old, &batch);
+            if self.is_over(&era) {
+                continue;
+            }
+            let (new, verdicts) = apply_batch(&old.bucket, &era, &batch);
             // A release is always written: with the new version, a write in
             // flight that holds a claim of the same attempt fails with a conflict.
-            let is_read_only = new.claims == old.claims && !batch.iter().any(|p| p.request.release);
-            if is_read_only || self.write(key, version, new).await {
+            let is_release = batch.iter().any(|p| p.request.release);
+            let is_read_only = new.claims == old.bucket.claims && !is_release;
+            if is_read_only || self.write(key, &era, old.version, new).await {
                 return send_verdicts(batch, verdicts);
             }
         }
     }
 
-    async fn load_bucket(&self, key: &str) -> Option<(u64, Bucket)> {
+    /// Returns a bucket with the era in which it was read.
+    async fn load_bucket(&self, key: &str) -> Option<(Era, CachedBucket)> {
+        let Some(era) = self.load_era().await else {
+            self.record_outage();
+            info!(self.log, "era of the store not known"; "bucket" => key);
+            return None;
+        };
         let cached = self.queues.borrow().get(key).and_then(|q| q.cached.clone());
-        if cached.is_some() {
-            return cached;
+        if let Some(cached) = cached.filter(|c| c.era == era.number) {
+            return Some((era, cached));
         }
-        let entry = match self.store.get(key).await {
+        let entry = match self.store.get(&era.bucket_key(key)).await {
             Ok(entry) => entry,
             Err(e) => {
                 self.record_outage();
@@ -249,7 +270,7 @@
                 return None;
             }
         };
-        let read = match entry {
+        let (version, bucket) = match entry {
             None => (0, Bucket::default()),
             Some(entry) => match serde_json::from_str(&entry.value) {
                 Ok(bucket) => (entry.version, bucket),
@@ -259,8 +280,13 @@
                 }
             },
         };
+        let read = CachedBucket {
+            era: era.number,
+            version,
+            bucket,
+        };
         self.cache(key, Some(read.clone()));
-        Some(read)
+        Some((era, read))
     }
 
     /// Starts an interval in which claims are refused at once.
@@ -268,7 +294,7 @@
         self.outage_until.set(Millis::now() + OUTAGE_PAUSE);
     }
 
-    fn cache(&self, key: &str, value: Option<(u64, Bucket)>) {
+    fn cache(&self, key: &str, value: Option<CachedBucket>) {
         if let Some(queue) = self.queues.borrow_mut().get_mut(key) {
             queue.cached = value;
         }
@@ -276,20 +302,25 @@
 
     /// Writes a bucket; returns `false` if the batch must be retried. This also
     /// covers a write whose reply was lost: the retry recognizes the written
-    /// claims by their nonces.
-    async fn write(&self, key: &str, version: u64, bucket: Bucket) -> bool {
+    /// claims by their nonces. A write that was answered in a later era is lost.
+    async fn write(&self, key: &str, era: &Era, version: u64, bucket: Bucket) -> bool {
         let wait = self.pacer.reserve((self.daemon_count)(), Millis::now());
         compio::time::sleep(wait.into()).await;
         let Ok(json) = serde_json::to_string(&bucket) else {
             return false;
         };
         metrics::counter!(names::LEDGER_WRITES_TOTAL).increment(1);
-        match self.store.swap(key, version, &json).await {
-            Ok(Swap::Written(version)) => {
-                self.cache(key, Some((version, bucket)));
+        match self.store.swap(&era.bucket_key(key), version, &json).await {
+            Ok(Swap::Written(version)) if !self.is_over(era) => {
+                let written = CachedBucket {
+                    era: era.number,
+                    version,
+                    bucket,
+                };
+                self.cache(key, Some(written));
                 true
             }
-            Ok(Swap::Conflict) => {
+            Ok(Swap::Written(_) | Swap::Conflict) => {
                 self.cache(key, None);
                 false
             }
@@ -331,7 +362,7 @@
     send_verdicts(claims, verdicts);
 }
 
-fn apply_batch(old: &Bucket, batch: &[Pending]) -> (Bucket, Vec<Verdict>) {
+fn apply_batch(old: &Bucket, era: &Era, batch: &[Pending]) -> (Bucket, Vec<Verdict>) {
     let now = Millis::wall();
     let mut new = old.clone();
     if let Some(first) = batch.first() {
@@ -343,6 +374,9 @@
             new.release(&r.key, &r.nonce);
             return Verdict::Released;
         }
+        if r.key.time < era.floor {
+            return Verdict::ClaimLost;
+        }
         new.claim(&r.key, &r.nonce, &r.claimer, now)
     });
     let verdicts = verdicts.collect();
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod bucket;
 mod committer;
+mod era;
 mod key;
 mod pace;
 mod verdict;
--- a/components/ledger/src/verdict.rs
+++ b/components/ledger/src/verdict.rs
@@ -12,6 +12,9 @@
     },
     /// The key's time is before the retention window.
     TooOld,
+    /// The store came back from a copy after the key's time: a claim of the key may be
+    /// lost.
+    ClaimLost,
     /// The key's time is too far in the future.
     Future,
     /// The bucket has reached its limit of claims.
--- /dev/null
+++ b/components/ledger/tests/eras.rs
@@ -0,0 +1,162 @@
+//! Claims and a store that comes back from a copy, between calls and during one.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use clock::Millis;
+use ledger::{FUTURE_SKEW, Key, Ledger, LedgerRequest, Verdict};
+use slog::{Discard, Logger, o};
+use store::{Entry, Store, Swap};
+use uuid::{NoContext, Timestamp, Uuid};
+
+const PAUSE: Duration = Duration::from_millis(300);
+
+type Values = HashMap<String, Entry>;
+
+/// A store in memory that can go back to a copy.
+#[derive(Default)]
+struct CopiedStore {
+    values: RefCell<Values>,
+    copy: RefCell<Values>,
+    era: Cell<u64>,
+    /// Whether it goes back just before the next write to a bucket.
+    restores_before_write: Cell<bool>,
+}
+
+impl CopiedStore {
+    fn take_copy(&self) {
+        *self.copy.borrow_mut() = self.values.borrow().clone();
+    }
+
+    fn restore(&self) {
+        *self.values.borrow_mut() = self.copy.borrow().clone();
+        self.era.set(self.era.get() + 1);
+    }
+}
+
+#[async_trait(?Send)]
+impl Store for CopiedStore {
+    async fn get(&self, key: &str) -> store::Result<Option<Entry>> {
+        Ok(self.values.borrow().get(key).cloned())
+    }
+
+    async fn swap(&self, key: &str, expected: u64, value: &str) -> store::Result<Swap> {
+        let is_bucket = key.starts_with("ledger/jobs/");
+        if is_bucket && self.restores_before_write.replace(false) {
+            self.restore();
+        }
+        let mut values = self.values.borrow_mut();
+        let version = values.get(key).map_or(0, |e| e.version);
+        if version != expected {
+            return Ok(Swap::Conflict);
+        }
+        let version = version + 1;
+        let value = value.to_owned();
+        values.insert(key.to_owned(), Entry { version, value });
+        Ok(Swap::Written(version))
+    }
+
+    fn era(&self) -> u64 {
+        self.era.get()
+    }
+
+    async fn watch(&self, _: &str, _: u64, _: Millis) -> store::Result<Option<Entry>> {
+        Ok(None)
+    }
+}
+
+fn daemon(store: &Rc<CopiedStore>) -> Rc<Ledger> {
+    let log = Logger::root(Discard, o!());
+    Ledger::new(store.clone(), Box::new(|| 1), &log)
+}
+
+/// Returns a key whose time is this far ahead of the clock.
+fn key(ahead: Millis) -> Key {
+    let time = Millis::wall() + ahead;
+    let stamp = Timestamp::from_unix(
+        NoContext,
+        time.0 / 1_000,
+        (time.0 % 1_000) as u32 * 1_000_000,
+    );
+    Key::parse(&Uuid::new_v7(stamp).to_string()).unwrap()
+}
+
+async fn claim(ledger: &Rc<Ledger>, key: &Key) -> Verdict {
+    let request = LedgerRequest {
+        service: "jobs".to_owned(),
+        key: key.clone(),
+        nonce: Uuid::now_v7().to_string(),
+        claimer: "entry-1".to_owned(),
+        retention: Millis(300_000),
+        deadline: Millis::now() + Millis(2_000),
+        release: false,
+    };
+    ledger.submit(request).await
+}
+
+#[compio::test]
+async fn a_key_that_a_restored_store_lacks_is_not_claimed_again() {
+    let store = Rc::new(CopiedStore::default());
+    let (first, second) = (daemon(&store), daemon(&store));
+    store.take_copy();
+    let booked = key(Millis::ZERO);
+    assert_eq!(claim(&first, &booked).await, Verdict::Claimed);
+    store.restore();
+    assert_eq!(claim(&second, &booked).await, Verdict::ClaimLost);
+    assert_eq!(claim(&first, &booked).await, Verdict::ClaimLost);
+    // A copy that has the new era, and then another restore.
+    store.take_copy();
+    store.restore();
+    assert_eq!(claim(&second, &booked).await, Verdict::ClaimLost);
+    assert_eq!(claim(&daemon(&store), &booked).await, Verdict::ClaimLost);
+}
+
+#[compio::test]
+async fn a_claim_that_is_written_after_a_restore_does_not_count() {
+    let store = Rc::new(CopiedStore::default());
+    let (first, second) = (daemon(&store), daemon(&store));
+    store.take_copy();
+    let booked = key(Millis::ZERO);
+    store.restores_before_write.set(true);
+    assert_eq!(claim(&first, &booked).await, Verdict::ClaimLost);
+    assert_eq!(claim(&second, &booked).await, Verdict::ClaimLost);
+}
+
+/// A claim of an earlier era may be written late, at a version that is given out
+/// again: it must not undo a claim of the new era.
+#[compio::test]
+async fn a_write_of_an_earlier_era_does_not_undo_a_claim_of_the_new_one() {
+    let store = Rc::new(CopiedStore::default());
+    let booked = key(FUTURE_SKEW - Millis(1));
+    store.take_copy();
+    let late = daemon(&store);
+    let bucket = booked.bucket("jobs");
+    assert_eq!(claim(&late, &booked).await, Verdict::Claimed);
+    let written = store.values.borrow()[&bucket].value.clone();
+    store.restore();
+    // Records the era.
+    assert_eq!(claim(&late, &booked).await, Verdict::ClaimLost);
+    let new = key(FUTURE_SKEW + Millis(200));
+    compio::time::sleep(PAUSE).await;
+    assert_eq!(claim(&daemon(&store), &new).await, Verdict::Claimed);
+    let replayed = store.swap(&bucket, 0, &written).await.unwrap();
+    assert_eq!(replayed, Swap::Written(1));
+    let again = claim(&daemon(&store), &new).await;
+    assert!(matches!(again, Verdict::Duplicate { .. }), "{again:?}");
+}
+
+#[compio::test]
+async fn new_keys_are_accepted_when_they_can_no_longer_have_been_claimed_before() {
+    let store = Rc::new(CopiedStore::default());
+    let first = daemon(&store);
+    store.restore();
+    let (early, late) = (key(FUTURE_SKEW - Millis(1)), key(FUTURE_SKEW + Millis(200)));
+    assert_eq!(claim(&first, &early).await, Verdict::ClaimLost);
+    compio::time::sleep(PAUSE).await;
+    assert_eq!(claim(&first, &late).await, Verdict::Claimed);
+    assert!(first.new_keys_in() <= FUTURE_SKEW);
+    assert!(first.new_keys_in() > Millis(8_000));
+}
--- a/components/ledger/tests/releases.rs
+++ b/components/ledger/tests/releases.rs
@@ -28,6 +28,10 @@
         std::future::pending().await
     }
 
+    fn era(&self) -> u64 {
+        0
+    }
+
     async fn watch(&self, _key: &str, _after: u64, _wait: Millis) -> store::Result<Option<Entry>> {
         std::future::pending().await
     }
--- a/components/query/src/booking.rs
+++ b/components/query/src/booking.rs
@@ -116,7 +116,7 @@
                 // The claim may still be made until its own deadline.
                 let left = claim.deadline.since(Millis::now());
                 self.root.ledger.release_later(claim, left);
-                Err(claim_refusal(&other))
+                Err(claim_refusal(&other, self.root.ledger.new_keys_in()))
             }
         }
     }
@@ -287,12 +287,20 @@
     }
 }
 
-fn claim_refusal(verdict: &Verdict) -> Refusal {
+/// Returns the refusal of a booking without a claim; `new_keys_in` is the time after
+/// which new keys are accepted.
+fn claim_refusal(verdict: &Verdict, new_keys_in: Millis) -> Refusal {
     match verdict {
         Verdict::TooOld => Refusal::invalid(
             Kind::KeyOutsideWindow,
             "the Idempotency-Key is older than the retention time of keys",
         ),
+        Verdict::ClaimLost => Refusal {
+            kind: Kind::KeyClaimed,
+            ran: Ran::Unknown,
+            detail: "the store lost its latest claims, perhaps one of this key".to_owned(),
+            retry_after: (new_keys_in > Millis::ZERO).then_some(new_keys_in),
+        },
         Verdict::Future => Refusal::invalid(
             Kind::KeyOutsideWindow,
             "the Idempotency-Key contains a time in the future",
--- a/components/query/src/server.rs
+++ b/components/query/src/server.rs
@@ -263,6 +263,7 @@
         Verdict::Claimed => Code::Claimed,
         Verdict::Duplicate { .. } => Code::Duplicate,
         Verdict::TooOld => Code::TooOld,
+        Verdict::ClaimLost => Code::ClaimLost,
         Verdict::Future => Code::Future,
         Verdict::Full => Code::Full,
         // A claim never returns `Released`.
@@ -286,6 +287,7 @@
             claimer: reply.claimer,
         },
         Code::TooOld => Verdict::TooOld,
+        Code::ClaimLost => Verdict::ClaimLost,
         Code::Future => Verdict::Future,
         Code::Full => Verdict::Full,
         Code::Unavailable => Verdict::Unavailable,
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -1,6 +1,7 @@
 //! The HTTP client of the key-value store; docs/INTERFACES.md describes the
 //! calls.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
@@ -16,6 +17,8 @@
 use crate::kv::{Entry, Store, Swap, VALUE_LIMIT_BYTES};
 
 const SERVICE: &str = "store";
+/// Rises each time that the store comes back from a copy.
+const ERA_HEADER: &str = "store-era";
 const CALL_TIMEOUT: Millis = Millis(1_500);
 /// Time allowed for the response to a watch beyond the time that it waits.
 const WATCH_MARGIN: Millis = Millis(1_000);
@@ -26,6 +29,7 @@
     client: Client,
     // A watch occupies its connection for seconds, so watches have their own client.
     watch_client: Client,
+    era: Cell<u64>,
 }
 
 impl HttpStore {
@@ -34,8 +38,42 @@
         Self {
             client: Client::new(address),
             watch_client: Client::new(address),
+            era: Cell::new(0),
         }
     }
+
+    /// Sends a call and records the era of its answer; fails if the answer is of an
+    /// earlier era than another one.
+    async fn call(
+        &self,
+        client: &Client,
+        request: Request<Payload>,
+        timeout: Millis,
+    ) -> Result<Response<Bytes>> {
+        let response = call(SERVICE, client, request, timeout).await?;
+        let known = self.era.get();
+        let era = read_era(&response)?.unwrap_or(known);
+        if era < known {
+            return Err(Error::OutcomeUnknown {
+                service: SERVICE,
+                detail: format!("answer of era {era}, now {known}"),
+            });
+        }
+        self.era.set(era);
+        Ok(response)
+    }
+}
+
+fn read_era(response: &Response<Bytes>) -> Result<Option<u64>> {
+    let Some(value) = response.headers().get(ERA_HEADER) else {
+        return Ok(None);
+    };
+    let era = value.to_str().ok().and_then(|text| text.parse().ok());
+    let era = era.ok_or_else(|| Error::Malformed {
+        service: SERVICE,
+        detail: format!("unreadable era {value:?}"),
+    })?;
+    Ok(Some(era))
 }
 
 #[derive(Deserialize)]
@@ -47,7 +85,7 @@
 impl Store for HttpStore {
     async fn get(&self, key: &str) -> Result<Option<Entry>> {
         let request = build(SERVICE, Method::GET, &format!("/v1/kv/{key}"), Bytes::new())?;
-        let response = call(SERVICE, &self.client, request, CALL_TIMEOUT).await?;
+        let response = self.call(&self.client, request, CALL_TIMEOUT).await?;
         match response.status() {
             StatusCode::OK => decode(SERVICE, response.body()).map(Some),
             StatusCode::NOT_FOUND => Ok(None),
@@ -71,7 +109,7 @@
             &format!("/v1/cas/{key}"),
             body.into(),
         )?;
-        let response = call(SERVICE, &self.client, request, CALL_TIMEOUT).await?;
+        let response = self.call(&self.client, request, CALL_TIMEOUT).await?;
         match response.status() {
             StatusCode::OK => {
                 decode::<SwapReply>(SERVICE, response.body()).map(|v| Swap::Written(v.version))
@@ -81,10 +119,16 @@
         }
     }
 
+    fn era(&self) -> u64 {
+        self.era.get()
+    }
+
     async fn watch(&self, key: &str, after: u64, wait: Millis) -> Result<Option<Entry>> {
         let path = format!("/v1/watch/{key}?after={after}&wait_ms={}", wait.0);
         let request = build(SERVICE, Method::GET, &path, Bytes::new())?;
-        let response = call(SERVICE, &self.watch_client, request, wait + WATCH_MARGIN).await?;
+        let response = self
+            .call(&self.watch_client, request, wait + WATCH_MARGIN)
+            .await?;
         match response.status() {
             StatusCode::OK => decode(SERVICE, response.body()).map(Some),
             StatusCode::NO_CONTENT => Ok(None),
--- a/standins/src/fleet/system.rs
+++ b/standins/src/fleet/system.rs
@@ -146,6 +146,23 @@
         answer.expect("the store accepts the faults");
     }
 
+    /// Copies the values of the store.
+    pub async fn copy_store(&self) {
+        self.control_store("/copy").await;
+    }
+
+    /// Makes the store go back to its copy.
+    pub async fn restore_store(&self) {
+        self.control_store("/restore").await;
+    }
+
+    async fn control_store(&self, path: &str) {
+        let answer = JsonClient::new(self.store_address)
+            .post(path, &Value::Null)
+            .await;
+        answer.expect("the store answers");
+    }
+
     /// Returns the store's counts of calls.
     pub async fn store_stats(&self) -> Value {
         JsonClient::new(self.store_address)
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -1,5 +1,6 @@
 //! The key-value store of the `serve` daemons: compare-and-swap, watches and
-//! leases, with faults that can be switched while it runs.
+//! leases, with faults that can be switched while it runs. It can go back to a copy
+//! of its values.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -7,6 +8,7 @@
 
 use axum::Router;
 use axum::extract::{Path, Query, State};
+use axum::middleware::map_response_with_state;
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, http::StatusCode};
@@ -15,6 +17,7 @@
 use serde_json::json;
 use transport::{Local, local};
 
+const ERA_HEADER: &str = "store-era";
 const VALUE_LIMIT_BYTES: usize = 1_000_000;
 const WATCH_POLL_INTERVAL: Millis = Millis(5);
 const HANG_TIME: Millis = Millis(600_000);
@@ -48,6 +51,10 @@
     faults: RefCell<Faults>,
     stats: RefCell<Stats>,
     lost_answers: Cell<u64>,
+    copy: RefCell<HashMap<String, (u64, String)>>,
+    /// Times that the store went back to the copy; told in all answers once there
+    /// are any.
+    era: Cell<u64>,
 }
 
 #[derive(Clone)]
@@ -81,6 +88,9 @@
         .route("/v1/lease/{*key}", post(lease))
         .route("/faults", post(set_faults))
         .route("/stats", get(stats))
+        .route("/copy", post(copy))
+        .route("/restore", post(restore))
+        .layer(map_response_with_state(state.clone(), add_era))
         .with_state(state)
 }
 
@@ -211,6 +221,27 @@
     StatusCode::OK
 }
 
+/// Copies all values, in place of an earlier copy.
+async fn copy(State(app): State<App>) -> StatusCode {
+    *app.0.copy.borrow_mut() = app.0.values.borrow().clone();
+    StatusCode::OK
+}
+
+/// Goes back to the copy; later writes are lost and their versions given out again.
+async fn restore(State(app): State<App>) -> StatusCode {
+    *app.0.values.borrow_mut() = app.0.copy.borrow().clone();
+    app.0.era.set(app.0.era.get() + 1);
+    StatusCode::OK
+}
+
+async fn add_era(State(app): State<App>, mut response: Response) -> Response {
+    let era = app.0.era.get();
+    if era > 0 {
+        response.headers_mut().insert(ERA_HEADER, era.into());
+    }
+    response
+}
+
 async fn stats(State(app): State<App>) -> Response {
     Json(app.0.stats.borrow().clone()).into_response()
 }
