Keep memory and other requests from bytes without end

Cause: what others send was limited by reader, not by part and not together. Interim answers (1xx) without end were skipped in a loop that let nothing else run: the gateway stood still, and answered no caller for 5 s. Bodies without end took up to 8 MB for each connection at once, and more for small chunks, since each holds a whole buffer. Answers that broke off fast lowered the concurrency limit of their route, so that requests to healthy upstreams were refused. The body of a search of a daemon, and what a peer posts, had no limit in time.

Malformed and too large answers are failures of the upstream, not lost connections (which could blame a request for a crash), and a failed upstream no longer counts as overload. The bodies of requests have 5 s to arrive at a daemon, those of peers 2 s at a gateway. The log names the upstream: "answer unusable", "attempt timed out".

--- a/components/daemon/src/callers/request.rs
+++ b/components/daemon/src/callers/request.rs
@@ -17,6 +17,8 @@
 const DEADLINE_MS_HEADER: &str = "x-deadline-ms";
 const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 const MAX_REQUEST_ID_LENGTH: usize = 128;
+/// Time for a body to arrive.
+const BODY_TIMEOUT: Millis = Millis(5_000);
 const MAX_DEADLINE: Millis = Millis(60_000);
 
 /// Decodes a body of JSON.
@@ -29,14 +31,20 @@
     })
 }
 
-/// Reads the body, at most until the shutdown cuts requests in flight.
+/// Reads the body within [`BODY_TIMEOUT`], at most until the shutdown cuts requests
+/// in flight.
 pub(super) async fn read_body(daemon: &Daemon, request: Request) -> Result<Bytes> {
     let limit = daemon.settings.body_bytes;
     let body = Limited::new(request.into_body(), limit).collect();
+    let body = compio::time::timeout(BODY_TIMEOUT.into(), body);
     let Some(body) = daemon.in_flight.until_cut(body).await else {
         let detail = "this daemon shut down before the body arrived";
         return Err(Refusal::not_run(Kind::Unready, detail, CUT_RETRY_AFTER));
     };
+    let Ok(body) = body else {
+        let detail = format!("the body did not arrive within {BODY_TIMEOUT}");
+        return Err(Refusal::invalid(Kind::BadRequest, detail));
+    };
     match body {
         Ok(body) => Ok(body.to_bytes()),
         Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(Refusal::invalid(
--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use axum::extract::{Query, State};
+use axum::body::to_bytes;
+use axum::extract::{Query, Request, State};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
@@ -18,6 +19,9 @@
 use crate::state::Gateway;
 use crate::view::StateView;
 
+const CRASHES_LIMIT_BYTES: usize = 1024 * 1024;
+const CRASHES_TIMEOUT: Millis = Millis(2_000);
+
 #[derive(Clone)]
 struct App(Local<Rc<Gateway>>);
 
@@ -65,8 +69,24 @@
     .await
 }
 
-async fn crashes(State(app): State<App>, Json(crashes): Json<Vec<CrashEntry>>) {
-    app.0.crash_sharing.merge_crashes(&crashes);
+/// Merges the crashes that a peer sends; a body that is too long or too slow is
+/// refused.
+async fn crashes(State(app): State<App>, request: Request) -> StatusCode {
+    local(async move {
+        let body = to_bytes(request.into_body(), CRASHES_LIMIT_BYTES);
+        match compio::time::timeout(CRASHES_TIMEOUT.into(), body).await {
+            Ok(Ok(body)) => match serde_json::from_slice::<Vec<CrashEntry>>(&body) {
+                Ok(crashes) => {
+                    app.0.crash_sharing.merge_crashes(&crashes);
+                    StatusCode::OK
+                }
+                Err(_) => StatusCode::BAD_REQUEST,
+            },
+            Ok(Err(_)) => StatusCode::PAYLOAD_TOO_LARGE,
+            Err(_) => StatusCode::REQUEST_TIMEOUT,
+        }
+    })
+    .await
 }
 
 async fn metrics(State(app): State<App>) -> String {
--- a/components/gateway/src/concurrency.rs
+++ b/components/gateway/src/concurrency.rs
@@ -87,8 +87,7 @@
         self.decreased_at = now;
     }
 
-    /// Ends an admitted request whose caller disconnected; it has no effect on
-    /// the limit.
+    /// Ends an admitted request without an effect on the limit.
     pub fn release(&mut self) {
         self.running = self.running.saturating_sub(1);
     }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -47,7 +47,11 @@
     let result = serve(gateway, request).await;
     let now = Millis::now();
     let served_after = result.is_ok().then(|| now.since(request.arrived));
-    permit.finish(served_after, route, now);
+    match &result {
+        // An upstream that breaks or sends nonsense is no sign of an overload.
+        Err(refusal) if refusal.cause == Cause::UpstreamFailed => drop(permit),
+        _ => permit.finish(served_after, route, now),
+    }
     result
 }
 
--- a/components/gateway/src/route_limiters.rs
+++ b/components/gateway/src/route_limiters.rs
@@ -17,7 +17,8 @@
 }
 
 /// Permit of an admitted request; dropping it without [`Permit::finish`] means
-/// that the caller disconnected.
+/// that its latency says nothing about the load, because the caller disconnected or
+/// an upstream failed.
 pub(crate) struct Permit {
     limiter: Rc<RefCell<ConcurrencyLimiter>>,
     is_finished: Cell<bool>,
--- a/components/telemetry/src/metric.rs
+++ b/components/telemetry/src/metric.rs
@@ -54,6 +54,8 @@
     pub const QUARANTINED: &str = "coltsfootgw_quarantined";
     /// Connections to upstreams that were lost while a request ran.
     pub const LOST_CONNECTIONS_TOTAL: &str = "coltsfootgw_lost_connections_total";
+    /// Answers that were malformed or larger than allowed.
+    pub const UNUSABLE_ANSWERS_TOTAL: &str = "coltsfootgw_unusable_answers_total";
     /// Requests that ran on an upstream when it ended.
     pub const CRASHES_TOTAL: &str = "coltsfootgw_crashes_total";
     /// Answers that asked this daemon to send nothing to an upstream for a while.
--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -7,13 +7,17 @@
 use clock::Millis;
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
-use cyper_core::HyperStream;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use snafu::ResultExt;
 
 use crate::error::{ConnectSnafu, Error, HandshakeSnafu, Result};
+use crate::interim::{INTERIM_LIMIT, InterimCount, LimitedStream};
+use crate::response::{LargeResponses, read_body};
+
+/// Largest head of a response, and largest part of a body that is read ahead.
+const BUFFER_BYTES: usize = 128 * 1024;
 
 /// A request body held in memory.
 pub type Payload = Full<Bytes>;
@@ -22,6 +26,7 @@
 pub struct Connection {
     address: SocketAddr,
     sender: SendRequest<Payload>,
+    interim: InterimCount,
     // Dropping the handle cancels the task and closes the socket.
     _driver: JoinHandle<()>,
 }
@@ -37,8 +42,11 @@
             .await
             .context(ConnectSnafu { address })?;
         stream.set_nodelay(true).context(ConnectSnafu { address })?;
-        let io = HyperStream::new_plain(stream);
-        let (sender, conn) = http1::handshake(io)
+        let interim = InterimCount::default();
+        let io = LimitedStream::new(stream, interim.clone());
+        let (sender, conn) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(io)
             .await
             .context(HandshakeSnafu { address })?;
         let driver = compio::runtime::spawn(async move {
@@ -47,6 +55,7 @@
         Ok(Self {
             address,
             sender,
+            interim,
             _driver: driver,
         })
     }
@@ -63,40 +72,56 @@
     ///
     /// # Errors
     ///
-    /// [`Error::NotSent`] if nothing was written, otherwise
-    /// [`Error::Died`] or [`Error::TooLarge`].
+    /// [`Error::NotSent`] if nothing was written, [`Error::Died`] if the connection
+    /// was lost, and otherwise an error that [is about the response](Error::is_unusable).
     pub async fn send(
         &mut self,
         request: Request<Payload>,
         limit: usize,
+    ) -> Result<Response<Bytes>> {
+        self.exchange(request, limit, None).await
+    }
+
+    /// Sends one request as [`Connection::send`] does; a large response waits for a
+    /// place among the other large ones.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::send`].
+    pub async fn send_with_places(
+        &mut self,
+        request: Request<Payload>,
+        limit: usize,
+        large: &LargeResponses,
+    ) -> Result<Response<Bytes>> {
+        self.exchange(request, limit, Some(large)).await
+    }
+
+    async fn exchange(
+        &mut self,
+        mut request: Request<Payload>,
+        limit: usize,
+        large: Option<&LargeResponses>,
     ) -> Result<Response<Bytes>> {
         let address = self.address;
         if self.sender.ready().await.is_err() {
             return Err(Error::NotSent { address });
         }
+        self.interim.start(&mut request);
         let response = match self.sender.try_send_request(request).await {
             Ok(response) => response,
+            Err(_) if self.interim.is_over() => {
+                let limit = INTERIM_LIMIT;
+                return Err(Error::TooManyInterim { address, limit });
+            }
             Err(mut e) => match e.take_message() {
                 Some(_) => return Err(Error::NotSent { address }),
-                None => {
-                    return Err(Error::Died {
-                        address,
-                        source: e.into_error(),
-                    });
-                }
+                None => return Err(Error::from_exchange(address, e.into_error())),
             },
         };
         let (head, body) = response.into_parts();
-        match Limited::new(body, limit).collect().await {
-            Ok(body) => Ok(Response::from_parts(head, body.to_bytes())),
-            Err(e) => match e.downcast::<hyper::Error>() {
-                Ok(source) => Err(Error::Died {
-                    address,
-                    source: *source,
-                }),
-                Err(_) => Err(Error::TooLarge { address, limit }),
-            },
-        }
+        let body = read_body(address, body, limit, large).await?;
+        Ok(Response::from_parts(head, body))
     }
 }
 
--- a/components/transport/src/error.rs
+++ b/components/transport/src/error.rs
@@ -43,6 +43,22 @@
         /// The largest allowed size in bytes.
         limit: usize,
     },
+    /// More interim responses arrived than allowed.
+    #[snafu(display("more than {limit} interim responses from {address}"))]
+    TooManyInterim {
+        /// The peer's address.
+        address: SocketAddr,
+        /// The largest allowed number.
+        limit: usize,
+    },
+    /// The response is malformed, or a part of it other than the body too large.
+    #[snafu(display("malformed response from {address}: {source}"))]
+    Malformed {
+        /// The peer's address.
+        address: SocketAddr,
+        /// Error of the HTTP library.
+        source: hyper::Error,
+    },
     /// No response came within the timeout.
     #[snafu(display("no response from {address} within {waited}"))]
     Timeout {
@@ -70,6 +86,23 @@
 }
 
 impl Error {
+    /// Returns the error of a request that was written.
+    pub(crate) fn from_exchange(address: SocketAddr, source: hyper::Error) -> Self {
+        match source.is_parse() || is_invalid_body(&source) {
+            true => Error::Malformed { address, source },
+            false => Error::Died { address, source },
+        }
+    }
+
+    /// Whether the peer answered, but with something that can't be used or has no
+    /// end.
+    pub fn is_unusable(&self) -> bool {
+        matches!(
+            self,
+            Error::TooLarge { .. } | Error::TooManyInterim { .. } | Error::Malformed { .. }
+        )
+    }
+
     /// Whether the request certainly did not reach the peer.
     pub fn is_unsent(&self) -> bool {
         matches!(
@@ -78,3 +111,16 @@
         )
     }
 }
+
+/// Whether the framing of a body is wrong or too large; a body that ends early is
+/// not.
+fn is_invalid_body(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let io = source.and_then(|e| e.downcast_ref::<io::Error>());
+    io.is_some_and(|e| {
+        matches!(
+            e.kind(),
+            io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput
+        )
+    })
+}
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -8,7 +8,9 @@
 mod error;
 mod event;
 mod in_flight;
+mod interim;
 mod local;
+mod response;
 mod server;
 mod signal;
 mod timer;
@@ -20,6 +22,7 @@
 pub use event::Event;
 pub use in_flight::{InFlight, InFlightGuard};
 pub use local::{Local, detached, local};
+pub use response::LargeResponses;
 pub use server::{
     Listener, ServerLimits, listen, serve, serve_connection, serve_with_shared_limits,
 };
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -9,7 +9,7 @@
 use telemetry::names;
 
 use crate::attempt::record::{
-    is_slow, record_lost_connection, record_outcome, record_refused, record_report,
+    is_slow, record_lost_connection, record_outcome, record_refused, record_report, record_unusable,
 };
 use crate::call::Call;
 use crate::failure::{Failure, Reason, Result};
@@ -30,6 +30,7 @@
     pool: &'a Pool,
     upstream: &'a Upstream,
     started: Millis,
+    deadline: Millis,
     is_finished: bool,
     _sent: SentGuard<'a>,
 }
@@ -41,6 +42,9 @@
             return;
         }
         let elapsed = now.since(self.started);
+        if now >= self.deadline {
+            log_timeout(self.pool, self.upstream, elapsed);
+        }
         let pool_mean_ms = self.pool.latency.borrow().mean_ms();
         let mut latency = self.upstream.latency.borrow_mut();
         latency.record_cancelled(elapsed, pool_mean_ms, now);
@@ -66,6 +70,14 @@
     result
 }
 
+/// Logs which upstream had not answered by the deadline of a request.
+fn log_timeout(pool: &Pool, upstream: &Upstream, elapsed: Millis) {
+    pool.shared.log_limiter.write(|| {
+        slog::info!(pool.shared.log, "attempt timed out"; "upstream" => &upstream.id,
+            "address" => %upstream.address, "elapsed_ms" => elapsed.0);
+    });
+}
+
 /// Logs which upstream failed the request, by the request's identifier.
 fn log_failed_attempt(slot: &Slot, pool: &Pool, call: &Call, failure: &Failure, elapsed: Millis) {
     let upstream = &slot.upstream;
@@ -122,11 +134,15 @@
         pool,
         upstream,
         started,
+        deadline: call.deadline,
         is_finished: false,
         _sent: SentGuard::new(upstream, sent_request(slot, call, shard)),
     };
     call.may_have_run.set(true);
-    let sent = pooled.conn.send(request, ANSWER_LIMIT_BYTES).await;
+    let sending = pooled
+        .conn
+        .send_with_places(request, ANSWER_LIMIT_BYTES, &shared.large_answers);
+    let sent = sending.await;
     attempt.is_finished = true;
     let response = match sent {
         Ok(response) => response,
@@ -134,6 +150,7 @@
             // The upstream had closed the idle connection.
             return Err(Failure::not_run(Reason::NoReplica));
         }
+        Err(e) if e.is_unusable() => return Err(record_unusable(pool, upstream, &e)),
         Err(_) => {
             // The lost connection no longer counts towards the limit.
             drop(pooled);
--- a/components/upstreams/src/attempt/record.rs
+++ b/components/upstreams/src/attempt/record.rs
@@ -50,6 +50,24 @@
     Failure::unknown(Reason::ConnectionDied)
 }
 
+/// Records an answer that can't be used or has no end; its connection is closed with
+/// the attempt. The upstream has not ended.
+pub(crate) fn record_unusable(
+    pool: &Pool,
+    upstream: &Upstream,
+    error: &transport::Error,
+) -> Failure {
+    let now = Millis::now();
+    upstream.health.borrow_mut().record_failure(now);
+    upstream.health.borrow_mut().record_outcome(true, now);
+    metrics::counter!(names::UNUSABLE_ANSWERS_TOTAL).increment(1);
+    pool.shared.log_limiter.write(|| {
+        slog::warn!(pool.shared.log, "answer unusable"; "upstream" => &upstream.id,
+            "address" => %upstream.address, "error" => %error);
+    });
+    Failure::unknown(Reason::UnusableAnswer)
+}
+
 /// Logs which requests ran on an upstream when a connection to it was lost.
 fn log_lost_connection(pool: &Pool, upstream: &Upstream) {
     metrics::counter!(names::LOST_CONNECTIONS_TOTAL).increment(1);
--- a/components/upstreams/src/failure.rs
+++ b/components/upstreams/src/failure.rs
@@ -57,6 +57,8 @@
     ConnectionDied,
     /// An answer did not belong to the request.
     Mismatch,
+    /// An answer was malformed or larger than allowed.
+    UnusableAnswer,
     /// The upstream answered with an error.
     UpstreamError,
     /// Another process listens at the upstream's address.
@@ -80,6 +82,7 @@
             Reason::Timeout => "timeout",
             Reason::ConnectionDied => "connection_died",
             Reason::Mismatch => "mismatch",
+            Reason::UnusableAnswer => "unusable_answer",
             Reason::UpstreamError => "upstream_error",
             Reason::Misdirected => "misdirected",
             Reason::CallerLeft => "caller_left",
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -7,6 +7,7 @@
 use clock::Millis;
 use slog::Logger;
 use telemetry::RequestLogLimiter;
+use transport::LargeResponses;
 
 use crate::backoffs::Backoffs;
 use crate::crashes::{CrashTable, DEFAULT_CRASH_LIMIT};
@@ -59,6 +60,8 @@
     /// Decides whether this daemon owns a group; without it, the daemon owns
     /// all groups.
     pub owns_group: RefCell<Option<Rc<OwnsGroup>>>,
+    /// Places for large answers.
+    pub large_answers: LargeResponses,
     /// Limits the log lines about single requests.
     pub log_limiter: RequestLogLimiter,
     /// Settings of the pools.
@@ -81,6 +84,7 @@
             crashes: CrashTable::new(config.crash_limit),
             peer_notifier: RefCell::default(),
             owns_group: RefCell::default(),
+            large_answers: LargeResponses::default(),
             log_limiter: RequestLogLimiter::new(log),
             config,
             log: log.clone(),
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod graph;
 pub mod instances;
 pub mod load;
+pub mod memory;
 pub mod platform;
 pub mod store;
 pub mod upstream;
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -2,6 +2,7 @@
 //! gateway processes that tests start on a site.
 
 pub mod crash_site;
+pub mod endless;
 pub mod endpoints;
 pub mod gateway;
 pub mod site;
--- /dev/null
+++ b/tests/gateway_endless.rs
@@ -0,0 +1,153 @@
+//! Upstreams whose answers have no end: a gateway reads a limited number of bytes,
+//! keeps its memory, and loses no request that it sent to others. Real processes
+//! run against a stand-in store and upstreams.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use clock::Millis;
+use http::StatusCode;
+use rstest::rstest;
+use standins::fleet::wait_until;
+use standins::memory::memory_kib;
+use standins::platform::endless::{self, Endless, EndlessCounts};
+use standins::platform::gateway::{Gateway, PROPAGATION, ready, start_gateway_at};
+use standins::platform::site::{self, READ, Site, start_site, upstream_entry};
+
+/// Upstreams without end, beside two others of the same shard.
+const UPSTREAMS: usize = 8;
+const CLIENTS: usize = 24;
+const RUN_TIME: Millis = Millis(4_000);
+/// Requests that earn the tokens for repeats.
+const WARM_UP: usize = 60;
+/// Bytes of one answer, with what the sockets hold.
+const BYTES_LIMIT: usize = 24 * 1024 * 1024;
+/// Bytes of one answer of the store, with what the sockets hold.
+const STORE_BYTES_LIMIT: usize = 32 * 1024 * 1024;
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+const RESPONSE_TIME: Millis = Millis(1_000);
+/// Growth of the gateway's memory.
+const MEMORY_LIMIT_KIB: usize = 64 * 1024;
+/// Connections on which an answer without end arrives are closed this long after
+/// the deadline of a request.
+const CLOSE_TIME: Duration = Duration::from_secs(3);
+
+async fn add_upstreams(site: &Site, part: Endless, counts: &Rc<EndlessCounts>) {
+    for n in 0..UPSTREAMS {
+        let address = endless::start(part, counts).await.unwrap();
+        let entry = upstream_entry(&site::shard_name(0), address, "ready", 1);
+        site::put(&site.store, &format!("servers/endless-{n}"), &entry);
+    }
+}
+
+/// Counts of the requests that a client sent.
+#[derive(Default)]
+struct Sent {
+    total: Cell<usize>,
+    failed: Cell<usize>,
+    /// Largest memory of the gateway.
+    memory_kib: Cell<usize>,
+}
+
+async fn send_until(gateway: &Gateway, client: usize, end: Millis, sent: &Sent) {
+    while Millis::now() < end {
+        let number = sent.total.get();
+        sent.total.set(number + 1);
+        let id = format!("r-{client}-{number}");
+        let answer = gateway.get(&format!("{READ}{number}"), &id).await;
+        if answer.status() != StatusCode::OK {
+            sent.failed.set(sent.failed.get() + 1);
+        }
+        let memory = memory_kib(gateway.process.id());
+        sent.memory_kib.set(sent.memory_kib.get().max(memory));
+    }
+}
+
+#[rstest]
+#[case::head(Endless::Head)]
+#[case::header_value(Endless::HeaderValue)]
+#[case::interim(Endless::Interim)]
+#[case::body(Endless::Body)]
+#[case::chunks(Endless::Chunks)]
+#[case::chunk_extension(Endless::ChunkExtension)]
+#[case::trailers(Endless::Trailers)]
+#[case::slow_head(Endless::SlowHead)]
+#[case::slow_body(Endless::SlowBody)]
+#[compio::test]
+async fn an_answer_without_end_costs_neither_memory_nor_other_requests(#[case] part: Endless) {
+    let site = start_site().await;
+    let gateway = ready(&site).await;
+    for n in 0..WARM_UP {
+        gateway.get(&format!("{READ}{n}"), &format!("w-{n}")).await;
+    }
+    let before = memory_kib(gateway.process.id());
+    let counts = Rc::new(EndlessCounts::default());
+    add_upstreams(&site, part, &counts).await;
+    wait_until("an upstream without end is used", PROPAGATION, async || {
+        gateway.get(&format!("{READ}0"), "probe").await;
+        counts.requests.get() > 0
+    })
+    .await;
+    let (sent, end) = (Sent::default(), Millis::now() + RUN_TIME);
+    let clients = (0..CLIENTS).map(|client| send_until(&gateway, client, end, &sent));
+    futures_util::future::join_all(clients).await;
+    let growth = sent.memory_kib.get().saturating_sub(before);
+    println!(
+        "{} sent, {} failed, {} reached an upstream without end; at most {} bytes, {growth} KiB more",
+        sent.total.get(),
+        sent.failed.get(),
+        counts.requests.get(),
+        counts.largest.get(),
+    );
+    assert!(sent.failed.get() <= counts.requests.get());
+    assert!(counts.largest.get() <= BYTES_LIMIT);
+    assert!(growth <= MEMORY_LIMIT_KIB, "{growth} KiB");
+    wait_until("the connections are closed", CLOSE_TIME, async || {
+        counts.open.get() == 0
+    })
+    .await;
+    let log = gateway.process.read_log();
+    let is_told = |line: &str| {
+        line.contains("endless-")
+            && (line.contains("answer unusable") || line.contains("attempt timed out"))
+    };
+    assert!(log.lines().any(is_told) || sent.failed.get() == 0, "{log}");
+}
+
+/// The gateway stays responsive and says why the store is of no use.
+#[rstest]
+#[case::head(Endless::Head)]
+#[case::interim(Endless::Interim)]
+#[case::body(Endless::Body)]
+#[case::slow_body(Endless::SlowBody)]
+#[compio::test]
+async fn a_store_without_end_costs_no_memory(#[case] part: Endless) {
+    let counts = Rc::new(EndlessCounts::default());
+    let store = endless::start(part, &counts).await.unwrap();
+    let gateway = start_gateway_at(store, &[]).await;
+    let before = memory_kib(gateway.process.id());
+    let (mut growth, mut slowest) = (0, Millis::ZERO);
+    let end = Millis::now() + RUN_TIME;
+    while Millis::now() < end {
+        let started = Millis::now();
+        assert!(!gateway.is_ready().await);
+        slowest = slowest.max(Millis::now().since(started));
+        let memory = memory_kib(gateway.process.id());
+        growth = growth.max(memory.saturating_sub(before));
+        compio::time::sleep(CHECK_INTERVAL).await;
+    }
+    println!(
+        "{} calls, at most {} bytes, {growth} KiB more, ready answered within {slowest}",
+        counts.requests.get(),
+        counts.largest.get()
+    );
+    assert!(counts.requests.get() > 0);
+    assert!(counts.largest.get() <= STORE_BYTES_LIMIT);
+    assert!(growth <= MEMORY_LIMIT_KIB, "{growth} KiB");
+    assert!(slowest <= RESPONSE_TIME, "{slowest}");
+    let log = gateway.process.read_log();
+    let address = store.to_string();
+    let is_told = |l: &str| l.contains("store unreachable") && l.contains(&address);
+    assert!(log.lines().any(is_told), "{log}");
+}
