Tell a search when enough of its shards take requests again

Cause: a search without the required coverage was told the longest of the times for which upstreams of any shard want no requests, also of shards that answered and of more shards than it needs.

Change: of the missing shards as many count as the required coverage needs, those that take requests again soonest.

Measured: with two of four shards away for 3 s and 60 s and three required, the test read more than 4 s before and reads between 1 s and 4 s now.

--- a/components/gateway/src/forward/search.rs
+++ b/components/gateway/src/forward/search.rs
@@ -189,6 +189,24 @@
         detail,
         retry_after: None,
     };
-    let pools: Vec<Option<&Pool>> = pools.iter().map(Option::as_deref).collect();
-    with_expected_wait(refusal, &pools, request.call.deadline)
+    let needed = needed_pools(results, pools, Millis::now());
+    with_expected_wait(refusal, &needed, request.call.deadline)
+}
+
+/// Returns the pools of as many missing shards as the required coverage needs, those
+/// that take requests again soonest.
+fn needed_pools<'a>(
+    results: &ShardResults<'_>,
+    pools: &'a [Option<Rc<Pool>>],
+    now: Millis,
+) -> Vec<Option<&'a Pool>> {
+    let progress = results.progress();
+    let missing = pools.iter().zip(&results.covered).filter(|(_, c)| !**c);
+    let mut missing: Vec<Option<&Pool>> = missing.map(|(pool, _)| pool.as_deref()).collect();
+    missing.sort_by_key(|pool| match pool {
+        Some(pool) => pool.shortest_backoff(now).unwrap_or(Millis::ZERO),
+        None => Millis(u64::MAX),
+    });
+    missing.truncate(progress.required.saturating_sub(progress.covered));
+    missing
 }
--- a/tests/gateway_backoff.rs
+++ b/tests/gateway_backoff.rs
@@ -7,7 +7,7 @@
 use http::StatusCode;
 use rstest::rstest;
 use standins::platform::gateway::{Gateway, ready};
-use standins::platform::site::{READ, Site, start_site};
+use standins::platform::site::{READ, SEARCH, Site, start_site};
 use standins::platform::upstream::Mode;
 
 const BACKOFF: Duration = Duration::from_secs(3);
@@ -91,6 +91,25 @@
     assert_eq!(refused(&site), before);
 }
 
+/// Three of four shards are enough: the search may come back when the first of the
+/// two missing ones takes requests.
+#[compio::test]
+async fn a_search_waits_only_for_the_shards_that_it_needs() {
+    let site = start_site().await;
+    let gateway = ready(&site).await;
+    for (shard, seconds) in [(0, "3"), (1, "60")] {
+        site.set_mode(shard, &Mode::BackOff(seconds.to_owned()));
+    }
+    let mut retry_after = f64::MAX;
+    for n in 0..10 {
+        let answer = gateway.get(&format!("{SEARCH}1"), &format!("s-{n}")).await;
+        assert_ne!(answer.status(), StatusCode::OK);
+        let value = answer.headers()["retry-after"].to_str().unwrap();
+        retry_after = value.parse().unwrap();
+    }
+    assert!((1.0..4.0).contains(&retry_after), "{retry_after}");
+}
+
 #[rstest]
 #[case::a_date("Fri, 04 Dec 2026 08:00:00 GMT")]
 #[case::garbage("soon")]
