--- a/components/discovery/src/directory.rs
+++ b/components/discovery/src/directory.rs
@@ -11,6 +11,8 @@
 use crate::feed::{Change, Changes, Position, Snapshot, Update};
 use crate::history::History;
 
+mod records;
+
 /// Records that expired during an outage of the store, or that the copy lacks from
 /// which it came back, are written again within 2 s of its return; the other 300 ms
 /// cover the delay of the watch.
@@ -22,7 +24,7 @@
 struct KnownRecord {
     record: Record,
     entry: Entry,
-    // When a deleted record is dropped; set while its deletion may be a lapse.
+    /// When a deleted record is dropped; set while its deletion may be a lapse.
     drop_at: Option<Millis>,
 }
 
@@ -225,123 +227,4 @@
         due.iter().for_each(|key| self.remove(key, now));
         !due.is_empty()
     }
-
-    fn put(&mut self, record: Record) -> bool {
-        let known = self.known.get(&record.key);
-        let is_known =
-            known.is_some_and(|k| k.record.revision >= record.revision && k.drop_at.is_none());
-        let is_configuration = known.is_some_and(|k| matches!(k.entry, Entry::Configuration(_)));
-        if is_known && !is_configuration {
-            return false;
-        }
-        let entry = match self.decoder.decode(&record) {
-            Ok(Entry::Foreign) => return false,
-            Ok(entry) => entry,
-            Err(reason) => {
-                self.rejected.push(format!("{}: {reason}", record.key));
-                return false;
-            }
-        };
-        match entry {
-            Entry::Configuration(read) => self.put_configuration(record, read, is_known),
-            Entry::Upstream(entry) => self.put_upstream(record, entry),
-            entry => {
-                let is_changed = known.is_none_or(|k| k.entry != entry);
-                self.insert(record, entry);
-                is_changed
-            }
-        }
-    }
-
-    /// Puts a configuration in force unless a higher version is: a store that came
-    /// back from a copy may hold an older one.
-    fn put_configuration(
-        &mut self,
-        record: Record,
-        read: Rc<Configuration>,
-        is_known: bool,
-    ) -> bool {
-        let is_changed = match &self.configuration {
-            Some(known) if read.version < known.version => return false,
-            Some(known) if read.version == known.version && is_known => return false,
-            Some(known) => **known != *read,
-            None => true,
-        };
-        if is_changed {
-            self.configuration = Some(read.clone());
-        }
-        self.insert(record, Entry::Configuration(read));
-        is_changed
-    }
-
-    /// Stores an upstream's report unless a newer one is known: a report that
-    /// is written late must not undo a newer one.
-    fn put_upstream(&mut self, record: Record, entry: UpstreamEntry) -> bool {
-        let known = match self.known.get(&record.key).map(|k| (&k.entry, k.drop_at)) {
-            Some((Entry::Upstream(known), drop_at)) => Some((known, drop_at)),
-            _ => None,
-        };
-        let departed = self.departed.get(&record.key);
-        let newest = known
-            .map(|(k, _)| k.report_key())
-            .or(departed.map(|d| d.last_report));
-        let is_old = newest.is_some_and(|newest| is_before(entry.report_key(), newest));
-        if is_old {
-            return false;
-        }
-        let is_changed =
-            known.is_none_or(|(k, drop_at)| drop_at.is_some() || !k.is_same_state(&entry));
-        self.departed.remove(&record.key);
-        self.insert(record, Entry::Upstream(entry));
-        is_changed
-    }
-
-    fn insert(&mut self, record: Record, entry: Entry) {
-        let known = KnownRecord {
-            record: record.clone(),
-            entry,
-            drop_at: None,
-        };
-        self.known.insert(record.key, known);
-    }
-
-    fn delete(&mut self, key: &str, revision: u64, now: Millis) -> bool {
-        let Some(known) = self.known.get_mut(key) else {
-            return false;
-        };
-        // The configuration stays in force until another one replaces it.
-        let is_configuration = matches!(known.entry, Entry::Configuration(_));
-        if known.record.revision > revision || is_configuration {
-            return false;
-        }
-        if now < self.lapse_until {
-            known.drop_at = Some(self.lapse_until);
-            return false;
-        }
-        self.remove(key, now);
-        true
-    }
-
-    fn remove(&mut self, key: &str, now: Millis) {
-        let Some(known) = self.known.remove(key) else {
-            return;
-        };
-        if let Entry::Upstream(entry) = known.entry {
-            let departed = Departed {
-                last_report: entry.report_key(),
-                removed_at: now,
-            };
-            self.departed.insert(key.to_owned(), departed);
-        }
-    }
-}
-
-/// Whether a report is older than another; a start time can't be compared with
-/// a missing one, so that neither report counts as older then.
-fn is_before(report: (Option<Millis>, u64), other: (Option<Millis>, u64)) -> bool {
-    match (report.0, other.0) {
-        (Some(a), Some(b)) if a != b => a < b,
-        (Some(_), None) | (None, Some(_)) => false,
-        _ => report.1 < other.1,
-    }
 }
--- a/components/ledger/src/era.rs
+++ b/components/ledger/src/era.rs
@@ -9,8 +9,8 @@
 use slog::{info, warn};
 use store::Swap;
 
-use crate::committer::Ledger;
 use crate::key::FUTURE_SKEW;
+use crate::queue::Ledger;
 
 /// Key of the latest [`Era`] that a daemon has recorded.
 const ERA_KEY: &str = "ledger/era";
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -2,13 +2,14 @@
 //! key has been claimed in the platform's store.
 
 mod bucket;
-mod committer;
+mod commit;
 mod era;
 mod key;
 mod pace;
+mod queue;
 mod verdict;
 
 pub use bucket::{Bucket, Claim};
-pub use committer::{BucketView, Ledger, LedgerRequest};
 pub use key::{FUTURE_SKEW, Key, KeyError, Result};
+pub use queue::{BucketView, Ledger, LedgerRequest};
 pub use verdict::Verdict;
--- a/components/query/src/booking.rs
+++ b/components/query/src/booking.rs
@@ -6,7 +6,7 @@
 use catalog::Topology;
 use clock::Millis;
 use ledger::{Key, LedgerRequest, Verdict};
-use schema::{ClaimRequest, DispatchReply, DispatchRequest, OutcomeRequest};
+use schema::{DispatchReply, DispatchRequest};
 use telemetry::names;
 use upstreams::{Failure, Ran, Reason};
 use uuid::Uuid;
@@ -14,15 +14,16 @@
 
 use crate::answer::BookingAnswer;
 use crate::merge::decode_result;
-use crate::outcomes::BookingState;
-use crate::owner::{PeerError, peer_result};
+use crate::owner::PeerError;
 use crate::refusal::{Kind, Refusal, Result};
 use crate::root::{Root, fingerprint};
-use crate::server::decode_verdict;
+
+use claim::claim_refusal;
+
+mod claim;
+mod replay;
 
 const LEDGER_RETRY_AFTER: Millis = Millis(1_000);
-const RUNNING_RETRY_AFTER: Millis = Millis(100);
-const OUTCOME_TIMEOUT: Millis = Millis(500);
 // An owner must answer this much earlier than the root.
 const HOP_MARGIN: Millis = Millis(3);
 // A dispatch starts only if more time than this is left.
@@ -127,45 +128,6 @@
         self.root.exit.bound(self.requested_deadline)
     }
 
-    fn claim_request(&self) -> LedgerRequest {
-        LedgerRequest {
-            service: self.request.service.clone(),
-            key: self.request.key.clone(),
-            nonce: Uuid::new_v4().simple().to_string(),
-            claimer: self.root.members.me().id,
-            retention: self.topology.service.retention_ms,
-            deadline: self.deadline(),
-            release: false,
-        }
-    }
-
-    /// Claims a key through the daemon that writes its bucket, or directly if
-    /// that daemon does not answer; with the same nonce, both make one claim.
-    async fn claim(&self, claim: LedgerRequest) -> Verdict {
-        let root = self.root;
-        let bucket = claim.key.bucket(&claim.service);
-        let owners = root.owners(&bucket, "");
-        let me = root.members.me().id;
-        let Some(writer) = owners.first().filter(|m| m.id != me) else {
-            return root.ledger.submit(claim).await;
-        };
-        let left = claim.deadline.since(Millis::now());
-        let message = ClaimRequest {
-            service: claim.service.clone(),
-            key: claim.key.text.clone(),
-            nonce: claim.nonce.clone(),
-            claimer: me,
-            budget_ms: left.0,
-        };
-        let mut client = root.members.client(writer.address);
-        // Leaves half of the time for the direct claim.
-        let timeout = Millis(left.0 / 2);
-        match peer_result(compio::time::timeout(timeout.into(), client.claim(message)).await) {
-            Ok(reply) => decode_verdict(reply),
-            Err(_) => root.ledger.submit(claim).await,
-        }
-    }
-
     /// Dispatches a booking whose key this attempt has claimed.
     async fn dispatch_claimed(&self, claim: LedgerRequest) -> DispatchReply {
         let outcomes = &self.root.outcomes;
@@ -232,44 +194,6 @@
             fingerprint: self.fingerprint,
         }
     }
-
-    /// Answers a booking whose key was claimed before from the outcome that the
-    /// claimer has stored.
-    async fn replay(&self, claimer: &str) -> Result<BookingAnswer> {
-        match self.find_outcome(claimer).await {
-            Some(BookingState::Done(reply)) => {
-                booking_answer(self.request, &self.shard, reply, true)
-            }
-            Some(BookingState::Running) => {
-                Err(key_claimed("the booking is running", RUNNING_RETRY_AFTER))
-            }
-            None => Err(key_claimed(
-                "the key was claimed before and the outcome is not known",
-                LEDGER_RETRY_AFTER,
-            )),
-        }
-    }
-
-    async fn find_outcome(&self, claimer: &str) -> Option<BookingState> {
-        let (service, key) = (&self.request.service, &self.request.key.text);
-        let members = &self.root.members;
-        if claimer == members.me().id {
-            return self.root.outcomes.find(service, key);
-        }
-        let member = members.find(claimer)?;
-        let mut client = members.client(member.address);
-        let message = OutcomeRequest {
-            service: service.clone(),
-            key: key.clone(),
-        };
-        let call = compio::time::timeout(OUTCOME_TIMEOUT.into(), client.outcome(message));
-        let reply = peer_result(call.await).ok()?;
-        match reply.reply {
-            _ if !reply.known => None,
-            _ if reply.running => Some(BookingState::Running),
-            reply => reply.map(BookingState::Done),
-        }
-    }
 }
 
 fn choose_shard(topology: &Topology, request: &BookRequest) -> Result<String> {
@@ -287,47 +211,6 @@
     }
 }
 
-/// Returns the refusal of a booking without a claim; `new_keys_in` is the time after
-/// which new keys are accepted.
-fn claim_refusal(verdict: &Verdict, new_keys_in: Millis) -> Refusal {
-    match verdict {
-        Verdict::TooOld => Refusal::invalid(
-            Kind::KeyOutsideWindow,
-            "the Idempotency-Key is older than the retention time of keys",
-        ),
-        Verdict::ClaimLost => Refusal {
-            kind: Kind::KeyClaimed,
-            ran: Ran::Unknown,
-            detail: "the store lost its latest claims, perhaps one of this key".to_owned(),
-            retry_after: (new_keys_in > Millis::ZERO).then_some(new_keys_in),
-        },
-        Verdict::Future => Refusal::invalid(
-            Kind::KeyOutsideWindow,
-            "the Idempotency-Key contains a time in the future",
-        ),
-        Verdict::Full => Refusal::not_run(
-            Kind::LedgerUnavailable,
-            "the ledger bucket of the key is full for now",
-            LEDGER_RETRY_AFTER,
-        ),
-        _ => Refusal::not_run(
-            Kind::LedgerUnavailable,
-            "the store did not confirm the claim in time",
-            LEDGER_RETRY_AFTER,
-        ),
-    }
-}
-
-fn key_claimed(detail: &str, retry_after: Millis) -> Refusal {
-    let retry_after = Some(retry_after);
-    Refusal {
-        kind: Kind::KeyClaimed,
-        ran: Ran::Unknown,
-        detail: detail.to_owned(),
-        retry_after,
-    }
-}
-
 fn not_run_reply(reason: Reason) -> DispatchReply {
     DispatchReply {
         ran: Ran::No.into(),
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -11,7 +11,7 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
-use transport::{Client, Payload};
+use transport::{Client, Payload, header_number};
 
 use crate::error::{Error, Result};
 use crate::kv::{Entry, Store, Swap, VALUE_LIMIT_BYTES};
@@ -52,7 +52,12 @@
     ) -> Result<Response<Bytes>> {
         let response = call(SERVICE, client, request, timeout).await?;
         let known = self.era.get();
-        let era = read_era(&response)?.unwrap_or(known);
+        let era = header_number(response.headers(), ERA_HEADER);
+        let era = era.map_err(|detail| Error::Malformed {
+            service: SERVICE,
+            detail,
+        })?;
+        let era = era.unwrap_or(known);
         if era < known {
             return Err(Error::OutcomeUnknown {
                 service: SERVICE,
@@ -64,18 +69,6 @@
     }
 }
 
-fn read_era(response: &Response<Bytes>) -> Result<Option<u64>> {
-    let Some(value) = response.headers().get(ERA_HEADER) else {
-        return Ok(None);
-    };
-    let era = value.to_str().ok().and_then(|text| text.parse().ok());
-    let era = era.ok_or_else(|| Error::Malformed {
-        service: SERVICE,
-        detail: format!("unreadable era {value:?}"),
-    })?;
-    Ok(Some(era))
-}
-
 #[derive(Deserialize)]
 struct SwapReply {
     version: u64,
--- a/components/upstreams/tests/end_check.rs
+++ b/components/upstreams/tests/end_check.rs
@@ -5,54 +5,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use clock::Millis;
 use futures_util::future::join;
-use http::{Request, Response};
 use rstest::rstest;
-use transport::Payload;
-use upstreams::{
-    Call, CrashStatus, Endpoint, Message, Pool, PoolConfig, Recipient, Reply, RetryPolicy,
-};
+use upstreams::{CrashStatus, Endpoint, Pool, PoolConfig};
 
 #[path = "support/test_pool.rs"]
 mod test_pool;
+#[path = "support/unanswered.rs"]
+mod unanswered;
 
 use test_pool::{AllUpstreams, empty_pool};
+use unanswered::call_once;
 
 const TIMEOUT: Millis = Millis(2_000);
 const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
 
-struct PlainRequest;
-
-impl Message for PlainRequest {
-    fn id(&self) -> &str {
-        "r"
-    }
-
-    fn to_request(&self, _: &Recipient<'_>, _: Millis) -> Option<Request<Payload>> {
-        Request::get("/").body(Payload::default()).ok()
-    }
-
-    fn read(&self, _: &Recipient<'_>, _: Response<Bytes>) -> Reply {
-        unreachable!("nothing is answered")
-    }
-}
-
-fn call(fingerprint: u64) -> Call {
-    let policy = RetryPolicy {
-        attempts: 1,
-        hedge_percent: 0,
-        retry_percent: 0,
-        awaits_replicas: false,
-        hedge_within: None,
-    };
-    Call {
-        fingerprint,
-        ..test_pool::call(PlainRequest, TIMEOUT, policy)
-    }
-}
-
 /// A pool with one upstream of two slots.
 fn pool(listener: &TcpListener) -> Rc<Pool> {
     let config = PoolConfig {
@@ -96,7 +64,7 @@
 ) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let pool = pool(&listener);
-    let call = call(1);
+    let call = call_once(1, TIMEOUT);
     let shard = AllUpstreams(pool.clone());
     let serve = async {
         let stream = accept(&listener).await;
@@ -115,7 +83,7 @@
 async fn a_request_that_was_not_sent_to_an_ended_upstream_is_no_suspect() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let pool = pool(&listener);
-    let calls = [call(1), call(2)];
+    let calls = [call_once(1, TIMEOUT), call_once(2, TIMEOUT)];
     let shard = AllUpstreams(pool.clone());
     let serve = async {
         let stream = accept(&listener).await;
--- a/components/upstreams/tests/placement.rs
+++ b/components/upstreams/tests/placement.rs
@@ -3,37 +3,18 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use clock::Millis;
-use http::{Request, Response};
-use transport::Payload;
-use upstreams::{Call, Crash, Endpoint, Message, Pool, PoolConfig, Recipient, Reply, RetryPolicy};
+use upstreams::{Crash, Endpoint, Pool, PoolConfig};
 
 #[path = "support/test_pool.rs"]
 mod test_pool;
+#[path = "support/unanswered.rs"]
+mod unanswered;
 
 use test_pool::{AllUpstreams, empty_pool};
+use unanswered::call_once;
 
-const BUDGET: Millis = Millis(30);
-
-struct PlainRequest;
-
-impl Message for PlainRequest {
-    fn id(&self) -> &str {
-        "r"
-    }
-
-    fn to_request(&self, _: &Recipient<'_>, _: Millis) -> Option<Request<Payload>> {
-        Request::get("/")
-            .header("host", "upstream")
-            .body(Payload::new(Bytes::new()))
-            .ok()
-    }
-
-    fn read(&self, _: &Recipient<'_>, _: Response<Bytes>) -> Reply {
-        unreachable!("nothing answers")
-    }
-}
+const TIMEOUT: Millis = Millis(30);
 
 /// Listens but never answers.
 fn silent() -> TcpListener {
@@ -54,20 +35,6 @@
     }
 }
 
-fn call(fingerprint: u64) -> Call {
-    let policy = RetryPolicy {
-        attempts: 1,
-        hedge_percent: 0,
-        retry_percent: 0,
-        awaits_replicas: false,
-        hedge_within: None,
-    };
-    Call {
-        fingerprint,
-        ..test_pool::call(PlainRequest, BUDGET, policy)
-    }
-}
-
 /// Runs requests one after the other; before each, a crash in domain `a` is
 /// recorded for it.
 async fn run_suspects(pool: &Rc<Pool>) {
@@ -83,7 +50,10 @@
             .crashes
             .record(fingerprint, crash, Millis::now());
         let result = pool
-            .fetch(&AllUpstreams(pool.clone()), &call(fingerprint))
+            .fetch(
+                &AllUpstreams(pool.clone()),
+                &call_once(fingerprint, TIMEOUT),
+            )
             .await;
         result.expect_err("nothing answers");
     }
