--- a/components/discovery/src/follow.rs
+++ b/components/discovery/src/follow.rs
@@ -248,7 +248,8 @@
         let at = now.since(age);
         self.last_contact.set(self.last_contact.get().max(at));
         if self.is_store_lost.replace(false) {
-            info!(self.log, "store reachable again"; "revision" => self.directory.borrow().position().revision);
+            let revision = self.directory.borrow().position().revision;
+            info!(self.log, "store reachable again"; "revision" => revision);
             self.directory.borrow_mut().record_reconnect(now);
         }
     }
