--- a/components/ledger/src/queue.rs
+++ b/components/ledger/src/queue.rs
@@ -63,7 +63,7 @@
 /// The state of one bucket, for the state dump.
 #[derive(Debug, Serialize)]
 pub struct BucketView {
-    /// The store's key.
+    /// The store's key, without the era.
     pub key: String,
     /// The cached version, or 0 if the bucket is not cached.
     pub version: u64,
