--- a/components/transport/src/response.rs
+++ b/components/transport/src/response.rs
@@ -11,7 +11,7 @@
 
 /// Responses up to this size need no place among the large ones.
 const SMALL_BYTES: usize = 256 * 1024;
-const LARGE_AT_ONCE: usize = 3;
+const LARGE_AT_ONCE: usize = 2;
 
 /// Places for large responses. A response beyond a quarter of a megabyte waits for
 /// one of a few places before more of it is read, so that the memory of responses
