--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -102,7 +102,7 @@
     let sync = CatalogSync::new(Repository::new(store.clone()), &members, log);
     let cluster = members.clone();
     let ledger = Ledger::new(store, Box::new(move || cluster.alive().len() + 1), log);
-    compio::runtime::spawn(ledger.clone().follow_eras()).detach();
+    compio::runtime::spawn(ledger.clone().follow_epochs()).detach();
     let outcomes = Rc::new(Outcomes::default());
     let server = Rc::new(Server {
         pools: pools.clone(),
--- a/components/discovery/src/directory.rs
+++ b/components/discovery/src/directory.rs
@@ -13,9 +13,9 @@
 
 mod records;
 
-/// Records that expired during an outage of the store, or that the copy lacks from
-/// which it came back, are written again within 2 s of its return; the other 300 ms
-/// cover the delay of the watch.
+/// Records that expired during an outage of the store, or that the backup lacks from
+/// which it was restored, are written again within 2 s of its return; the other
+/// 300 ms cover the delay of the watch.
 const LAPSE_GRACE: Millis = Millis(2_300);
 /// How long the last report of a removed upstream is kept, so that a late
 /// write of an older report does not bring it back.
@@ -86,7 +86,7 @@
         })
     }
 
-    /// Returns the upstreams that ended under requests.
+    /// Returns the upstreams that crashed during requests.
     pub fn crashes(&self) -> impl Iterator<Item = &CrashEntry> {
         self.known.values().filter_map(|k| match &k.entry {
             Entry::Crash(entry) => Some(entry),
@@ -95,9 +95,9 @@
     }
 
     /// Returns what a peer at the position `after` needs to become current; nothing
-    /// if it is in a later era.
+    /// if it is in a later epoch.
     pub fn update_since(&self, after: Position) -> Update {
-        let known = match after.era.cmp(&self.position.era) {
+        let known = match after.epoch.cmp(&self.position.epoch) {
             Ordering::Less => None,
             Ordering::Equal => self.history.since(after.revision),
             Ordering::Greater => Some(Vec::new()),
@@ -151,11 +151,11 @@
         self.lapse_until.since(now)
     }
 
-    /// Applies changes unless they are of another era; `true` if the state of an
+    /// Applies changes unless they are of another epoch; `true` if the state of an
     /// entry has changed.
     pub fn apply(&mut self, changes: Changes, now: Millis) -> bool {
         let mut is_changed = false;
-        if changes.at.era != self.position.era {
+        if changes.at.epoch != self.position.epoch {
             return is_changed;
         }
         for change in changes.list {
@@ -172,14 +172,14 @@
     }
 
     /// Replaces all records with a snapshot unless it is older; `true` if the
-    /// state of an entry has changed. Records that the copy of a restored store
+    /// state of an entry has changed. Records that a restored store
     /// lacks are kept for as long as they may be written again.
     pub fn replace(&mut self, snapshot: Snapshot, now: Millis) -> bool {
         if snapshot.at < self.position {
             return false;
         }
-        if snapshot.at.era > self.position.era {
-            self.start_era(now);
+        if snapshot.at.epoch > self.position.epoch {
+            self.start_epoch(now);
         }
         let listed: std::collections::HashSet<&str> =
             snapshot.records.iter().map(|r| r.key.as_str()).collect();
@@ -201,9 +201,9 @@
         is_changed
     }
 
-    /// Makes the known records older than any of the new era, whose revisions start
+    /// Makes the known records older than any of the new epoch, whose revisions start
     /// again.
-    fn start_era(&mut self, now: Millis) {
+    fn start_epoch(&mut self, now: Millis) {
         for known in self.known.values_mut() {
             known.record.revision = 0;
         }
--- a/components/discovery/src/directory/records.rs
+++ b/components/discovery/src/directory/records.rs
@@ -37,8 +37,8 @@
         }
     }
 
-    /// Puts a configuration in force unless a higher version is: a store that came
-    /// back from a copy may hold an older one.
+    /// Puts a configuration in force unless a higher version is: a restored
+    /// store may hold an older one.
     fn put_configuration(
         &mut self,
         record: Record,
--- a/components/discovery/src/entry.rs
+++ b/components/discovery/src/entry.rs
@@ -27,7 +27,7 @@
     Upstream(UpstreamEntry),
     /// A daemon of this system.
     Instance(InstanceEntry),
-    /// An upstream that ended under a request.
+    /// An upstream that crashed during a request.
     Crash(CrashEntry),
     /// A record that this system does not use.
     Foreign,
@@ -106,7 +106,7 @@
     pub domain: String,
 }
 
-/// An upstream that ended under a request, as the daemon that saw it writes it.
+/// An upstream that crashed during a request, as the daemon that saw it writes it.
 /// There is one entry for each pair of a request and an upstream's process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashEntry {
--- a/components/discovery/src/feed.rs
+++ b/components/discovery/src/feed.rs
@@ -9,13 +9,13 @@
 /// Result with this crate's error.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// A point in the history of a store. Positions of a later era are later, whatever
+/// A point in the history of a store. Positions of a later epoch are later, whatever
 /// their revisions.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Position {
-    /// Rises each time that the store comes back from a copy; 0 if it tells none.
-    pub era: u64,
-    /// Revision within the era. The revisions that a copy lacks are given out again.
+    /// Rises each time that the store is restored from a backup; 0 if it reports none.
+    pub epoch: u64,
+    /// Revision within the epoch. The revisions that a backup lacks are given out again.
     pub revision: u64,
 }
 
@@ -29,11 +29,11 @@
         /// The revision after which changes were requested.
         after: u64,
     },
-    /// The store came back from a copy, so that all records must be read anew.
-    #[snafu(display("the store came back from a copy, era {era}"))]
+    /// The store was restored from a backup, so that all records must be read anew.
+    #[snafu(display("the store was restored from a backup, epoch {epoch}"))]
     Restored {
-        /// The era of the answer.
-        era: u64,
+        /// The epoch of the answer.
+        epoch: u64,
     },
     /// The source is unreachable, refuses the request or responds with an
     /// error.
@@ -42,7 +42,7 @@
         /// The cause.
         detail: String,
     },
-    /// The lease has ended, or was granted before the store came back from a copy.
+    /// The lease has ended, or was granted before the store was restored from a backup.
     #[snafu(display("the lease has ended"))]
     LeaseEnded,
 }
@@ -85,7 +85,7 @@
 pub struct Changes {
     /// Records that were written and keys that were deleted.
     pub list: Vec<Change>,
-    /// The list is complete up to this position, and all of its era.
+    /// The list is complete up to this position, and all of its epoch.
     pub at: Position,
 }
 
@@ -105,13 +105,13 @@
     async fn read(&self) -> Result<Snapshot>;
 
     /// Waits at most `wait` for changes after a position; fails with
-    /// [`Error::Restored`] if the store is in another era.
+    /// [`Error::Restored`] if the store is in another epoch.
     async fn watch(&self, after: Position, wait: Millis) -> Result<Changes>;
 
-    /// Returns the latest era that any answer of the store told, or a peer.
-    fn era(&self) -> u64;
+    /// Returns the latest epoch in any answer of the store or of a peer.
+    fn epoch(&self) -> u64;
 
-    /// Records an era that a peer told; answers of earlier ones are ignored from now
+    /// Records an epoch that a peer knows; answers of earlier ones are ignored from now
     /// on.
-    fn observe_era(&self, era: u64);
+    fn observe_epoch(&self, epoch: u64);
 }
--- a/components/discovery/src/follow.rs
+++ b/components/discovery/src/follow.rs
@@ -142,8 +142,8 @@
         let after = self.directory.borrow().position();
         match watcher.poll(after, WATCH_WAIT).await {
             Ok(update) if self.is_outdated(&update) => {
-                slog::debug!(self.log, "watcher is in an older era"; "peer" => %watcher.address,
-                    "era" => update.position().era);
+                slog::debug!(self.log, "watcher is in an older epoch"; "peer" => %watcher.address,
+                    "epoch" => update.position().epoch);
                 if self.store_age(Millis::now()) < RELAY_SILENCE {
                     return RELAY_DELAY;
                 }
@@ -168,11 +168,11 @@
         Millis::ZERO
     }
 
-    /// Whether the store has come back from a copy since the sender of an update read
+    /// Whether the store was restored from a backup since the sender of an update read
     /// its records.
     fn is_outdated(&self, update: &PeerUpdate) -> bool {
-        let known = self.directory.borrow().position().era;
-        update.position().era < known.max(self.feed.era())
+        let known = self.directory.borrow().position().epoch;
+        update.position().epoch < known.max(self.feed.epoch())
     }
 
     /// Reads or watches the store once; returns the delay before the next time.
@@ -211,10 +211,10 @@
             let is_changed = change(&mut directory, now);
             (is_changed, directory.take_rejected(), directory.position())
         };
-        if before.revision > 0 && after.era > before.era {
+        if before.revision > 0 && after.epoch > before.epoch {
             metrics::counter!(names::STORE_RESTORES_TOTAL).increment(1);
-            warn!(self.log, "store restored from a copy, records read anew"; "era" => after.era,
-                "revision" => after.revision, "era_before" => before.era,
+            warn!(self.log, "store restored from a backup, records read anew"; "epoch" => after.epoch,
+                "revision" => after.revision, "epoch_before" => before.epoch,
                 "revision_before" => before.revision);
         }
         for entry in rejected {
@@ -270,7 +270,7 @@
     }
 
     fn apply_update(&self, update: PeerUpdate) {
-        self.feed.observe_era(update.position().era);
+        self.feed.observe_epoch(update.position().epoch);
         if let Some(exchange) = &*self.crash_exchange.borrow() {
             exchange.merge_crashes(&update.crashes);
         }
--- a/components/discovery/src/follow/peers.rs
+++ b/components/discovery/src/follow/peers.rs
@@ -71,15 +71,15 @@
         let after = self.directory.borrow().position();
         match RelayClient::new(address).poll(after, Millis::ZERO).await {
             Ok(update) if self.is_outdated(&update) => {
-                debug!(self.log, "peer is in an older era"; "peer" => %address,
-                    "era" => update.position().era);
+                debug!(self.log, "peer is in an older epoch"; "peer" => %address,
+                    "epoch" => update.position().epoch);
             }
             Ok(update) => {
                 self.apply_update(update);
                 let to = self.directory.borrow().position();
                 if to > after {
                     info!(self.log, "directory updated from a peer"; "peer" => %address,
-                        "era" => to.era, "from_revision" => after.revision,
+                        "epoch" => to.epoch, "from_revision" => after.revision,
                         "to_revision" => to.revision);
                     self.is_loaded.set(true);
                 }
--- a/components/discovery/src/registration.rs
+++ b/components/discovery/src/registration.rs
@@ -16,18 +16,18 @@
 const RENEWAL_INTERVAL: Millis = Millis(3_000);
 const RETRY_DELAY: Millis = Millis(1_000);
 const END_CHECK_INTERVAL: Millis = Millis(1_000);
-/// All daemons lose their registrations at once if the store comes back from a copy;
+/// All daemons lose their registrations at once if the store is restored from a backup;
 /// they make them again spread over this time.
 const RESTORE_SPREAD_MS: std::ops::Range<u64> = 0..2_000;
 
-/// A lease and the era of the store in which it was granted. A store that came back
-/// from a copy can grant the same number again.
+/// A lease and the epoch of the store in which it was granted. A restored store
+/// can grant the same number again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Lease {
     /// Number that the store gave it.
     pub number: u64,
-    /// Era of the store.
-    pub era: u64,
+    /// Epoch of the store.
+    pub epoch: u64,
 }
 
 /// Leases and the registrations that they hold.
@@ -36,7 +36,7 @@
     /// Returns a new lease that expires unless it is renewed within `ttl`.
     async fn grant(&self, ttl: Millis) -> Result<Lease>;
 
-    /// Whether the store has come back from a copy since the lease was granted. Such
+    /// Whether the store was restored from a backup since the lease was granted. Such
     /// a lease has ended for its holder; calls with it are not sent.
     fn is_lost(&self, lease: Lease) -> bool;
 
@@ -115,7 +115,7 @@
         self.end_lease().await;
     }
 
-    /// Whether the store came back from a copy without the registration.
+    /// Whether the store was restored from a backup without the registration.
     fn is_lost(&self) -> bool {
         let lease = self.state.get().lease();
         lease.is_some_and(|lease| self.leases.is_lost(lease))
@@ -142,7 +142,7 @@
                 let lease = self.state.replace(State::Unregistered).lease();
                 if !self.is_ended.get() {
                     warn!(self.log, "registration expired, registering again";
-                        "lease" => lease.map(|l| l.number), "era" => lease.map(|l| l.era));
+                        "lease" => lease.map(|l| l.number), "epoch" => lease.map(|l| l.epoch));
                 }
             }
             Err(e) => debug!(self.log, "registration not made or renewed"; "error" => %e),
@@ -171,7 +171,7 @@
         self.leases.register(lease, &self.instance).await?;
         if !self.is_ended.get() {
             self.state.set(State::Registered(lease));
-            info!(self.log, "registered"; "lease" => lease.number, "era" => lease.era,
+            info!(self.log, "registered"; "lease" => lease.number, "epoch" => lease.epoch,
                 "ttl_ms" => LEASE_TTL.0);
         }
         Ok(())
--- a/components/discovery/src/relay.rs
+++ b/components/discovery/src/relay.rs
@@ -38,9 +38,9 @@
 /// JSON form of a [`PeerUpdate`].
 #[derive(Debug, Serialize, Deserialize)]
 pub struct RelayState {
-    // Absent from daemons that don't know eras.
+    // Absent from daemons that don't know epochs.
     #[serde(default)]
-    era: u64,
+    epoch: u64,
     revision: u64,
     /// Whether the list holds all records; keys that it lacks don't exist then.
     is_all: bool,
@@ -122,7 +122,7 @@
             }
         };
         Self {
-            era: at.era,
+            epoch: at.epoch,
             revision: at.revision,
             is_all,
             age_ms: update.age.0,
@@ -138,7 +138,7 @@
 
     fn try_from(state: RelayState) -> std::result::Result<Self, Self::Error> {
         let at = Position {
-            era: state.era,
+            epoch: state.epoch,
             revision: state.revision,
         };
         let changes = state.records.into_iter().map(Change::try_from);
@@ -188,8 +188,8 @@
     pub async fn poll(&self, after: Position, wait: Millis) -> Result<PeerUpdate> {
         let unavailable = |detail: String| Error::Unavailable { detail };
         let uri = format!(
-            "/v1/directory?era={}&after={}&wait_ms={}",
-            after.era, after.revision, wait.0
+            "/v1/directory?epoch={}&after={}&wait_ms={}",
+            after.epoch, after.revision, wait.0
         );
         let body = self
             .send(Method::GET, &uri, Bytes::new(), wait + RESPONSE_MARGIN)
--- a/components/discovery/tests/directory.rs
+++ b/components/discovery/tests/directory.rs
@@ -34,7 +34,7 @@
 
 fn apply(directory: &mut Directory, now: Millis, list: Vec<Change>) -> bool {
     let revision = list.iter().map(Change::revision).max().unwrap_or(0);
-    let at = Position { era: 0, revision };
+    let at = Position { epoch: 0, revision };
     directory.apply(Changes { list, at }, now)
 }
 
@@ -150,7 +150,7 @@
     let old = Snapshot {
         records: vec![],
         at: Position {
-            era: 0,
+            epoch: 0,
             revision: 8,
         },
     };
@@ -159,7 +159,7 @@
     let new = Snapshot {
         records: vec![record("v", "ready 100 1", 9)],
         at: Position {
-            era: 0,
+            epoch: 0,
             revision: 12,
         },
     };
@@ -169,8 +169,8 @@
     assert_eq!(directory.snapshot().at.revision, 12);
 }
 
-fn at(era: u64, revision: u64) -> Position {
-    Position { era, revision }
+fn at(epoch: u64, revision: u64) -> Position {
+    Position { epoch, revision }
 }
 
 fn snapshot(records: Vec<Record>, at: Position) -> Snapshot {
@@ -204,16 +204,16 @@
 }
 
 #[test]
-fn lower_revisions_of_a_later_era_replace_known_records() {
+fn lower_revisions_of_a_later_epoch_replace_known_records() {
     let mut directory = directory(vec![put("u", "ready 100 9", 8)]);
     let copy = snapshot(vec![record("u", "ready 100 2", 2)], at(1, 3));
     directory.replace(copy, LATER);
     let list = vec![put("u", "draining 100 10", 4)];
-    let changes = |era, list| Changes {
+    let changes = |epoch, list| Changes {
         list,
-        at: at(era, 4),
+        at: at(epoch, 4),
     };
-    // An answer of the earlier era comes late.
+    // An answer of the earlier epoch comes late.
     assert!(!directory.apply(changes(0, vec![put("u", "draining 100 11", 90)]), LATER));
     assert_eq!(states(&directory), [Lifecycle::Ready]);
     assert!(!directory.replace(snapshot(vec![], at(0, 99)), LATER));
@@ -222,7 +222,7 @@
 }
 
 #[test]
-fn an_older_report_in_a_copy_does_not_undo_that_an_upstream_drains() {
+fn an_older_report_in_a_backup_does_not_undo_that_an_upstream_drains() {
     let mut directory = directory(vec![put("u", "draining 100 9", 8)]);
     let copy = snapshot(vec![record("u", "ready 100 2", 2)], at(1, 3));
     directory.replace(copy, LATER);
@@ -230,7 +230,7 @@
 }
 
 #[test]
-fn the_configuration_of_a_copy_does_not_replace_a_higher_version() {
+fn the_configuration_of_a_backup_does_not_replace_a_higher_version() {
     let mut directory = directory(vec![put("c", "config 5", 8)]);
     let version = |d: &Directory| d.configuration().map(|c| c.version);
     let copy = snapshot(vec![record("c", "config 3", 2)], at(1, 3));
@@ -257,7 +257,7 @@
 }
 
 #[test]
-fn a_peer_of_another_era_gets_all_records_or_nothing() {
+fn a_peer_of_another_epoch_gets_all_records_or_nothing() {
     let mut restored = directory(vec![put("u", "ready 100 9", 8)]);
     let records = vec![record("u", "ready 100 9", 2)];
     restored.replace(snapshot(records.clone(), at(1, 3)), LATER);
--- a/components/discovery/tests/registration.rs
+++ b/components/discovery/tests/registration.rs
@@ -36,7 +36,7 @@
 #[derive(Default)]
 struct FakeLeases {
     granted: Cell<u64>,
-    era: Cell<u64>,
+    epoch: Cell<u64>,
     live: RefCell<BTreeSet<u64>>,
     /// Leases that hold a registration.
     registered: RefCell<BTreeSet<u64>>,
@@ -81,14 +81,14 @@
             self.live.borrow_mut().insert(lease);
             Lease {
                 number: lease,
-                era: self.era.get(),
+                epoch: self.epoch.get(),
             }
         };
         call(self.grant_fault.take(), execute).await
     }
 
     fn is_lost(&self, lease: Lease) -> bool {
-        lease.era != self.era.get()
+        lease.epoch != self.epoch.get()
     }
 
     async fn register(&self, Lease { number: lease, .. }: Lease, _: &InstanceEntry) -> Result<()> {
@@ -219,7 +219,7 @@
     let registration = start(&leases).await;
     assert!(leases.is_registered());
     leases.registered.borrow_mut().clear();
-    leases.era.set(1);
+    leases.epoch.set(1);
     compio::time::sleep(OBSERVATION).await;
     assert_eq!(leases.granted.get(), 2);
     assert!(leases.is_registered());
--- a/components/discovery/tests/watchers.rs
+++ b/components/discovery/tests/watchers.rs
@@ -73,10 +73,13 @@
 }
 
 const NOW: Millis = Millis(1_000);
-const ERA: u64 = 3;
+const EPOCH: u64 = 3;
 
 fn at(revision: u64) -> Position {
-    Position { era: ERA, revision }
+    Position {
+        epoch: EPOCH,
+        revision,
+    }
 }
 
 /// A directory that was read at revision 10 and applied a write and a deletion.
--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -59,7 +59,7 @@
     let number = |name| query.get(name).copied().unwrap_or(0);
     let wait = Millis(number("wait_ms"));
     let after = Position {
-        era: number("era"),
+        epoch: number("epoch"),
         revision: number("after"),
     };
     local(async move {
--- a/components/gateway/src/crash_sharing.rs
+++ b/components/gateway/src/crash_sharing.rs
@@ -46,8 +46,8 @@
     leases: Rc<dyn Leases>,
     /// Address of this daemon for its peers.
     me: SocketAddr,
-    /// Own crashes that peers were told, and whether they were told as cleared.
-    told: RefCell<HashMap<CrashKey, bool>>,
+    /// Own crashes that were sent to peers, and whether as cleared.
+    sent: RefCell<HashMap<CrashKey, bool>>,
     /// When crashes that the store lacks are to be written.
     due: RefCell<HashMap<CrashKey, Millis>>,
     lease: Cell<Option<(Lease, Millis)>>,
@@ -71,7 +71,7 @@
             records,
             leases,
             me,
-            told: RefCell::default(),
+            sent: RefCell::default(),
             due: RefCell::default(),
             lease: Cell::new(None),
             wake: RefCell::default(),
@@ -96,12 +96,12 @@
         }
     }
 
-    /// Tells peers of crashes and writes them to the store until the task is
+    /// Sends crashes to peers and writes them to the store until the task is
     /// dropped.
     pub(crate) async fn run(self: Rc<Self>) {
         loop {
             if self.wait_for_change().await {
-                self.tell_peers(Millis::now());
+                self.send_to_peers(Millis::now());
                 compio::time::sleep(SETTLE_DELAY.into()).await;
             }
             let result = self.write_due(Millis::now()).await;
@@ -124,8 +124,8 @@
     }
 
     /// Sends the own crashes that are new, or newly cleared, to some peers.
-    fn tell_peers(&self, now: Millis) {
-        let entries = self.find_untold(now);
+    fn send_to_peers(&self, now: Millis) {
+        let entries = self.find_unsent(now);
         if entries.is_empty() {
             return;
         }
@@ -140,18 +140,18 @@
         }
     }
 
-    fn find_untold(&self, now: Millis) -> Vec<CrashEntry> {
+    fn find_unsent(&self, now: Millis) -> Vec<CrashEntry> {
         let wall = Millis::wall();
         let own = self.shared.crashes.shared(now).into_iter();
         let own: Vec<SharedCrash> = own.filter(|s| s.is_own).collect();
-        let mut told = self.told.borrow_mut();
-        let is_untold = |s: &&SharedCrash| match told.get(&key(s)) {
+        let mut sent = self.sent.borrow_mut();
+        let is_unsent = |s: &&SharedCrash| match sent.get(&key(s)) {
             Some(was_cleared) => s.is_cleared && !was_cleared,
             None => !s.is_cleared,
         };
-        let entries = own.iter().filter(is_untold);
+        let entries = own.iter().filter(is_unsent);
         let entries = entries.map(|s| to_entry(s, now, wall)).collect();
-        *told = own.iter().map(|s| (key(s), s.is_cleared)).collect();
+        *sent = own.iter().map(|s| (key(s), s.is_cleared)).collect();
         entries
     }
 
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -129,7 +129,7 @@
         }
         let position = directory.position();
         info!(self.shared.log, "configuration in force"; "version" => configuration.version,
-            "era" => position.era, "revision" => position.revision,
+            "epoch" => position.epoch, "revision" => position.revision,
             "routes" => configuration.routes.len());
         *self.table.borrow_mut() = Some(Rc::new(Table::new(configuration)));
     }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -48,7 +48,7 @@
     let now = Millis::now();
     let served_after = result.is_ok().then(|| now.since(request.arrived));
     match &result {
-        // An upstream that breaks or sends nonsense is no sign of an overload.
+        // A failed upstream is no sign of an overload.
         Err(refusal) if refusal.cause == Cause::UpstreamFailed => drop(permit),
         _ => permit.finish(served_after, route, now),
     }
--- a/components/ledger/src/commit.rs
+++ b/components/ledger/src/commit.rs
@@ -7,7 +7,7 @@
 use telemetry::names;
 
 use crate::bucket::Bucket;
-use crate::era::Era;
+use crate::epoch::Epoch;
 use crate::queue::{CachedBucket, Ledger, Pending};
 use crate::verdict::Verdict;
 
@@ -45,37 +45,37 @@
                 return;
             }
             let loaded = self.load_bucket(key).await;
-            let Some((era, old)) = loaded else {
+            let Some((epoch, old)) = loaded else {
                 refuse_claims(&mut batch);
                 compio::time::sleep(RETRY_PAUSE.into()).await;
                 continue;
             };
-            if self.is_over(&era) {
+            if self.is_over(&epoch) {
                 continue;
             }
-            let (new, verdicts) = apply_batch(&old.bucket, &era, &batch);
+            let (new, verdicts) = apply_batch(&old.bucket, &epoch, &batch);
             // A release is always written: with the new version, a write in
             // flight that holds a claim of the same attempt fails with a conflict.
             let is_release = batch.iter().any(|p| p.request.release);
             let is_read_only = new.claims == old.bucket.claims && !is_release;
-            if is_read_only || self.write(key, &era, old.version, new).await {
+            if is_read_only || self.write(key, &epoch, old.version, new).await {
                 return send_verdicts(batch, verdicts);
             }
         }
     }
 
-    /// Returns a bucket with the era in which it was read.
-    async fn load_bucket(&self, key: &str) -> Option<(Era, CachedBucket)> {
-        let Some(era) = self.load_era().await else {
+    /// Returns a bucket with the epoch in which it was read.
+    async fn load_bucket(&self, key: &str) -> Option<(Epoch, CachedBucket)> {
+        let Some(epoch) = self.load_epoch().await else {
             self.record_outage();
-            info!(self.log, "era of the store not known"; "bucket" => key);
+            info!(self.log, "epoch of the store not known"; "bucket" => key);
             return None;
         };
         let cached = self.queues.borrow().get(key).and_then(|q| q.cached.clone());
-        if let Some(cached) = cached.filter(|c| c.era == era.number) {
-            return Some((era, cached));
+        if let Some(cached) = cached.filter(|c| c.epoch == epoch.number) {
+            return Some((epoch, cached));
         }
-        let entry = match self.store.get(&era.bucket_key(key)).await {
+        let entry = match self.store.get(&epoch.bucket_key(key)).await {
             Ok(entry) => entry,
             Err(e) => {
                 self.record_outage();
@@ -94,12 +94,12 @@
             },
         };
         let read = CachedBucket {
-            era: era.number,
+            epoch: epoch.number,
             version,
             bucket,
         };
         self.cache(key, Some(read.clone()));
-        Some((era, read))
+        Some((epoch, read))
     }
 
     /// Starts an interval in which claims are refused at once.
@@ -115,18 +115,22 @@
 
     /// Writes a bucket; returns `false` if the batch must be retried. This also
     /// covers a write whose reply was lost: the retry recognizes the written
-    /// claims by their nonces. A write that was answered in a later era is lost.
-    async fn write(&self, key: &str, era: &Era, version: u64, bucket: Bucket) -> bool {
+    /// claims by their nonces. A write that was answered in a later epoch is lost.
+    async fn write(&self, key: &str, epoch: &Epoch, version: u64, bucket: Bucket) -> bool {
         let wait = self.pacer.reserve((self.daemon_count)(), Millis::now());
         compio::time::sleep(wait.into()).await;
         let Ok(json) = serde_json::to_string(&bucket) else {
             return false;
         };
         metrics::counter!(names::LEDGER_WRITES_TOTAL).increment(1);
-        match self.store.swap(&era.bucket_key(key), version, &json).await {
-            Ok(Swap::Written(version)) if !self.is_over(era) => {
+        match self
+            .store
+            .swap(&epoch.bucket_key(key), version, &json)
+            .await
+        {
+            Ok(Swap::Written(version)) if !self.is_over(epoch) => {
                 let written = CachedBucket {
-                    era: era.number,
+                    epoch: epoch.number,
                     version,
                     bucket,
                 };
@@ -156,7 +160,7 @@
     send_verdicts(claims, verdicts);
 }
 
-fn apply_batch(old: &Bucket, era: &Era, batch: &[Pending]) -> (Bucket, Vec<Verdict>) {
+fn apply_batch(old: &Bucket, epoch: &Epoch, batch: &[Pending]) -> (Bucket, Vec<Verdict>) {
     let now = Millis::wall();
     let mut new = old.clone();
     if let Some(first) = batch.first() {
@@ -168,7 +172,7 @@
             new.release(&r.key, &r.nonce);
             return Verdict::Released;
         }
-        if r.key.time < era.floor {
+        if r.key.time < epoch.floor {
             return Verdict::ClaimLost;
         }
         new.claim(&r.key, &r.nonce, &r.claimer, now)
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -3,7 +3,7 @@
 
 mod bucket;
 mod commit;
-mod era;
+mod epoch;
 mod key;
 mod pace;
 mod queue;
--- a/components/ledger/src/queue.rs
+++ b/components/ledger/src/queue.rs
@@ -11,7 +11,7 @@
 use store::Store;
 
 use crate::bucket::Bucket;
-use crate::era::Era;
+use crate::epoch::Epoch;
 use crate::key::Key;
 use crate::pace::WritePacer;
 use crate::verdict::Verdict;
@@ -54,8 +54,8 @@
 /// A bucket as it is in the store.
 #[derive(Clone)]
 pub(crate) struct CachedBucket {
-    /// Number of the store's era.
-    pub(crate) era: u64,
+    /// Number of the store's epoch.
+    pub(crate) epoch: u64,
     pub(crate) version: u64,
     pub(crate) bucket: Bucket,
 }
@@ -63,7 +63,7 @@
 /// The state of one bucket, for the state dump.
 #[derive(Debug, Serialize)]
 pub struct BucketView {
-    /// The store's key, without the era.
+    /// The store's key, without the epoch.
     pub key: String,
     /// The cached version, or 0 if the bucket is not cached.
     pub version: u64,
@@ -76,8 +76,8 @@
 /// A daemon's access to the ledger that all daemons share through the store.
 pub struct Ledger {
     pub(crate) store: Rc<dyn Store>,
-    /// The era of the store, as far as it is recorded.
-    pub(crate) era: Cell<Era>,
+    /// The epoch of the store, as far as it is recorded.
+    pub(crate) epoch: Cell<Epoch>,
     pub(crate) queues: RefCell<HashMap<String, Queue>>,
     pub(crate) pacer: WritePacer,
     pub(crate) daemon_count: Box<dyn Fn() -> usize>,
@@ -99,7 +99,7 @@
         let (queues, pacer) = (RefCell::default(), WritePacer::default());
         Rc::new(Self {
             store,
-            era: Cell::default(),
+            epoch: Cell::default(),
             queues,
             pacer,
             daemon_count,
--- a/components/ledger/src/verdict.rs
+++ b/components/ledger/src/verdict.rs
@@ -12,7 +12,7 @@
     },
     /// The key's time is before the retention window.
     TooOld,
-    /// The store came back from a copy after the key's time: a claim of the key may be
+    /// The store was restored from a backup after the key's time: a claim of the key may be
     /// lost.
     ClaimLost,
     /// The key's time is too far in the future.
--- a/components/ledger/tests/eras.rs
+++ b/components/ledger/tests/epochs.rs
@@ -1,4 +1,4 @@
-//! Claims and a store that comes back from a copy, between calls and during one.
+//! Claims and a store that is restored from a backup, between calls and during one.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -16,29 +16,29 @@
 
 type Values = HashMap<String, Entry>;
 
-/// A store in memory that can go back to a copy.
+/// A store in memory that can be restored from a backup.
 #[derive(Default)]
-struct CopiedStore {
+struct RestorableStore {
     values: RefCell<Values>,
-    copy: RefCell<Values>,
-    era: Cell<u64>,
-    /// Whether it goes back just before the next write to a bucket.
+    backup: RefCell<Values>,
+    epoch: Cell<u64>,
+    /// Whether it is restored just before the next write to a bucket.
     restores_before_write: Cell<bool>,
 }
 
-impl CopiedStore {
-    fn take_copy(&self) {
-        *self.copy.borrow_mut() = self.values.borrow().clone();
+impl RestorableStore {
+    fn back_up(&self) {
+        *self.backup.borrow_mut() = self.values.borrow().clone();
     }
 
     fn restore(&self) {
-        *self.values.borrow_mut() = self.copy.borrow().clone();
-        self.era.set(self.era.get() + 1);
+        *self.values.borrow_mut() = self.backup.borrow().clone();
+        self.epoch.set(self.epoch.get() + 1);
     }
 }
 
 #[async_trait(?Send)]
-impl Store for CopiedStore {
+impl Store for RestorableStore {
     async fn get(&self, key: &str) -> store::Result<Option<Entry>> {
         Ok(self.values.borrow().get(key).cloned())
     }
@@ -59,8 +59,8 @@
         Ok(Swap::Written(version))
     }
 
-    fn era(&self) -> u64 {
-        self.era.get()
+    fn epoch(&self) -> u64 {
+        self.epoch.get()
     }
 
     async fn watch(&self, _: &str, _: u64, _: Millis) -> store::Result<Option<Entry>> {
@@ -68,7 +68,7 @@
     }
 }
 
-fn daemon(store: &Rc<CopiedStore>) -> Rc<Ledger> {
+fn daemon(store: &Rc<RestorableStore>) -> Rc<Ledger> {
     let log = Logger::root(Discard, o!());
     Ledger::new(store.clone(), Box::new(|| 1), &log)
 }
@@ -99,16 +99,16 @@
 
 #[compio::test]
 async fn a_key_that_a_restored_store_lacks_is_not_claimed_again() {
-    let store = Rc::new(CopiedStore::default());
+    let store = Rc::new(RestorableStore::default());
     let (first, second) = (daemon(&store), daemon(&store));
-    store.take_copy();
+    store.back_up();
     let booked = key(Millis::ZERO);
     assert_eq!(claim(&first, &booked).await, Verdict::Claimed);
     store.restore();
     assert_eq!(claim(&second, &booked).await, Verdict::ClaimLost);
     assert_eq!(claim(&first, &booked).await, Verdict::ClaimLost);
-    // A copy that has the new era, and then another restore.
-    store.take_copy();
+    // A backup that has the new epoch, and then another restore.
+    store.back_up();
     store.restore();
     assert_eq!(claim(&second, &booked).await, Verdict::ClaimLost);
     assert_eq!(claim(&daemon(&store), &booked).await, Verdict::ClaimLost);
@@ -116,28 +116,28 @@
 
 #[compio::test]
 async fn a_claim_that_is_written_after_a_restore_does_not_count() {
-    let store = Rc::new(CopiedStore::default());
+    let store = Rc::new(RestorableStore::default());
     let (first, second) = (daemon(&store), daemon(&store));
-    store.take_copy();
+    store.back_up();
     let booked = key(Millis::ZERO);
     store.restores_before_write.set(true);
     assert_eq!(claim(&first, &booked).await, Verdict::ClaimLost);
     assert_eq!(claim(&second, &booked).await, Verdict::ClaimLost);
 }
 
-/// A claim of an earlier era may be written late, at a version that is given out
-/// again: it must not undo a claim of the new era.
+/// A claim of an earlier epoch may be written late, at a version that is given out
+/// again: it must not undo a claim of the new epoch.
 #[compio::test]
-async fn a_write_of_an_earlier_era_does_not_undo_a_claim_of_the_new_one() {
-    let store = Rc::new(CopiedStore::default());
+async fn a_write_of_an_earlier_epoch_does_not_undo_a_claim_of_the_new_one() {
+    let store = Rc::new(RestorableStore::default());
     let booked = key(FUTURE_SKEW - Millis(1));
-    store.take_copy();
+    store.back_up();
     let late = daemon(&store);
     let bucket = booked.bucket("jobs");
     assert_eq!(claim(&late, &booked).await, Verdict::Claimed);
     let written = store.values.borrow()[&bucket].value.clone();
     store.restore();
-    // Records the era.
+    // Records the epoch.
     assert_eq!(claim(&late, &booked).await, Verdict::ClaimLost);
     let new = key(FUTURE_SKEW + Millis(200));
     compio::time::sleep(PAUSE).await;
@@ -150,7 +150,7 @@
 
 #[compio::test]
 async fn new_keys_are_accepted_when_they_can_no_longer_have_been_claimed_before() {
-    let store = Rc::new(CopiedStore::default());
+    let store = Rc::new(RestorableStore::default());
     let first = daemon(&store);
     store.restore();
     let (early, late) = (key(FUTURE_SKEW - Millis(1)), key(FUTURE_SKEW + Millis(200)));
--- a/components/ledger/tests/releases.rs
+++ b/components/ledger/tests/releases.rs
@@ -28,7 +28,7 @@
         std::future::pending().await
     }
 
-    fn era(&self) -> u64 {
+    fn epoch(&self) -> u64 {
         0
     }
 
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -17,8 +17,8 @@
 use crate::kv::{Entry, Store, Swap, VALUE_LIMIT_BYTES};
 
 const SERVICE: &str = "store";
-/// Rises each time that the store comes back from a copy.
-const ERA_HEADER: &str = "store-era";
+/// Rises each time that the store is restored from a backup.
+const EPOCH_HEADER: &str = "store-era";
 const CALL_TIMEOUT: Millis = Millis(1_500);
 /// Time allowed for the response to a watch beyond the time that it waits.
 const WATCH_MARGIN: Millis = Millis(1_000);
@@ -29,7 +29,7 @@
     client: Client,
     // A watch occupies its connection for seconds, so watches have their own client.
     watch_client: Client,
-    era: Cell<u64>,
+    epoch: Cell<u64>,
 }
 
 impl HttpStore {
@@ -38,12 +38,12 @@
         Self {
             client: Client::new(address),
             watch_client: Client::new(address),
-            era: Cell::new(0),
+            epoch: Cell::new(0),
         }
     }
 
-    /// Sends a call and records the era of its answer; fails if the answer is of an
-    /// earlier era than another one.
+    /// Sends a call and records the epoch of its answer; fails if the answer is of an
+    /// earlier epoch than another one.
     async fn call(
         &self,
         client: &Client,
@@ -51,20 +51,20 @@
         timeout: Millis,
     ) -> Result<Response<Bytes>> {
         let response = call(SERVICE, client, request, timeout).await?;
-        let known = self.era.get();
-        let era = header_number(response.headers(), ERA_HEADER);
-        let era = era.map_err(|detail| Error::Malformed {
+        let known = self.epoch.get();
+        let epoch = header_number(response.headers(), EPOCH_HEADER);
+        let epoch = epoch.map_err(|detail| Error::Malformed {
             service: SERVICE,
             detail,
         })?;
-        let era = era.unwrap_or(known);
-        if era < known {
+        let epoch = epoch.unwrap_or(known);
+        if epoch < known {
             return Err(Error::OutcomeUnknown {
                 service: SERVICE,
-                detail: format!("answer of era {era}, now {known}"),
+                detail: format!("answer of epoch {epoch}, now {known}"),
             });
         }
-        self.era.set(era);
+        self.epoch.set(epoch);
         Ok(response)
     }
 }
@@ -112,8 +112,8 @@
         }
     }
 
-    fn era(&self) -> u64 {
-        self.era.get()
+    fn epoch(&self) -> u64 {
+        self.epoch.get()
     }
 
     async fn watch(&self, key: &str, after: u64, wait: Millis) -> Result<Option<Entry>> {
--- a/components/store/src/kv.rs
+++ b/components/store/src/kv.rs
@@ -40,9 +40,9 @@
     /// After [`crate::Error::OutcomeUnknown`] the write may have taken effect.
     async fn swap(&self, key: &str, expected: u64, value: &str) -> Result<Swap>;
 
-    /// Returns the latest era that an answer told; it rises each time that the store
-    /// comes back from a copy, without its latest writes. 0 if no answer told any.
-    fn era(&self) -> u64;
+    /// Returns the latest epoch of an answer; it rises each time that the store
+    /// is restored from a backup, without its latest writes. 0 if no answer has one.
+    fn epoch(&self) -> u64;
 
     /// Waits at most `wait` for a version of the key above `after`; `None` if
     /// none appears.
--- a/components/telemetry/src/metric.rs
+++ b/components/telemetry/src/metric.rs
@@ -42,7 +42,7 @@
     pub const LEDGER_CLAIMS_TOTAL: &str = "coltsfootgw_ledger_claims_total";
     /// Calls to the store, by operation.
     pub const STORE_CALLS_TOTAL: &str = "coltsfootgw_store_calls_total";
-    /// Times that the store came back from a copy.
+    /// Times that the store was restored from a backup.
     pub const STORE_RESTORES_TOTAL: &str = "coltsfootgw_store_restores_total";
     /// Open connections to upstreams.
     pub const UPSTREAM_CONNECTIONS: &str = "coltsfootgw_upstream_connections";
--- a/components/transport/src/error.rs
+++ b/components/transport/src/error.rs
@@ -94,8 +94,8 @@
         }
     }
 
-    /// Whether the peer answered, but with something that can't be used or has no
-    /// end.
+    /// Whether the peer answered, but with something that is malformed or
+    /// unbounded.
     pub fn is_unusable(&self) -> bool {
         matches!(
             self,
--- a/components/transport/src/response.rs
+++ b/components/transport/src/response.rs
@@ -15,7 +15,7 @@
 
 /// Places for large responses. A response beyond a quarter of a megabyte waits for
 /// one of a few places before more of it is read, so that the memory of responses
-/// without end stays bounded, however many there are.
+/// without a bound stays limited, however many there are.
 #[derive(Debug)]
 pub struct LargeResponses {
     places: Semaphore,
--- a/components/upstreams/src/attempt/record.rs
+++ b/components/upstreams/src/attempt/record.rs
@@ -7,7 +7,7 @@
 use telemetry::names;
 
 use crate::call::{Call, HEDGE_QUANTILE};
-use crate::end_check::{check_end, record_crashes};
+use crate::crash_check::{check_crash, record_crashes};
 use crate::failure::{Failure, Ran, Reason, Result};
 use crate::message::{Answer, UpstreamReport};
 use crate::pool::Pool;
@@ -40,7 +40,7 @@
     upstream.health.borrow_mut().record_outcome(true, now);
     log_lost_connection(pool, upstream);
     match pool.shared.config.confirms_crashes {
-        true => check_end(pool, upstream).await,
+        true => check_crash(pool, upstream).await,
         false => {
             upstream.close_idle();
             let requests: Vec<SentRequest> = upstream.sent.borrow().values().cloned().collect();
@@ -50,7 +50,7 @@
     Failure::unknown(Reason::ConnectionDied)
 }
 
-/// Records an answer that can't be used or has no end; its connection is closed with
+/// Records an answer that is malformed or unbounded; its connection is closed with
 /// the attempt. The upstream has not ended.
 pub(crate) fn record_unusable(
     pool: &Pool,
@@ -74,7 +74,7 @@
     pool.shared.log_limiter.write(|| {
         let sent = upstream.sent.borrow();
         let fingerprints: Vec<u64> = sent.values().map(|r| r.fingerprint).collect();
-        slog::info!(pool.shared.log, "connection lost under requests"; "upstream" => &upstream.id,
+        slog::info!(pool.shared.log, "connection lost during requests"; "upstream" => &upstream.id,
             "fingerprints" => ?fingerprints);
     });
 }
@@ -123,7 +123,7 @@
     upstream.health.borrow_mut().ramp = 1;
     metrics::counter!(names::BACKOFFS_TOTAL).increment(1);
     pool.shared.log_limiter.write(|| {
-        slog::info!(pool.shared.log, "upstream wants no requests for a while"; "upstream" => &upstream.id,
+        slog::info!(pool.shared.log, "upstream asked for backoff"; "upstream" => &upstream.id,
             "wait_ms" => wait.0);
     });
     pool.drop_unservable();
--- a/components/upstreams/src/backoffs.rs
+++ b/components/upstreams/src/backoffs.rs
@@ -16,7 +16,7 @@
 }
 
 impl Backoffs {
-    /// Records that an upstream wants no requests for `wait`; an earlier answer that
+    /// Records that an upstream asked for a backoff of `wait`; an earlier answer that
     /// asked for a longer time stays in force. `true` if the time is longer now.
     pub fn record(&self, upstream: &str, wait: Millis, now: Millis) -> bool {
         let mut until = self.until.borrow_mut();
@@ -34,7 +34,7 @@
         self.until.borrow().is_empty()
     }
 
-    /// Returns how much longer an upstream wants no requests; zero if it takes them.
+    /// Returns the backoff that is left of an upstream; zero if there is none.
     pub fn time_left(&self, upstream: &str, now: Millis) -> Millis {
         let until = self.until.borrow();
         until.get(upstream).map_or(Millis::ZERO, |end| *end - now)
--- a/components/upstreams/src/end_check.rs
+++ b/components/upstreams/src/crash_check.rs
@@ -24,13 +24,13 @@
 
 /// A check that runs.
 #[derive(Default)]
-pub(crate) struct EndCheck {
+pub(crate) struct CrashCheck {
     /// The requests that ran when connections were lost.
     requests: Vec<SentRequest>,
     waiters: Vec<oneshot::Sender<()>>,
 }
 
-impl EndCheck {
+impl CrashCheck {
     fn add<'a>(&mut self, requests: impl Iterator<Item = &'a SentRequest>) {
         for request in requests {
             if !self.requests.contains(request) {
@@ -40,10 +40,10 @@
     }
 }
 
-/// Checks whether an upstream ended under the requests that are listed there, and
+/// Checks whether an upstream crashed during the requests that are listed there, and
 /// records crashes under them if it did. Returns with the result or after
 /// [`RESULT_WAIT`].
-pub(crate) async fn check_end(pool: &Rc<Pool>, upstream: &Rc<Upstream>) {
+pub(crate) async fn check_crash(pool: &Rc<Pool>, upstream: &Rc<Upstream>) {
     let (sender, result) = oneshot::channel();
     let is_first = upstream.check.borrow().is_none();
     {
@@ -59,7 +59,7 @@
 }
 
 async fn run(pool: Rc<Pool>, upstream: Rc<Upstream>) {
-    let has_ended = !accepts(&upstream).await || {
+    let has_crashed = !accepts(&upstream).await || {
         // Wakes the waiters: most upstreams that accept a connection have not ended.
         if let Some(check) = upstream.check.borrow_mut().as_mut() {
             check.waiters.clear();
@@ -69,8 +69,8 @@
     };
     let check = upstream.check.borrow_mut().take().unwrap_or_default();
     slog::debug!(pool.shared.log, "checked whether an upstream ended"; "upstream" => &upstream.id,
-        "ended" => has_ended, "requests" => check.requests.len());
-    if has_ended {
+        "ended" => has_crashed, "requests" => check.requests.len());
+    if has_crashed {
         upstream.close_idle();
         record_crashes(&pool, &upstream, &check.requests, Millis::now());
     }
@@ -88,7 +88,7 @@
     }
 }
 
-/// Records that an upstream ended under requests.
+/// Records that an upstream crashed during requests.
 pub(crate) fn record_crashes(
     pool: &Pool,
     upstream: &Upstream,
@@ -119,7 +119,7 @@
     metrics::counter!(names::CRASHES_TOTAL).increment(1);
     let known = pool.shared.crashes.crash_domains(request.fingerprint, now);
     pool.shared.log_limiter.write(|| {
-        slog::warn!(pool.shared.log, "upstream ended under request"; "fingerprint" => request.fingerprint,
+        slog::warn!(pool.shared.log, "upstream crashed during request"; "fingerprint" => request.fingerprint,
             "upstream" => &upstream.id, "shard" => &*request.shard, "alone" => request.is_suspect,
             "known_crashes" => known.len());
     });
--- a/components/upstreams/src/message.rs
+++ b/components/upstreams/src/message.rs
@@ -48,7 +48,7 @@
 pub struct UpstreamReport {
     /// Whether the upstream reports that it will stop.
     pub leaving: bool,
-    /// Time for which the upstream wants no requests from this daemon.
+    /// Backoff that the upstream asked of this daemon.
     pub backoff: Option<Millis>,
     /// A header of the answer that could not be read, with its value.
     pub unreadable: Option<String>,
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -50,7 +50,7 @@
 pub struct Shared {
     /// Marks of leaving upstreams.
     pub drains: Drains,
-    /// Upstreams that want no requests for a while.
+    /// Upstreams that asked for backoff.
     pub backoffs: Backoffs,
     /// Crashes of upstreams, by the requests that ran there.
     pub crashes: CrashTable,
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -9,7 +9,7 @@
 use slotmap::{SlotMap, new_key_type};
 use transport::Connection;
 
-use crate::end_check::EndCheck;
+use crate::crash_check::CrashCheck;
 use crate::endpoint::Endpoint;
 use crate::health::Health;
 use crate::sent::{SentKey, SentRequest};
@@ -64,7 +64,7 @@
     /// Requests that were sent to it and are not answered yet.
     pub(crate) sent: RefCell<SlotMap<SentKey, SentRequest>>,
     /// Set while it is checked whether it ended.
-    pub(crate) check: RefCell<Option<EndCheck>>,
+    pub(crate) check: RefCell<Option<CrashCheck>>,
     /// Requests that run here now.
     pub(crate) running: RefCell<Vec<Running>>,
     pub(crate) last_used: Cell<Millis>,
--- a/components/upstreams/tests/end_check.rs
+++ b/components/upstreams/tests/crash_check.rs
@@ -58,8 +58,8 @@
 #[case::ended(true, CrashStatus::Suspect)]
 #[case::dropped_the_connection(false, CrashStatus::Clear)]
 #[compio::test]
-async fn only_an_upstream_that_refuses_connections_has_ended(
-    #[case] has_ended: bool,
+async fn only_an_upstream_that_refuses_connections_has_crashed(
+    #[case] has_crashed: bool,
     #[case] expected: CrashStatus,
 ) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -69,7 +69,7 @@
     let serve = async {
         let stream = accept(&listener).await;
         compio::time::sleep(Duration::from_millis(20)).await;
-        let kept = (!has_ended).then_some(listener);
+        let kept = (!has_crashed).then_some(listener);
         drop(stream);
         compio::time::sleep(Duration::from_millis(200)).await;
         drop(kept);
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -47,7 +47,7 @@
 expect_hold ledger
 expect_violation ledger BROKEN_FLOOR
 expect_violation ledger BROKEN_READBACK
-expect_violation ledger BROKEN_ERA
+expect_violation ledger BROKEN_EPOCH
 expect_violation ledger BROKEN_CONFIRM
 expect_hold commit
 expect_violation commit BROKEN_BLIND
--- a/spec/ledger.pml
+++ b/spec/ledger.pml
@@ -1,14 +1,14 @@
 /* The ledger of idempotency keys: two attempts to run one booking, a store
  * whose responses can be lost and whose writes can be delayed, and another
- * booking whose write removes old claims and raises the floor. The store can come
- * back once from a copy. The new era has an empty bucket of its own and a floor
+ * booking whose write removes old claims and raises the floor. The store can be
+ * restored once from a backup. The new epoch has an empty bucket of its own and a floor
  * above all keys that may have been claimed before.
  *
  * Property: the booking is dispatched at most once.
  * BROKEN_FLOOR removes claims without raising the floor.
  * BROKEN_READBACK treats a lost response as a success.
- * BROKEN_ERA uses the restored bucket in the new era, with the floor of the copy.
- * BROKEN_CONFIRM believes a claim whose write was answered in another era.
+ * BROKEN_EPOCH uses the restored bucket in the new epoch, with the floor of the backup.
+ * BROKEN_CONFIRM believes a claim whose write was answered in another epoch.
  */
 #define ATTEMPTS 2
 #define KEY_TIME 1
@@ -18,10 +18,10 @@
 byte claim_holder = 0; /* attempt that holds the claim; 0 for none */
 byte floor = 0;        /* claims of keys with an earlier time are refused */
 byte dispatched = 0;   /* number of dispatches of the booking */
-bit era = 0;
+bit epoch = 0;
 
 mtype = { CLAIM, RELEASE, WRITTEN, CONFLICT };
-chan writes = [4] of { byte, bit, byte, mtype };   /* attempt, era, expected version, operation */
+chan writes = [4] of { byte, bit, byte, mtype };   /* attempt, epoch, expected version, operation */
 chan responses[ATTEMPTS + 1] = [4] of { byte, mtype };   /* expected version, outcome */
 
 /* Applies writes in any order; a response may be lost. */
@@ -35,17 +35,17 @@
   :: writes ?? id, sent_in, expected, operation ->
      atomic {
        if
-#ifndef BROKEN_ERA
-       :: sent_in != era ->
-          /* Written to the bucket of the earlier era, but answered in this one. */
+#ifndef BROKEN_EPOCH
+       :: sent_in != epoch ->
+          /* Written to the bucket of the earlier epoch, but answered in this one. */
 #ifdef BROKEN_CONFIRM
           outcome = WRITTEN
 #else
           outcome = CONFLICT
 #endif
 #endif
-#ifndef BROKEN_ERA
-       :: sent_in == era && expected == version ->
+#ifndef BROKEN_EPOCH
+       :: sent_in == epoch && expected == version ->
 #else
        :: expected == version ->
 #endif
@@ -66,7 +66,7 @@
   od
 }
 
-/* Copies the store and makes it go back to the copy. */
+/* Backs up the store and restores it. */
 active proctype Restore()
 {
   byte copied_version, copied_holder, copied_floor;
@@ -76,8 +76,8 @@
     copied_floor = floor
   }
   atomic {
-    era = 1;
-#ifdef BROKEN_ERA
+    epoch = 1;
+#ifdef BROKEN_EPOCH
     version = copied_version;
     claim_holder = copied_holder;
     floor = copied_floor
@@ -107,7 +107,7 @@
 proctype Attempt(byte id)
 {
   byte read_version, write_version, tries = 0;
-  bit read_era = 0;
+  bit read_epoch = 0;
   mtype outcome;
 
 again:
@@ -117,7 +117,7 @@
   fi;
   atomic {
     read_version = version;
-    read_era = era;
+    read_epoch = epoch;
     if
     :: claim_holder == id -> goto claimed
     :: claim_holder != 0 && claim_holder != id -> goto done   /* already claimed */
@@ -125,7 +125,7 @@
     :: else
     fi
   }
-  writes ! id, read_era, read_version, CLAIM;
+  writes ! id, read_epoch, read_version, CLAIM;
 wait:
   if
   :: responses[id] ? write_version, outcome ->
@@ -152,7 +152,7 @@
   /* Written even if no claim was read: raising the version makes a delayed
    * write of a claim fail. */
   if
-  :: nfull(writes) -> writes ! id, era, version, RELEASE
+  :: nfull(writes) -> writes ! id, epoch, version, RELEASE
   :: full(writes) -> skip
   fi;
 done:
--- a/standins/src/fleet/system.rs
+++ b/standins/src/fleet/system.rs
@@ -146,12 +146,12 @@
         answer.expect("the store accepts the faults");
     }
 
-    /// Copies the values of the store.
-    pub async fn copy_store(&self) {
-        self.control_store("/copy").await;
+    /// Backs up the values of the store.
+    pub async fn back_up_store(&self) {
+        self.control_store("/backup").await;
     }
 
-    /// Makes the store go back to its copy.
+    /// Restores the backup of the store.
     pub async fn restore_store(&self) {
         self.control_store("/restore").await;
     }
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -2,9 +2,9 @@
 //! gateway processes that tests start on a site.
 
 pub mod crash_site;
-pub mod endless;
 pub mod endpoints;
 pub mod gateway;
 pub mod site;
 pub mod store;
+pub mod unbounded;
 pub mod upstream;
--- a/standins/src/platform/crash_site.rs
+++ b/standins/src/platform/crash_site.rs
@@ -25,7 +25,7 @@
 const SLOTS: usize = 2;
 const BIND_RETRY_DELAY: Millis = Millis(50);
 
-/// A running site whose upstreams end under requests with
+/// A running site whose upstreams are crashed by requests with
 /// [`CRASHING`](super::upstream::CRASHING) in the path.
 pub struct CrashSite {
     /// The store.
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -1,5 +1,5 @@
 //! The key-value store of the gateways' platform: items, history, watches and
-//! leases. It can be made unavailable while it runs, and go back to an earlier copy.
+//! leases. It can be made unavailable while it runs, and be restored from a backup.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -72,17 +72,17 @@
     history: RefCell<Vec<Event>>,
     leases: RefCell<HashMap<u64, Lease>>,
     revision: Cell<u64>,
-    /// Sent with every answer, and raised by one each time that the store goes back
-    /// to a copy; 0 sends nothing.
-    pub era: Cell<u64>,
+    /// Sent with every answer, and raised by one each time that the store is
+    /// restored; 0 sends nothing.
+    pub epoch: Cell<u64>,
     /// Whether every call is refused with status 503.
     pub is_down: Cell<bool>,
     /// Number of calls of any kind, refused ones included.
     pub calls: Cell<u64>,
 }
 
-/// A copy of the store's state, to which it can go back.
-pub struct StoreCopy {
+/// A backup of the store's state.
+pub struct Backup {
     items: BTreeMap<String, Item>,
     history: Vec<Event>,
     leases: HashMap<u64, Lease>,
@@ -137,9 +137,9 @@
         self.history.borrow_mut().clear();
     }
 
-    /// Returns a copy of the state.
-    pub fn copy(&self) -> StoreCopy {
-        StoreCopy {
+    /// Returns a backup of the state.
+    pub fn back_up(&self) -> Backup {
+        Backup {
             items: self.items.borrow().clone(),
             history: self.history.borrow().clone(),
             leases: self.leases.borrow().clone(),
@@ -147,15 +147,15 @@
         }
     }
 
-    /// Goes back to a copy: later writes and leases are lost, and their revisions
+    /// Restores a backup: later writes and leases are lost, and their revisions
     /// are given out again.
-    pub fn restore(&self, copy: &StoreCopy) {
+    pub fn restore(&self, backup: &Backup) {
         let renewed = |(lease, l): (&u64, &Lease)| (*lease, Lease::new(l.ttl));
-        *self.items.borrow_mut() = copy.items.clone();
-        *self.history.borrow_mut() = copy.history.clone();
-        *self.leases.borrow_mut() = copy.leases.iter().map(renewed).collect();
-        self.revision.set(copy.revision);
-        self.era.set(self.era.get() + 1);
+        *self.items.borrow_mut() = backup.items.clone();
+        *self.history.borrow_mut() = backup.history.clone();
+        *self.leases.borrow_mut() = backup.leases.iter().map(renewed).collect();
+        self.revision.set(backup.revision);
+        self.epoch.set(self.epoch.get() + 1);
     }
 
     /// Returns a new lease.
--- a/standins/src/platform/store/routes.rs
+++ b/standins/src/platform/store/routes.rs
@@ -15,7 +15,7 @@
 
 use super::{Item, Lease, PlatformStore};
 
-const ERA_HEADER: &str = "store-era";
+const EPOCH_HEADER: &str = "store-era";
 const PAGE_ITEMS: usize = 500;
 const WATCH_POLL_INTERVAL: Millis = Millis(5);
 
@@ -32,14 +32,14 @@
         .route("/api/kv-lease", post(grant))
         .route("/api/kv-keep/{lease}", post(keep))
         .route("/api/kv-lease-end/{lease}", delete(end))
-        .layer(map_response_with_state(app.clone(), add_era))
+        .layer(map_response_with_state(app.clone(), add_epoch))
         .with_state(app)
 }
 
-async fn add_era(State(app): State<App>, mut response: Response) -> Response {
-    let era = app.0.era.get();
-    if era > 0 {
-        response.headers_mut().insert(ERA_HEADER, era.into());
+async fn add_epoch(State(app): State<App>, mut response: Response) -> Response {
+    let epoch = app.0.epoch.get();
+    if epoch > 0 {
+        response.headers_mut().insert(EPOCH_HEADER, epoch.into());
     }
     response
 }
--- a/standins/src/platform/endless.rs
+++ b/standins/src/platform/unbounded.rs
@@ -1,4 +1,4 @@
-//! Upstreams whose answers have no end.
+//! Upstreams with unbounded answers.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -13,9 +13,9 @@
 const BLOCK_BYTES: usize = 64 * 1024;
 const SLOW_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The part of an answer that has no end.
+/// The part of an answer that is unbounded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Endless {
+pub enum Unbounded {
     /// Header after header.
     Head,
     /// One header whose value does not end.
@@ -36,17 +36,19 @@
     SlowBody,
 }
 
-impl Endless {
+impl Unbounded {
     /// What is sent before the part that is repeated.
     fn start(self) -> &'static str {
         match self {
-            Endless::Head | Endless::SlowHead => "HTTP/1.1 200 OK\r\n",
-            Endless::HeaderValue => "HTTP/1.1 200 OK\r\nx-long: ",
-            Endless::Interim => "",
-            Endless::Body | Endless::SlowBody => "HTTP/1.1 200 OK\r\n\r\n",
-            Endless::Chunks => "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
-            Endless::ChunkExtension => "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4;x=",
-            Endless::Trailers => {
+            Unbounded::Head | Unbounded::SlowHead => "HTTP/1.1 200 OK\r\n",
+            Unbounded::HeaderValue => "HTTP/1.1 200 OK\r\nx-long: ",
+            Unbounded::Interim => "",
+            Unbounded::Body | Unbounded::SlowBody => "HTTP/1.1 200 OK\r\n\r\n",
+            Unbounded::Chunks => "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+            Unbounded::ChunkExtension => {
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4;x="
+            }
+            Unbounded::Trailers => {
                 "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
             }
         }
@@ -55,26 +57,26 @@
     /// What is sent again and again.
     pub fn repeated(self) -> &'static str {
         match self {
-            Endless::Head | Endless::Trailers => "x-header: value\r\n",
-            Endless::Interim => "HTTP/1.1 103 Early Hints\r\nx-header: value\r\n\r\n",
-            Endless::Chunks => "10\r\n0123456789abcdef\r\n",
-            Endless::HeaderValue
-            | Endless::Body
-            | Endless::ChunkExtension
-            | Endless::SlowHead
-            | Endless::SlowBody => "x",
+            Unbounded::Head | Unbounded::Trailers => "x-header: value\r\n",
+            Unbounded::Interim => "HTTP/1.1 103 Early Hints\r\nx-header: value\r\n\r\n",
+            Unbounded::Chunks => "10\r\n0123456789abcdef\r\n",
+            Unbounded::HeaderValue
+            | Unbounded::Body
+            | Unbounded::ChunkExtension
+            | Unbounded::SlowHead
+            | Unbounded::SlowBody => "x",
         }
     }
 
     /// Whether it is sent slowly.
     pub fn is_slow(self) -> bool {
-        matches!(self, Endless::SlowHead | Endless::SlowBody)
+        matches!(self, Unbounded::SlowHead | Unbounded::SlowBody)
     }
 }
 
-/// Counts what an upstream without end has done.
+/// Counts what an upstream with unbounded answers has done.
 #[derive(Debug, Default)]
-pub struct EndlessCounts {
+pub struct UnboundedCounts {
     /// Requests that were answered.
     pub requests: Cell<usize>,
     /// Connections that are open.
@@ -88,14 +90,14 @@
 /// # Errors
 ///
 /// Fails if no port can be bound.
-pub async fn start(part: Endless, counts: &Rc<EndlessCounts>) -> std::io::Result<SocketAddr> {
+pub async fn start(part: Unbounded, counts: &Rc<UnboundedCounts>) -> std::io::Result<SocketAddr> {
     let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
     let address = listener.local_addr()?;
     compio::runtime::spawn(accept(listener, part, counts.clone())).detach();
     Ok(address)
 }
 
-async fn accept(listener: TcpListener, part: Endless, counts: Rc<EndlessCounts>) {
+async fn accept(listener: TcpListener, part: Unbounded, counts: Rc<UnboundedCounts>) {
     while let Ok((stream, _)) = listener.accept().await {
         let counts = counts.clone();
         compio::runtime::spawn(async move {
@@ -108,7 +110,7 @@
 }
 
 /// Answers the first request until the connection is closed.
-async fn answer(mut stream: TcpStream, part: Endless, counts: &EndlessCounts) {
+async fn answer(mut stream: TcpStream, part: Unbounded, counts: &UnboundedCounts) {
     let BufResult(read, _) = stream.read(vec![0_u8; BLOCK_BYTES]).await;
     if !read.is_ok_and(|n| n > 0) {
         return;
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -1,6 +1,6 @@
 //! The key-value store of the `serve` daemons: compare-and-swap, watches and
-//! leases, with faults that can be switched while it runs. It can go back to a copy
-//! of its values.
+//! leases, with faults that can be switched while it runs. It can be restored from
+//! a backup of its values.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -17,7 +17,7 @@
 use serde_json::json;
 use transport::{Local, local};
 
-const ERA_HEADER: &str = "store-era";
+const EPOCH_HEADER: &str = "store-era";
 const VALUE_LIMIT_BYTES: usize = 1_000_000;
 const WATCH_POLL_INTERVAL: Millis = Millis(5);
 const HANG_TIME: Millis = Millis(600_000);
@@ -51,10 +51,10 @@
     faults: RefCell<Faults>,
     stats: RefCell<Stats>,
     lost_answers: Cell<u64>,
-    copy: RefCell<HashMap<String, (u64, String)>>,
-    /// Times that the store went back to the copy; told in all answers once there
+    backup: RefCell<HashMap<String, (u64, String)>>,
+    /// Times that the store was restored; in all answers once there
     /// are any.
-    era: Cell<u64>,
+    epoch: Cell<u64>,
 }
 
 #[derive(Clone)]
@@ -88,9 +88,9 @@
         .route("/v1/lease/{*key}", post(lease))
         .route("/faults", post(set_faults))
         .route("/stats", get(stats))
-        .route("/copy", post(copy))
+        .route("/backup", post(back_up))
         .route("/restore", post(restore))
-        .layer(map_response_with_state(state.clone(), add_era))
+        .layer(map_response_with_state(state.clone(), add_epoch))
         .with_state(state)
 }
 
@@ -221,23 +221,23 @@
     StatusCode::OK
 }
 
-/// Copies all values, in place of an earlier copy.
-async fn copy(State(app): State<App>) -> StatusCode {
-    *app.0.copy.borrow_mut() = app.0.values.borrow().clone();
+/// Backs up all values, in place of an earlier backup.
+async fn back_up(State(app): State<App>) -> StatusCode {
+    *app.0.backup.borrow_mut() = app.0.values.borrow().clone();
     StatusCode::OK
 }
 
-/// Goes back to the copy; later writes are lost and their versions given out again.
+/// Restores the backup; later writes are lost and their versions given out again.
 async fn restore(State(app): State<App>) -> StatusCode {
-    *app.0.values.borrow_mut() = app.0.copy.borrow().clone();
-    app.0.era.set(app.0.era.get() + 1);
+    *app.0.values.borrow_mut() = app.0.backup.borrow().clone();
+    app.0.epoch.set(app.0.epoch.get() + 1);
     StatusCode::OK
 }
 
-async fn add_era(State(app): State<App>, mut response: Response) -> Response {
-    let era = app.0.era.get();
-    if era > 0 {
-        response.headers_mut().insert(ERA_HEADER, era.into());
+async fn add_epoch(State(app): State<App>, mut response: Response) -> Response {
+    let epoch = app.0.epoch.get();
+    if epoch > 0 {
+        response.headers_mut().insert(EPOCH_HEADER, epoch.into());
     }
     response
 }
--- a/tests/booking_restore.rs
+++ b/tests/booking_restore.rs
@@ -1,4 +1,4 @@
-//! Bookings and a store that comes back from a copy without the latest claims.
+//! Bookings and a store that is restored from a backup without the latest claims.
 
 use std::time::Duration;
 
@@ -27,7 +27,7 @@
 #[compio::test]
 async fn a_booking_whose_claim_the_store_lost_does_not_run_again() {
     let mut fleet = fleet_with(5.0, RETENTION).await;
-    fleet.copy_store().await;
+    fleet.back_up_store().await;
     let key = new_key();
     let booked = book(&fleet.client(0), "jobs", &key, &json!(1))
         .await
@@ -48,7 +48,7 @@
 #[compio::test]
 async fn bookings_with_new_keys_run_once_again_after_a_restore() {
     let fleet = fleet_with(5.0, RETENTION).await;
-    fleet.copy_store().await;
+    fleet.back_up_store().await;
     fleet.restore_store().await;
     let begin = Millis::now();
     let mut ran = String::new();
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -188,8 +188,8 @@
         let count = |line: &str| log.lines().filter(|l| l.contains(line)).count();
         println!(
             "gateway {n}: {} connections lost, {} crashes, {} quarantined",
-            count("connection lost under requests"),
-            count("upstream ended under request"),
+            count("connection lost during requests"),
+            count("upstream crashed during request"),
             count("request quarantined"),
         );
     }
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -220,7 +220,7 @@
     assert_eq!(site.runs("r2"), 0);
 }
 
-/// Upstreams that answer fast with nonsense are no sign of an overload.
+/// Malformed answers that arrive fast are no sign of an overload.
 #[compio::test]
 async fn failed_answers_do_not_lower_the_limit_of_a_route() {
     const FAILURES: usize = 60;
--- a/tests/gateway_restore.rs
+++ b/tests/gateway_restore.rs
@@ -1,4 +1,4 @@
-//! A store that comes back from a copy some seconds old, without the latest
+//! A store that is restored from a backup some seconds old, without the latest
 //! writes and leases: what gateways serve meanwhile and learn afterwards. Real
 //! processes run against a stand-in store and upstreams.
 
@@ -76,16 +76,16 @@
     );
 }
 
-/// How often the store goes back to the copy.
+/// How often the store is restored.
 #[rstest]
 #[case::once(1)]
 #[case::twice_in_a_row(2)]
 #[compio::test]
 async fn a_gateway_serves_on_and_follows_a_restored_store(#[case] times: usize) {
     let site = start_site().await;
-    site.store.era.set(4);
+    site.store.epoch.set(4);
     let gateway = ready(&site).await;
-    let copy = site.store.copy();
+    let backup = site.store.back_up();
     // Lost: a later configuration, and an upstream that is known to drain.
     site::put(&site.store, "op/config", &moved(2, "/moved/"));
     site.report(0, 0, "draining", 5);
@@ -100,7 +100,7 @@
     for _ in 0..times {
         site.store.is_down.set(true);
         compio::time::sleep(OUTAGE).await;
-        site.store.restore(&copy);
+        site.store.restore(&backup);
         site.store.is_down.set(false);
         compio::time::sleep(OUTAGE).await;
     }
@@ -112,7 +112,7 @@
         ran_before,
         "requests reached an upstream that drains"
     );
-    // The older version in the copy must not replace the one in force.
+    // The older version in the backup must not replace the one in force.
     let old = gateway.get(&format!("{READ}1"), "old").await;
     assert_eq!(old.status(), StatusCode::NOT_FOUND);
     site::put(&site.store, "op/config", &moved(3, "/third/"));
@@ -125,18 +125,18 @@
     assert!(log.contains("store restored"), "{log}");
 }
 
-/// An upstream that registers after the copy keeps its place until it has had the
+/// An upstream that registers after the backup keeps its place until it has had the
 /// time to write its entry again, and loses it if it does not.
 #[rstest]
 #[case::written_again(true)]
 #[case::not_written_again(false)]
 #[compio::test]
-async fn entries_that_a_copy_lacks_have_time_to_return(#[case] is_rewritten: bool) {
+async fn entries_that_a_restored_store_lacks_have_time_to_return(#[case] is_rewritten: bool) {
     let site = start_site().await;
-    site.store.era.set(1);
+    site.store.epoch.set(1);
     site.store.delete("servers/u-0-0");
     site.store.delete("servers/u-0-1");
-    let copy = site.store.copy();
+    let backup = site.store.back_up();
     report_shard(&site, 0, 2);
     let gateway = ready(&site).await;
     let path = format!("{READ}1");
@@ -144,7 +144,7 @@
         is_served(&gateway, &path).await
     })
     .await;
-    site.store.restore(&copy);
+    site.store.restore(&backup);
     let failures = send_steadily(&gateway, &path, REWRITE_TIME).await;
     assert!(failures.is_empty(), "{failures:?}");
     if is_rewritten {
@@ -154,13 +154,13 @@
     assert_eq!(is_served(&gateway, &path).await, is_rewritten);
 }
 
-/// The copy lacks both the configuration that names more shards and the upstreams of
+/// The backup lacks both the configuration that names more shards and the upstreams of
 /// these.
 #[compio::test]
 async fn a_search_covers_all_shards_when_a_reshard_is_lost() {
     const SHARDS_BEFORE: usize = 2;
     let site = start_site().await;
-    site.store.era.set(1);
+    site.store.epoch.set(1);
     site::put(
         &site.store,
         "op/config",
@@ -172,7 +172,7 @@
         }
     }
     let gateway = ready(&site).await;
-    let copy = site.store.copy();
+    let backup = site.store.back_up();
     for shard in SHARDS_BEFORE..SHARDS {
         report_shard(&site, shard, 2);
     }
@@ -183,7 +183,7 @@
         count_shards(&gateway, &path).await == SHARDS
     })
     .await;
-    site.store.restore(&copy);
+    site.store.restore(&backup);
     check_coverage(&gateway, &path, REWRITE_TIME).await;
     for shard in SHARDS_BEFORE..SHARDS {
         report_shard(&site, shard, 3);
@@ -192,18 +192,18 @@
     check_coverage(&gateway, &path, 2 * PROPAGATION).await;
 }
 
-/// The lease of a gateway can be given out again after the store went back, so the
+/// The lease of a gateway can be given out again by a restored store, so the
 /// gateway takes a new one and leaves the old one alone.
 #[compio::test]
 async fn a_gateway_registers_again_under_a_new_lease() {
     let site = start_site().await;
-    site.store.era.set(1);
-    let copy = site.store.copy();
+    site.store.epoch.set(1);
+    let backup = site.store.back_up();
     let mut gateway = ready(&site).await;
     gateway.process.wait_for_line("\"registered\"").await;
     let last_lease = site.store.revision();
     let registered = async || site.store.has(INSTANCES);
-    site.store.restore(&copy);
+    site.store.restore(&backup);
     assert!(!registered().await);
     // Others are given the leases that the gateway may have had.
     let mut others = Vec::new();
@@ -218,13 +218,13 @@
 }
 
 /// Gateways that get the directory from a watcher learn of a restored store from it,
-/// and one that starts while the store goes back reads all of it.
+/// and one that starts while the store is restored reads all of it.
 #[compio::test]
 async fn all_gateways_of_a_site_follow_a_restored_store() {
     const GATEWAYS: usize = 5;
     let site = start_site().await;
-    site.store.era.set(1);
-    let copy = site.store.copy();
+    site.store.epoch.set(1);
+    let backup = site.store.back_up();
     let mut gateways = vec![ready(&site).await];
     for _ in 1..GATEWAYS {
         gateways.push(start_gateway(&site, &[gateways[0].endpoints]).await);
@@ -240,7 +240,7 @@
     site::put(&site.store, "op/config", &moved(2, "/moved/"));
     compio::time::sleep(PROPAGATION).await;
     let starting = start_gateway(&site, &[gateways[0].endpoints]).await;
-    site.store.restore(&copy);
+    site.store.restore(&backup);
     gateways.push(starting);
     site::put(&site.store, "op/config", &moved(3, "/third/"));
     for gateway in &gateways {
--- a/tests/gateway_endless.rs
+++ b/tests/gateway_unbounded.rs
@@ -1,4 +1,4 @@
-//! Upstreams whose answers have no end: a gateway reads a limited number of bytes,
+//! Upstreams with unbounded answers: a gateway reads a limited number of bytes,
 //! keeps its memory, and loses no request that it sent to others. Real processes
 //! run against a stand-in store and upstreams.
 
@@ -12,11 +12,11 @@
 use serde_json::json;
 use standins::fleet::wait_until;
 use standins::memory::memory_kib;
-use standins::platform::endless::{self, Endless, EndlessCounts};
 use standins::platform::gateway::{Gateway, PROPAGATION, ready, start_gateway_at};
 use standins::platform::site::{self, READ, SHARDS, Site, start_site, upstream_entry};
+use standins::platform::unbounded::{self, Unbounded, UnboundedCounts};
 
-/// Upstreams without end, beside two others of the same shard.
+/// Upstreams with unbounded answers, beside two others of the same shard.
 const UPSTREAMS: usize = 8;
 const CLIENTS: usize = 24;
 const RUN_TIME: Millis = Millis(4_000);
@@ -32,15 +32,15 @@
 const RESPONSE_TIME: Millis = Millis(1_000);
 /// Growth of the gateway's memory.
 const MEMORY_LIMIT_KIB: usize = 64 * 1024;
-/// Connections on which an answer without end arrives are closed this long after
+/// Connections on which an unbounded answer arrives are closed this long after
 /// the deadline of a request.
 const CLOSE_TIME: Duration = Duration::from_secs(3);
 
-async fn add_upstreams(site: &Site, part: Endless, counts: &Rc<EndlessCounts>) {
+async fn add_upstreams(site: &Site, part: Unbounded, counts: &Rc<UnboundedCounts>) {
     for n in 0..UPSTREAMS {
-        let address = endless::start(part, counts).await.unwrap();
+        let address = unbounded::start(part, counts).await.unwrap();
         let entry = upstream_entry(&site::shard_name(0), address, "ready", 1);
-        site::put(&site.store, &format!("servers/endless-{n}"), &entry);
+        site::put(&site.store, &format!("servers/unbounded-{n}"), &entry);
     }
 }
 
@@ -74,17 +74,17 @@
 }
 
 #[rstest]
-#[case::head(Endless::Head)]
-#[case::header_value(Endless::HeaderValue)]
-#[case::interim(Endless::Interim)]
-#[case::body(Endless::Body)]
-#[case::chunks(Endless::Chunks)]
-#[case::chunk_extension(Endless::ChunkExtension)]
-#[case::trailers(Endless::Trailers)]
-#[case::slow_head(Endless::SlowHead)]
-#[case::slow_body(Endless::SlowBody)]
+#[case::head(Unbounded::Head)]
+#[case::header_value(Unbounded::HeaderValue)]
+#[case::interim(Unbounded::Interim)]
+#[case::body(Unbounded::Body)]
+#[case::chunks(Unbounded::Chunks)]
+#[case::chunk_extension(Unbounded::ChunkExtension)]
+#[case::trailers(Unbounded::Trailers)]
+#[case::slow_head(Unbounded::SlowHead)]
+#[case::slow_body(Unbounded::SlowBody)]
 #[compio::test]
-async fn an_answer_without_end_costs_neither_memory_nor_other_requests(#[case] part: Endless) {
+async fn an_unbounded_answer_costs_neither_memory_nor_other_requests(#[case] part: Unbounded) {
     let site = start_site().await;
     // Requests that a busy machine delays must not count as an overload.
     let mut configuration = site::configuration(SHARDS, 2);
@@ -95,9 +95,9 @@
         gateway.get(&format!("{READ}{n}"), &format!("w-{n}")).await;
     }
     let before = memory_kib(gateway.process.id());
-    let counts = Rc::new(EndlessCounts::default());
+    let counts = Rc::new(UnboundedCounts::default());
     add_upstreams(&site, part, &counts).await;
-    wait_until("an upstream without end is used", PROPAGATION, async || {
+    wait_until("an unbounded answer is read", PROPAGATION, async || {
         gateway.get(&format!("{READ}0"), "probe").await;
         counts.requests.get() > 0
     })
@@ -107,7 +107,7 @@
     futures_util::future::join_all(clients).await;
     let growth = sent.memory_kib.get().saturating_sub(before);
     println!(
-        "{} sent, {} failed ({} overloaded), {} reached an upstream without end; at most {} bytes, {growth} KiB more",
+        "{} sent, {} failed ({} overloaded), {} reached an upstream with unbounded answers; at most {} bytes, {growth} KiB more",
         sent.total.get(),
         sent.failed.get(),
         sent.overloaded.get(),
@@ -123,7 +123,7 @@
     .await;
     let log = gateway.process.read_log();
     let is_told = |line: &str| {
-        line.contains("endless-")
+        line.contains("unbounded-")
             && (line.contains("answer unusable") || line.contains("attempt timed out"))
     };
     assert!(log.lines().any(is_told) || sent.failed.get() == 0, "{log}");
@@ -131,14 +131,14 @@
 
 /// The gateway stays responsive and says why the store is of no use.
 #[rstest]
-#[case::head(Endless::Head)]
-#[case::interim(Endless::Interim)]
-#[case::body(Endless::Body)]
-#[case::slow_body(Endless::SlowBody)]
+#[case::head(Unbounded::Head)]
+#[case::interim(Unbounded::Interim)]
+#[case::body(Unbounded::Body)]
+#[case::slow_body(Unbounded::SlowBody)]
 #[compio::test]
-async fn a_store_without_end_costs_no_memory(#[case] part: Endless) {
-    let counts = Rc::new(EndlessCounts::default());
-    let store = endless::start(part, &counts).await.unwrap();
+async fn an_unbounded_answer_of_the_store_costs_no_memory(#[case] part: Unbounded) {
+    let counts = Rc::new(UnboundedCounts::default());
+    let store = unbounded::start(part, &counts).await.unwrap();
     let gateway = start_gateway_at(store, &[]).await;
     let before = memory_kib(gateway.process.id());
     let (mut growth, mut slowest) = (0, Millis::ZERO);
--- a/tests/endless_requests.rs
+++ b/tests/unbounded_requests.rs
@@ -1,4 +1,4 @@
-//! Callers and peers whose requests have no end: gateways and daemons close the
+//! Callers and peers with unbounded requests: gateways and daemons close the
 //! connection, and keep their memory. Real processes run against stand-ins.
 
 use std::net::SocketAddr;
@@ -14,9 +14,9 @@
 use serde_json::json;
 use standins::fleet::{Binaries, Fleet, Plan, wait_until};
 use standins::memory::memory_kib;
-use standins::platform::endless::Endless;
 use standins::platform::gateway::{PROPAGATION, ready};
 use standins::platform::site::{self, HOST, READ, SHARDS, WRITE, start_site};
+use standins::platform::unbounded::Unbounded;
 
 const BLOCK_BYTES: usize = 64 * 1024;
 const SLOW_INTERVAL: Duration = Duration::from_millis(200);
@@ -26,7 +26,7 @@
 const MEMORY_LIMIT_KIB: usize = 32 * 1024;
 
 /// Starts a request and sends its last part until the connection is closed.
-async fn send_without_end(address: SocketAddr, start: &str, part: Endless) {
+async fn send_unbounded(address: SocketAddr, start: &str, part: Unbounded) {
     let stream = TcpStream::connect(address).await.unwrap();
     let (mut reader, mut writer) = stream.into_split();
     let block = match part.is_slow() {
@@ -55,39 +55,39 @@
     select(std::pin::pin!(write), std::pin::pin!(read)).await;
 }
 
-/// Returns the start of a request whose last part has no end.
-fn start_of(method: &str, path: &str, host: &str, part: Endless) -> String {
+/// Returns the start of a request whose last part is unbounded.
+fn start_of(method: &str, path: &str, host: &str, part: Unbounded) -> String {
     let head = format!(
-        "{method} {path} HTTP/1.1\r\nhost: {host}\r\nrequest-id: endless\r\n\
+        "{method} {path} HTTP/1.1\r\nhost: {host}\r\nrequest-id: unbounded\r\n\
          content-type: application/json\r\ndeadline-milliseconds: 1000\r\n"
     );
     let body = "transfer-encoding: chunked\r\n\r\n";
     match part {
-        Endless::HeaderValue => format!("{head}x-long: "),
-        Endless::Chunks => format!("{head}{body}"),
-        Endless::ChunkExtension => format!("{head}{body}4;x="),
-        Endless::Trailers => format!("{head}{body}4\r\nbody\r\n0\r\n"),
-        Endless::SlowBody => format!("{head}content-length: 100000\r\n\r\n"),
+        Unbounded::HeaderValue => format!("{head}x-long: "),
+        Unbounded::Chunks => format!("{head}{body}"),
+        Unbounded::ChunkExtension => format!("{head}{body}4;x="),
+        Unbounded::Trailers => format!("{head}{body}4\r\nbody\r\n0\r\n"),
+        Unbounded::SlowBody => format!("{head}content-length: 100000\r\n\r\n"),
         _ => head,
     }
 }
 
-async fn send_all(address: SocketAddr, start: &str, part: Endless) {
-    let sent = (0..CONNECTIONS).map(|_| send_without_end(address, start, part));
+async fn send_all(address: SocketAddr, start: &str, part: Unbounded) {
+    let sent = (0..CONNECTIONS).map(|_| send_unbounded(address, start, part));
     let closed = compio::time::timeout(CLOSE_TIME, join_all(sent)).await;
     assert!(closed.is_ok(), "connections are open after {CLOSE_TIME:?}");
 }
 
 #[rstest]
-#[case::head(Endless::Head)]
-#[case::header_value(Endless::HeaderValue)]
-#[case::chunks(Endless::Chunks)]
-#[case::chunk_extension(Endless::ChunkExtension)]
-#[case::trailers(Endless::Trailers)]
-#[case::slow_head(Endless::SlowHead)]
-#[case::slow_body(Endless::SlowBody)]
+#[case::head(Unbounded::Head)]
+#[case::header_value(Unbounded::HeaderValue)]
+#[case::chunks(Unbounded::Chunks)]
+#[case::chunk_extension(Unbounded::ChunkExtension)]
+#[case::trailers(Unbounded::Trailers)]
+#[case::slow_head(Unbounded::SlowHead)]
+#[case::slow_body(Unbounded::SlowBody)]
 #[compio::test]
-async fn a_gateway_closes_requests_without_end(#[case] part: Endless) {
+async fn a_gateway_closes_unbounded_requests(#[case] part: Unbounded) {
     let site = start_site().await;
     let mut configuration = site::configuration(SHARDS, 2);
     configuration["limits"]["idle-timeout-ms"] = json!(3_000);
@@ -109,7 +109,7 @@
     );
     let growth = memory_kib(gateway.process.id()).saturating_sub(before);
     assert!(growth <= MEMORY_LIMIT_KIB, "{growth} KiB");
-    assert_eq!(site.runs("endless"), 0);
+    assert_eq!(site.runs("unbounded"), 0);
     let answer = gateway.get("/moved/1", "after").await;
     assert_eq!(answer.status(), StatusCode::OK);
     let old = gateway.get(&format!("{READ}1"), "old").await;
@@ -117,12 +117,12 @@
 }
 
 #[rstest]
-#[case::head(Endless::Head)]
-#[case::chunks(Endless::Chunks)]
-#[case::slow_head(Endless::SlowHead)]
-#[case::slow_body(Endless::SlowBody)]
+#[case::head(Unbounded::Head)]
+#[case::chunks(Unbounded::Chunks)]
+#[case::slow_head(Unbounded::SlowHead)]
+#[case::slow_body(Unbounded::SlowBody)]
 #[compio::test]
-async fn a_daemon_closes_requests_without_end(#[case] part: Endless) {
+async fn a_daemon_closes_unbounded_requests(#[case] part: Unbounded) {
     let mut fleet = Fleet::ready(&Binaries::find(), Plan::default()).await;
     let before = memory_kib(fleet.daemons[0].process.id());
     let start = start_of("POST", "/v1/services/jobs/search", "daemon", part);
