Bound the bytes of large answers together, not their number

Cause: two large answers of upstreams were read at a time, the others waited. Two upstreams that send more than 256 kB and then stall held both places until their deadline, so that large answers that do end were cut by time.

Change: large answers share 12 MB. Above that only the largest is read on, which is the next to end or to reach its own limit; a stalled one holds what has arrived of it.

--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -14,7 +14,8 @@
 
 use crate::error::{ConnectSnafu, Error, HandshakeSnafu, Result};
 use crate::interim::{INTERIM_LIMIT, InterimCount, LimitedStream};
-use crate::response::{LargeResponses, read_body};
+use crate::response::read_body;
+use crate::response_memory::ResponseMemory;
 
 /// Largest head of a response, and largest part of a body that is read ahead.
 const BUFFER_BYTES: usize = 128 * 1024;
@@ -82,26 +83,26 @@
         self.exchange(request, limit, None).await
     }
 
-    /// Sends one request as [`Connection::send`] does; a large response waits for a
-    /// place among the other large ones.
+    /// Sends one request as [`Connection::send`] does; a large response shares the
+    /// memory with the other large ones.
     ///
     /// # Errors
     ///
     /// As [`Connection::send`].
-    pub async fn send_with_places(
+    pub async fn send_within(
         &mut self,
         request: Request<Payload>,
         limit: usize,
-        large: &LargeResponses,
+        memory: &ResponseMemory,
     ) -> Result<Response<Bytes>> {
-        self.exchange(request, limit, Some(large)).await
+        self.exchange(request, limit, Some(memory)).await
     }
 
     async fn exchange(
         &mut self,
         mut request: Request<Payload>,
         limit: usize,
-        large: Option<&LargeResponses>,
+        memory: Option<&ResponseMemory>,
     ) -> Result<Response<Bytes>> {
         let address = self.address;
         if self.sender.ready().await.is_err() {
@@ -120,7 +121,7 @@
             },
         };
         let (head, body) = response.into_parts();
-        let body = read_body(address, body, limit, large).await?;
+        let body = read_body(address, body, limit, memory).await?;
         Ok(Response::from_parts(head, body))
     }
 }
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -12,6 +12,7 @@
 mod interim;
 mod local;
 mod response;
+mod response_memory;
 mod server;
 mod signal;
 mod timer;
@@ -24,7 +25,7 @@
 pub use header::header_number;
 pub use in_flight::{InFlight, InFlightGuard};
 pub use local::{Local, detached, local};
-pub use response::LargeResponses;
+pub use response_memory::ResponseMemory;
 pub use server::{
     Listener, ServerLimits, listen, serve, serve_connection, serve_with_shared_limits,
 };
--- a/components/transport/src/response.rs
+++ b/components/transport/src/response.rs
@@ -1,43 +1,26 @@
-//! Reads the bodies of responses, with limits for one and for all together.
+//! Reads the bodies of responses within their limits.
 
 use std::net::SocketAddr;
 
-use async_lock::Semaphore;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 use crate::error::{Error, Result};
+use crate::response_memory::ResponseMemory;
 
-/// Responses up to this size need no place among the large ones.
+/// Responses up to this size do not count towards [`ResponseMemory`].
 const SMALL_BYTES: usize = 256 * 1024;
-const LARGE_AT_ONCE: usize = 2;
 
-/// Places for large responses. A response beyond a quarter of a megabyte waits for
-/// one of a few places before more of it is read, so that the memory of responses
-/// without a bound stays limited, however many there are.
-#[derive(Debug)]
-pub struct LargeResponses {
-    places: Semaphore,
-}
-
-impl Default for LargeResponses {
-    fn default() -> Self {
-        Self {
-            places: Semaphore::new(LARGE_AT_ONCE),
-        }
-    }
-}
-
-/// Reads a body of at most `limit` bytes; a large one waits for its place.
+/// Reads a body of at most `limit` bytes, a large one as `memory` allows.
 pub(crate) async fn read_body(
     address: SocketAddr,
     body: Incoming,
     limit: usize,
-    large: Option<&LargeResponses>,
+    memory: Option<&ResponseMemory>,
 ) -> Result<Bytes> {
     let mut body = Limited::new(body, limit);
-    let (mut read, mut place) = (Parts::default(), None);
+    let (mut read, mut reader) = (Parts::default(), None);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| match e.downcast::<hyper::Error>() {
             Ok(source) => Error::from_exchange(address, *source),
@@ -46,11 +29,9 @@
         if let Ok(part) = frame.into_data() {
             read.add(part);
         }
-        match large {
-            Some(large) if read.len() > SMALL_BYTES && place.is_none() => {
-                place = Some(large.places.acquire().await);
-            }
-            _ => {}
+        if let Some(memory) = memory.filter(|_| read.len() > SMALL_BYTES) {
+            let reader = reader.get_or_insert_with(|| memory.start_reader());
+            reader.hold(read.len()).await;
         }
     }
     Ok(read.join())
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -141,7 +141,7 @@
     call.may_have_run.set(true);
     let sending = pooled
         .conn
-        .send_with_places(request, ANSWER_LIMIT_BYTES, &shared.large_answers);
+        .send_within(request, ANSWER_LIMIT_BYTES, &shared.answer_memory);
     let sent = sending.await;
     attempt.is_finished = true;
     let response = match sent {
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -7,7 +7,7 @@
 use clock::Millis;
 use slog::Logger;
 use telemetry::RequestLogLimiter;
-use transport::LargeResponses;
+use transport::ResponseMemory;
 
 use crate::backoffs::Backoffs;
 use crate::crashes::{CrashTable, DEFAULT_CRASH_LIMIT};
@@ -60,8 +60,8 @@
     /// Decides whether this daemon owns a group; without it, the daemon owns
     /// all groups.
     pub owns_group: RefCell<Option<Rc<OwnsGroup>>>,
-    /// Places for large answers.
-    pub large_answers: LargeResponses,
+    /// The memory of large answers.
+    pub answer_memory: ResponseMemory,
     /// Limits the log lines about single requests.
     pub log_limiter: RequestLogLimiter,
     /// Settings of the pools.
@@ -84,7 +84,7 @@
             crashes: CrashTable::new(config.crash_limit),
             peer_notifier: RefCell::default(),
             owns_group: RefCell::default(),
-            large_answers: LargeResponses::default(),
+            answer_memory: ResponseMemory::default(),
             log_limiter: RequestLogLimiter::new(log),
             config,
             log: log.clone(),
--- a/standins/src/platform/unbounded.rs
+++ b/standins/src/platform/unbounded.rs
@@ -11,6 +11,8 @@
 use transport::listen;
 
 const BLOCK_BYTES: usize = 64 * 1024;
+/// Bytes of a stalled body that are sent at once.
+const STALLED_BYTES: usize = 320 * 1024;
 const SLOW_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The part of an answer that is unbounded.
@@ -34,16 +36,20 @@
     SlowHead,
     /// A body at one byte a second.
     SlowBody,
+    /// A large part of a body, and then one byte a second.
+    StalledBody,
 }
 
 impl Unbounded {
     /// What is sent before the part that is repeated.
-    fn start(self) -> &'static str {
-        match self {
+    fn start(self) -> String {
+        let head = match self {
             Unbounded::Head | Unbounded::SlowHead => "HTTP/1.1 200 OK\r\n",
             Unbounded::HeaderValue => "HTTP/1.1 200 OK\r\nx-long: ",
             Unbounded::Interim => "",
-            Unbounded::Body | Unbounded::SlowBody => "HTTP/1.1 200 OK\r\n\r\n",
+            Unbounded::Body | Unbounded::SlowBody | Unbounded::StalledBody => {
+                "HTTP/1.1 200 OK\r\n\r\n"
+            }
             Unbounded::Chunks => "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
             Unbounded::ChunkExtension => {
                 "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4;x="
@@ -51,6 +57,10 @@
             Unbounded::Trailers => {
                 "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
             }
+        };
+        match self {
+            Unbounded::StalledBody => head.to_owned() + &"x".repeat(STALLED_BYTES),
+            _ => head.to_owned(),
         }
     }
 
@@ -64,13 +74,17 @@
             | Unbounded::Body
             | Unbounded::ChunkExtension
             | Unbounded::SlowHead
-            | Unbounded::SlowBody => "x",
+            | Unbounded::SlowBody
+            | Unbounded::StalledBody => "x",
         }
     }
 
     /// Whether it is sent slowly.
     pub fn is_slow(self) -> bool {
-        matches!(self, Unbounded::SlowHead | Unbounded::SlowBody)
+        matches!(
+            self,
+            Unbounded::SlowHead | Unbounded::SlowBody | Unbounded::StalledBody
+        )
     }
 }
 
@@ -121,7 +135,7 @@
         false => part.repeated().repeat(BLOCK_BYTES / part.repeated().len()),
     };
     let mut sent = 0;
-    let mut next = part.start().to_owned();
+    let mut next = part.start();
     loop {
         let BufResult(written, _) = stream.write_all(next.into_bytes()).await;
         if written.is_err() {
--- a/standins/src/platform/upstream.rs
+++ b/standins/src/platform/upstream.rs
@@ -19,6 +19,8 @@
 /// Time for which an upstream runs a request that ends it.
 const TIME_TO_CRASH: Millis = Millis(100);
 const RECORD_BYTES: usize = 16;
+/// Size of a large answer in bytes.
+pub const LARGE_BYTES: usize = 1024 * 1024;
 /// Records in each answer of an upstream that requests can end.
 const CRASHING_RECORDS: usize = 25;
 
@@ -37,6 +39,8 @@
     WrongId,
     /// Runs the request without answering it.
     Hanging,
+    /// Answers with a body of [`LARGE_BYTES`].
+    Large,
 }
 
 /// The requests that end upstreams, and the ends, of a whole site.
@@ -228,11 +232,15 @@
         Mode::WrongId => (StatusCode::OK, "another".to_owned()),
         _ => (StatusCode::OK, request_id.clone()),
     };
+    let body = match mode {
+        Mode::Large => vec![b'l'; LARGE_BYTES].into(),
+        _ => upstream.body(&request_id),
+    };
     Response::builder()
         .status(status)
         .header("request-id", echoed)
         .header("server-stamp", format!("{}.{request_id}", upstream.id))
         .header("server-load", load)
-        .body(Body::from(upstream.body(&request_id)))
+        .body(Body::from(body))
         .unwrap_or_default()
 }
--- a/tests/gateway_unbounded.rs
+++ b/tests/gateway_unbounded.rs
@@ -15,10 +15,13 @@
 use standins::platform::gateway::{Gateway, PROPAGATION, ready, start_gateway_at};
 use standins::platform::site::{self, READ, SHARDS, Site, start_site, upstream_entry};
 use standins::platform::unbounded::{self, Unbounded, UnboundedCounts};
+use standins::platform::upstream::{LARGE_BYTES, Mode};
 
 /// Upstreams with unbounded answers, beside two others of the same shard.
 const UPSTREAMS: usize = 8;
 const CLIENTS: usize = 24;
+/// Clients that get large answers.
+const LARGE_CLIENTS: usize = 6;
 const RUN_TIME: Millis = Millis(4_000);
 /// Requests that earn the tokens for repeats.
 const WARM_UP: usize = 60;
@@ -51,6 +54,8 @@
     failed: Cell<usize>,
     /// Those among the failed ones that the gateway refused as overloaded.
     overloaded: Cell<usize>,
+    /// Size of the largest answer in bytes.
+    largest: Cell<usize>,
     /// Largest memory of the gateway.
     memory_kib: Cell<usize>,
 }
@@ -67,24 +72,24 @@
             let overloaded = sent.overloaded.get() + usize::from(is_overload);
             sent.overloaded.set(overloaded);
         }
+        sent.largest
+            .set(sent.largest.get().max(answer.body().len()));
         let memory = memory_kib(gateway.process.id());
         sent.memory_kib.set(sent.memory_kib.get().max(memory));
         compio::time::sleep(REQUEST_INTERVAL).await;
     }
 }
 
-#[rstest]
-#[case::head(Unbounded::Head)]
-#[case::header_value(Unbounded::HeaderValue)]
-#[case::interim(Unbounded::Interim)]
-#[case::body(Unbounded::Body)]
-#[case::chunks(Unbounded::Chunks)]
-#[case::chunk_extension(Unbounded::ChunkExtension)]
-#[case::trailers(Unbounded::Trailers)]
-#[case::slow_head(Unbounded::SlowHead)]
-#[case::slow_body(Unbounded::SlowBody)]
-#[compio::test]
-async fn an_unbounded_answer_costs_neither_memory_nor_other_requests(#[case] part: Unbounded) {
+/// A gateway with upstreams whose answers are unbounded beside normal ones.
+struct Mixed {
+    site: Site,
+    gateway: Gateway,
+    counts: Rc<UnboundedCounts>,
+    /// Memory of the gateway before.
+    memory_kib: usize,
+}
+
+async fn start_mixed(part: Unbounded) -> Mixed {
     let site = start_site().await;
     // Requests that a busy machine delays must not count as an overload.
     let mut configuration = site::configuration(SHARDS, 2);
@@ -94,7 +99,7 @@
     for n in 0..WARM_UP {
         gateway.get(&format!("{READ}{n}"), &format!("w-{n}")).await;
     }
-    let before = memory_kib(gateway.process.id());
+    let memory_kib = memory_kib(gateway.process.id());
     let counts = Rc::new(UnboundedCounts::default());
     add_upstreams(&site, part, &counts).await;
     wait_until("an unbounded answer is read", PROPAGATION, async || {
@@ -102,12 +107,25 @@
         counts.requests.get() > 0
     })
     .await;
+    Mixed {
+        site,
+        gateway,
+        counts,
+        memory_kib,
+    }
+}
+
+/// Sends requests for [`RUN_TIME`]; no more of them fail than reached an upstream with
+/// unbounded answers, and the gateway keeps its memory.
+async fn check_requests(mixed: &Mixed, clients: usize) -> Sent {
+    let (gateway, counts) = (&mixed.gateway, &mixed.counts);
     let (sent, end) = (Sent::default(), Millis::now() + RUN_TIME);
-    let clients = (0..CLIENTS).map(|client| send_until(&gateway, client, end, &sent));
+    let clients = (0..clients).map(|client| send_until(gateway, client, end, &sent));
     futures_util::future::join_all(clients).await;
-    let growth = sent.memory_kib.get().saturating_sub(before);
+    let growth = sent.memory_kib.get().saturating_sub(mixed.memory_kib);
     println!(
-        "{} sent, {} failed ({} overloaded), {} reached an upstream with unbounded answers; at most {} bytes, {growth} KiB more",
+        "{} sent, {} failed ({} overloaded), {} reached an upstream with unbounded answers; \
+         at most {} bytes, {growth} KiB more",
         sent.total.get(),
         sent.failed.get(),
         sent.overloaded.get(),
@@ -115,18 +133,52 @@
         counts.largest.get(),
     );
     assert!(sent.failed.get() <= counts.requests.get());
-    assert!(counts.largest.get() <= BYTES_LIMIT);
     assert!(growth <= MEMORY_LIMIT_KIB, "{growth} KiB");
+    sent
+}
+
+#[rstest]
+#[case::head(Unbounded::Head)]
+#[case::header_value(Unbounded::HeaderValue)]
+#[case::interim(Unbounded::Interim)]
+#[case::body(Unbounded::Body)]
+#[case::chunks(Unbounded::Chunks)]
+#[case::chunk_extension(Unbounded::ChunkExtension)]
+#[case::trailers(Unbounded::Trailers)]
+#[case::slow_head(Unbounded::SlowHead)]
+#[case::slow_body(Unbounded::SlowBody)]
+#[case::stalled_body(Unbounded::StalledBody)]
+#[compio::test]
+async fn an_unbounded_answer_costs_neither_memory_nor_other_requests(#[case] part: Unbounded) {
+    let mixed = start_mixed(part).await;
+    let sent = check_requests(&mixed, CLIENTS).await;
+    let counts = &mixed.counts;
+    assert!(counts.largest.get() <= BYTES_LIMIT);
     wait_until("the connections are closed", CLOSE_TIME, async || {
         counts.open.get() == 0
     })
     .await;
-    let log = gateway.process.read_log();
-    let is_told = |line: &str| {
+    let log = mixed.gateway.process.read_log();
+    let is_logged = |line: &str| {
         line.contains("unbounded-")
             && (line.contains("answer unusable") || line.contains("attempt timed out"))
     };
-    assert!(log.lines().any(is_told) || sent.failed.get() == 0, "{log}");
+    assert!(
+        log.lines().any(is_logged) || sent.failed.get() == 0,
+        "{log}"
+    );
+}
+
+/// Large answers that end must not wait for the memory that unbounded ones hold.
+#[rstest]
+#[case::body(Unbounded::Body)]
+#[case::stalled_body(Unbounded::StalledBody)]
+#[compio::test]
+async fn large_answers_are_served_beside_unbounded_ones(#[case] part: Unbounded) {
+    let mixed = start_mixed(part).await;
+    mixed.site.set_mode(0, &Mode::Large);
+    let sent = check_requests(&mixed, LARGE_CLIENTS).await;
+    assert_eq!(sent.largest.get(), LARGE_BYTES);
 }
 
 /// The gateway stays responsive and says why the store is of no use.
@@ -162,6 +214,6 @@
     assert!(slowest <= RESPONSE_TIME, "{slowest}");
     let log = gateway.process.read_log();
     let address = store.to_string();
-    let is_told = |l: &str| l.contains("store unreachable") && l.contains(&address);
-    assert!(log.lines().any(is_told), "{log}");
+    let is_logged = |l: &str| l.contains("store unreachable") && l.contains(&address);
+    assert!(log.lines().any(is_logged), "{log}");
 }
