Lower the concurrency limit of a route only for what load explains

Cause: the limit fell for each request that was not served, whatever the reason. The change that excepted failed upstreams was a special case: searches that lack shards, and requests without any upstream, still lowered it to its minimum, and after such an outage nearly all requests at once were refused.

Change: a refusal says whether load explains it (overloaded or late, for a search if some shard was); the others have no effect on the limit.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -46,11 +46,10 @@
     })?;
     let result = serve(gateway, request).await;
     let now = Millis::now();
-    let served_after = result.is_ok().then(|| now.since(request.arrived));
     match &result {
-        // A failed upstream is no sign of an overload.
-        Err(refusal) if refusal.cause == Cause::UpstreamFailed => drop(permit),
-        _ => permit.finish(served_after, route, now),
+        Ok(_) => permit.finish(Some(now.since(request.arrived)), route, now),
+        Err(refusal) if refusal.is_overload => permit.finish(None, route, now),
+        Err(_) => drop(permit),
     }
     result
 }
--- a/components/gateway/src/forward/search.rs
+++ b/components/gateway/src/forward/search.rs
@@ -71,6 +71,12 @@
         })
     }
 
+    /// Whether load explains that some shard failed.
+    fn is_overload(&self) -> bool {
+        let mut failures = self.failures.iter();
+        failures.any(|(_, failure)| Refusal::from_failure(failure).is_overload)
+    }
+
     /// Returns whether any shard has or may have run the search.
     fn ran(&self) -> Ran {
         let failed = self.failures.iter().map(|(_, f)| f.ran).max();
@@ -176,18 +182,19 @@
         results.missing_shards()
     );
     let is_late = Millis::now() >= request.call.deadline;
+    let is_running = progress.covered + progress.failed < progress.total;
+    let cause = match is_late {
+        true => Cause::Timeout,
+        false => Cause::Coverage,
+    };
     let refusal = Refusal {
-        cause: match is_late {
-            true => Cause::Timeout,
-            false => Cause::Coverage,
-        },
         // Sub-requests without an answer so far may have run.
-        ran: match progress.covered + progress.failed < progress.total {
+        ran: match is_running {
             true => Ran::Unknown,
             false => results.ran(),
         },
-        detail,
-        retry_after: None,
+        is_overload: is_late || results.is_overload(),
+        ..Refusal::not_run(cause, detail)
     };
     let needed = needed_pools(results, pools, Millis::now());
     with_expected_wait(refusal, &needed, request.call.deadline)
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -67,6 +67,9 @@
     pub detail: String,
     /// Time after which the caller should retry.
     pub retry_after: Option<Millis>,
+    /// Whether load explains it, so that fewer requests of the route should run at a
+    /// time. Missing or failed upstreams are no load.
+    pub is_overload: bool,
 }
 
 impl Refusal {
@@ -77,6 +80,7 @@
             ran: Ran::No,
             detail: detail.into(),
             retry_after: None,
+            is_overload: matches!(cause, Cause::Overloaded | Cause::Timeout),
         }
     }
 
@@ -92,10 +96,9 @@
         // A quarantined request told to come back sooner would only be refused again.
         let is_quarantined = cause == Cause::Quarantined && failure.ran == Ran::No;
         Self {
-            cause,
             ran: failure.ran,
-            detail: failure.reason.name().to_owned(),
             retry_after: is_quarantined.then_some(failure.retry_after),
+            ..Self::not_run(cause, failure.reason.name())
         }
     }
 
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -220,21 +220,47 @@
     assert_eq!(site.runs("r2"), 0);
 }
 
-/// Malformed answers that arrive fast are no sign of an overload.
+/// What keeps requests from being answered for a while.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    WrongAnswers,
+    NoUpstreams,
+}
+
+/// Upstreams that fail fast, or are away, are no sign of an overload.
+#[rstest]
+#[case::wrong_answers(READ, Fault::WrongAnswers)]
+#[case::wrong_answers_to_searches(SEARCH, Fault::WrongAnswers)]
+#[case::no_upstreams(READ, Fault::NoUpstreams)]
+#[case::searches_without_upstreams(SEARCH, Fault::NoUpstreams)]
 #[compio::test]
-async fn failed_answers_do_not_lower_the_limit_of_a_route() {
+async fn failures_without_load_do_not_lower_the_limit_of_a_route(
+    #[case] prefix: &str,
+    #[case] fault: Fault,
+) {
     const FAILURES: usize = 60;
     const AT_ONCE: usize = 20;
     let site = start_site().await;
     let gateway = ready(&site).await;
-    site.set_mode(0, &Mode::WrongId);
+    let set_fault = async |mode: Mode, state: &str, seq: u64| {
+        for shard in 0..SHARDS {
+            match fault {
+                Fault::WrongAnswers => site.set_mode(shard, &mode),
+                Fault::NoUpstreams => (0..2).for_each(|r| site.report(shard, r, state, seq)),
+            }
+        }
+        compio::time::sleep(PROPAGATION).await;
+    };
+    set_fault(Mode::WrongId, "draining", 2).await;
     for n in 0..FAILURES {
-        gateway.get(&format!("{READ}{n}"), &format!("f-{n}")).await;
+        gateway
+            .get(&format!("{prefix}{n}"), &format!("f-{n}"))
+            .await;
         compio::time::sleep(Duration::from_millis(10)).await;
     }
-    site.set_mode(0, &Mode::Normal);
+    set_fault(Mode::Normal, "ready", 3).await;
     let ids: Vec<String> = (0..AT_ONCE).map(|n| format!("n-{n}")).collect();
-    let path = format!("{READ}1");
+    let path = format!("{prefix}1");
     let sent = ids.iter().map(|id| gateway.get(&path, id));
     let answers = futures_util::future::join_all(sent).await;
     let is_limited = |a: &&http::Response<bytes::Bytes>| a.body().ends_with(b"is reached\n");
