Spread the writes of crashes that many gateways see at once

When a failure domain is lost, 400 gateways would make 800 calls at once, twice what the store takes in a second, and repeat the refused ones in step, while registrations need it too. By reckoning; the fleet was not run at that size.

Change: a gateway waits a random time of up to 7 ms for each gateway, 49 ms for seven and 2.8 s for 400; what is missing still is due again a second later. Peers are sent the crashes at once, as before.

--- a/components/gateway/src/crash_sharing.rs
+++ b/components/gateway/src/crash_sharing.rs
@@ -26,10 +26,13 @@
 const REVIEW_INTERVAL: Millis = Millis(1_000);
 /// Peers that a daemon sends its crashes to; the others read them from the store.
 const NOTIFIED_PEERS: usize = 16;
+/// Mean interval between daemons that write what they have seen themselves. All may
+/// see crashes at once, and each makes two calls.
+const OWN_INTERVAL_MS: f64 = 7.0;
 /// Mean interval between the daemons that write what another one has seen, and the
 /// shortest time that it has to write it itself.
-const DAEMON_INTERVAL_MS: u64 = 50;
-const OTHERS_DELAY_MS: u64 = 2_000;
+const OTHERS_INTERVAL_MS: f64 = 50.0;
+const OTHERS_DELAY: Millis = Millis(2_000);
 /// A lease is used for new crashes for so long.
 const LEASE_REUSE: Millis = Millis(30_000);
 /// Crashes that expire sooner are not written again when their lease has ended.
@@ -115,11 +118,15 @@
         self.wake.borrow_mut().take();
     }
 
-    /// Waits for a change, at most for [`REVIEW_INTERVAL`]; `true` if there is one.
+    /// Waits for a change, at most for [`REVIEW_INTERVAL`] or until a crash is to be
+    /// written; `true` if there is a change.
     async fn wait_for_change(&self) -> bool {
         let (sender, receiver) = oneshot::channel::<()>();
         *self.wake.borrow_mut() = Some(sender);
-        let waiting = compio::time::timeout(REVIEW_INTERVAL.into(), receiver);
+        let now = Millis::now();
+        let next = self.due.borrow().values().min().copied();
+        let left = next.map_or(REVIEW_INTERVAL, |at| at.since(now));
+        let waiting = compio::time::timeout(left.min(REVIEW_INTERVAL).into(), receiver);
         waiting.await.is_ok()
     }
 
@@ -177,7 +184,8 @@
         Ok(())
     }
 
-    /// Returns the crashes that the store lacks and that are to be written now.
+    /// Returns the crashes that the store lacks and that are to be written now. They
+    /// are due again later, if they are missing still.
     fn find_due(&self, now: Millis) -> Vec<CrashEntry> {
         let missing = self.find_missing(now);
         let mut due = self.due.borrow_mut();
@@ -186,10 +194,15 @@
             known.unwrap_or_else(|| now + self.delay(shared))
         };
         *due = missing.iter().map(|m| (key(m), at(m))).collect();
-        let is_due = |m: &&SharedCrash| due.get(&key(m)).is_some_and(|at| *at <= now);
         let wall = Millis::wall();
-        let listed = missing.iter().filter(is_due);
-        listed.map(|m| to_entry(m, now, wall)).collect()
+        let mut entries = Vec::new();
+        for crash in &missing {
+            if let Some(at) = due.get_mut(&key(crash)).filter(|at| **at <= now) {
+                *at = now + REVIEW_INTERVAL;
+                entries.push(to_entry(crash, now, wall));
+            }
+        }
+        entries
     }
 
     /// Returns the crashes that the store lacks, or that it lists though a success
@@ -216,15 +229,10 @@
         all
     }
 
-    /// Returns how long to wait before a crash is written: another daemon that has
-    /// seen it writes it first, and the others don't all take its place at once.
     fn delay(&self, shared: &SharedCrash) -> Millis {
-        if shared.is_own && !shared.is_cleared {
-            return Millis::ZERO;
-        }
-        let daemons = self.directory.borrow().instances().count() as u64;
-        let spread = rand::rng().random_range(0..=daemons * DAEMON_INTERVAL_MS);
-        Millis(OTHERS_DELAY_MS + spread)
+        let daemons = self.directory.borrow().instances().count();
+        let is_first = shared.is_own && !shared.is_cleared;
+        crash_write_delay(daemons, is_first, rand::rng().random())
     }
 
     async fn current_lease(&self, now: Millis) -> Result<Lease> {
@@ -251,6 +259,17 @@
     }
 }
 
+/// Returns how long one of `daemons` daemons waits before it writes a crash, by a
+/// random number from 0 to 1: the daemons that have seen it write first, and neither
+/// they nor the others write all at once.
+pub fn crash_write_delay(daemons: usize, is_own: bool, random: f64) -> Millis {
+    let (least, interval_ms) = match is_own {
+        true => (Millis::ZERO, OWN_INTERVAL_MS),
+        false => (OTHERS_DELAY, OTHERS_INTERVAL_MS),
+    };
+    least + Millis((daemons as f64 * interval_ms * random) as u64)
+}
+
 impl CrashExchange for CrashSharing {
     fn unwritten_crashes(&self) -> Vec<CrashEntry> {
         let (now, wall) = (Millis::now(), Millis::wall());
