Share what the stores, the ledger's tests and the refusals' tests repeat

The header with the store's epoch, the request to claim a key, and the reading of Retry-After stood twice or more in the stand-ins and tests.

--- a/components/ledger/tests/epochs.rs
+++ b/components/ledger/tests/epochs.rs
@@ -7,11 +7,17 @@
 
 use async_trait::async_trait;
 use clock::Millis;
-use ledger::{FUTURE_SKEW, Key, Ledger, LedgerRequest, Verdict};
+use ledger::{FUTURE_SKEW, Key, Ledger, Verdict};
 use slog::{Discard, Logger, o};
 use store::{Entry, Store, Swap};
 use uuid::{NoContext, Timestamp, Uuid};
 
+#[path = "support/claims.rs"]
+mod claims;
+
+use claims::claim_request;
+
+const TIMEOUT: Millis = Millis(2_000);
 const PAUSE: Duration = Duration::from_millis(300);
 
 type Values = HashMap<String, Entry>;
@@ -85,16 +91,7 @@
 }
 
 async fn claim(ledger: &Rc<Ledger>, key: &Key) -> Verdict {
-    let request = LedgerRequest {
-        service: "jobs".to_owned(),
-        key: key.clone(),
-        nonce: Uuid::now_v7().to_string(),
-        claimer: "entry-1".to_owned(),
-        retention: Millis(300_000),
-        deadline: Millis::now() + Millis(2_000),
-        release: false,
-    };
-    ledger.submit(request).await
+    ledger.submit(claim_request(key, TIMEOUT)).await
 }
 
 #[compio::test]
--- a/components/ledger/tests/releases.rs
+++ b/components/ledger/tests/releases.rs
@@ -6,13 +6,19 @@
 
 use async_trait::async_trait;
 use clock::Millis;
-use ledger::{Key, Ledger, LedgerRequest};
+use ledger::{Key, Ledger};
 use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
 use store::{Entry, Store, Swap};
 use uuid::Uuid;
 
+#[path = "support/claims.rs"]
+mod claims;
+
+use claims::claim_request;
+
 /// The ledger's limit of requests that wait for the next write of a bucket.
 const PENDING_LIMIT: usize = 4_096;
+const TIMEOUT: Millis = Millis(60_000);
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// A store that does not answer.
@@ -52,18 +58,6 @@
     }
 }
 
-fn claim(key: &Key) -> LedgerRequest {
-    LedgerRequest {
-        service: "jobs".to_owned(),
-        key: key.clone(),
-        nonce: Uuid::now_v7().to_string(),
-        claimer: "entry-1".to_owned(),
-        retention: Millis(300_000),
-        deadline: Millis::now() + Millis(60_000),
-        release: false,
-    }
-}
-
 #[test]
 fn a_release_that_the_full_queue_refuses_is_logged_and_stays_unreleased() {
     compio::runtime::Runtime::new().unwrap().block_on(async {
@@ -74,12 +68,12 @@
         // The first claim is in the write that hangs; the others fill the queue.
         for count in [1, PENDING_LIMIT] {
             for _ in 0..count {
-                let (ledger, claim) = (ledger.clone(), claim(&key));
+                let (ledger, claim) = (ledger.clone(), claim_request(&key, TIMEOUT));
                 compio::runtime::spawn(async move { ledger.submit(claim).await }).detach();
             }
             compio::time::sleep(PAUSE).await;
         }
-        ledger.release_later(claim(&key), Millis::ZERO);
+        ledger.release_later(claim_request(&key, TIMEOUT), Millis::ZERO);
         assert_eq!((ledger.releases(), ledger.unreleased()), (1, 1));
         compio::time::sleep(PAUSE).await;
         let logged = messages.0.lock().unwrap().clone();
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bookings;
 pub mod client;
 pub mod demo;
+mod epoch;
 pub mod fleet;
 pub mod graph;
 pub mod instances;
--- a/standins/src/platform/gateway.rs
+++ b/standins/src/platform/gateway.rs
@@ -137,3 +137,10 @@
         sent.await.expect("the gateway answers")
     }
 }
+
+/// Returns the time in seconds after which a refused caller may retry; `None` if the
+/// answer does not say.
+pub fn retry_after_s(answer: &Response<Bytes>) -> Option<f64> {
+    let value = answer.headers().get("retry-after")?;
+    value.to_str().ok()?.parse().ok()
+}
--- a/standins/src/platform/store/routes.rs
+++ b/standins/src/platform/store/routes.rs
@@ -14,8 +14,8 @@
 use transport::{Local, local};
 
 use super::{Item, Lease, PlatformStore};
+use crate::epoch::add_epoch;
 
-const EPOCH_HEADER: &str = "store-era";
 const PAGE_ITEMS: usize = 500;
 const WATCH_POLL_INTERVAL: Millis = Millis(5);
 
@@ -32,16 +32,12 @@
         .route("/api/kv-lease", post(grant))
         .route("/api/kv-keep/{lease}", post(keep))
         .route("/api/kv-lease-end/{lease}", delete(end))
-        .layer(map_response_with_state(app.clone(), add_epoch))
+        .layer(map_response_with_state(app.clone(), with_epoch))
         .with_state(app)
 }
 
-async fn add_epoch(State(app): State<App>, mut response: Response) -> Response {
-    let epoch = app.0.epoch.get();
-    if epoch > 0 {
-        response.headers_mut().insert(EPOCH_HEADER, epoch.into());
-    }
-    response
+async fn with_epoch(State(app): State<App>, response: Response) -> Response {
+    add_epoch(response, app.0.epoch.get())
 }
 
 #[derive(Deserialize)]
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -17,7 +17,8 @@
 use serde_json::json;
 use transport::{Local, local};
 
-const EPOCH_HEADER: &str = "store-era";
+use crate::epoch::add_epoch;
+
 const VALUE_LIMIT_BYTES: usize = 1_000_000;
 const WATCH_POLL_INTERVAL: Millis = Millis(5);
 const HANG_TIME: Millis = Millis(600_000);
@@ -90,7 +91,7 @@
         .route("/stats", get(stats))
         .route("/backup", post(back_up))
         .route("/restore", post(restore))
-        .layer(map_response_with_state(state.clone(), add_epoch))
+        .layer(map_response_with_state(state.clone(), with_epoch))
         .with_state(state)
 }
 
@@ -234,12 +235,8 @@
     StatusCode::OK
 }
 
-async fn add_epoch(State(app): State<App>, mut response: Response) -> Response {
-    let epoch = app.0.epoch.get();
-    if epoch > 0 {
-        response.headers_mut().insert(EPOCH_HEADER, epoch.into());
-    }
-    response
+async fn with_epoch(State(app): State<App>, response: Response) -> Response {
+    add_epoch(response, app.0.epoch.get())
 }
 
 async fn stats(State(app): State<App>) -> Response {
--- a/tests/gateway_backoff.rs
+++ b/tests/gateway_backoff.rs
@@ -6,7 +6,7 @@
 use futures_util::future::join_all;
 use http::StatusCode;
 use rstest::rstest;
-use standins::platform::gateway::{Gateway, ready};
+use standins::platform::gateway::{Gateway, ready, retry_after_s};
 use standins::platform::site::{READ, SEARCH, Site, start_site};
 use standins::platform::upstream::Mode;
 
@@ -80,11 +80,7 @@
     let answer = gateway.get(&format!("{READ}last"), "last").await;
     assert!(begin.elapsed() < REFUSAL_TIME, "{:?}", begin.elapsed());
     assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
-    let retry_after: f64 = answer.headers()["retry-after"]
-        .to_str()
-        .unwrap()
-        .parse()
-        .unwrap();
+    let retry_after = retry_after_s(&answer).expect("the refusal says when to retry");
     // The soonest is 2.5 s after an answer that is up to 0.6 s old.
     assert!((1.5..3.2).contains(&retry_after), "{retry_after}");
     read_for(&gateway, "quiet", GRACE).await;
@@ -104,8 +100,7 @@
     for n in 0..10 {
         let answer = gateway.get(&format!("{SEARCH}1"), &format!("s-{n}")).await;
         assert_ne!(answer.status(), StatusCode::OK);
-        let value = answer.headers()["retry-after"].to_str().unwrap();
-        retry_after = value.parse().unwrap();
+        retry_after = retry_after_s(&answer).expect("the refusal says when to retry");
     }
     assert!((1.0..4.0).contains(&retry_after), "{retry_after}");
 }
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -15,7 +15,7 @@
 use standins::fleet::wait_until;
 use standins::platform::crash_site::CrashSite;
 use standins::platform::gateway::{
-    ANSWER_LIMIT_BYTES, Gateway, PROPAGATION, TIMEOUT, start_gateway_at,
+    ANSWER_LIMIT_BYTES, Gateway, PROPAGATION, TIMEOUT, retry_after_s, start_gateway_at,
 };
 use standins::platform::site::{HOST, READ, SEARCH};
 use standins::platform::upstream::CRASHING;
@@ -241,11 +241,7 @@
     );
     assert!(is_quarantined(&last), "{last:?}");
     assert_eq!(last.status(), StatusCode::SERVICE_UNAVAILABLE);
-    let retry_after: f64 = last.headers()["retry-after"]
-        .to_str()
-        .unwrap()
-        .parse()
-        .unwrap();
+    let retry_after = retry_after_s(&last).expect("the refusal says when to retry");
     assert!(retry_after > MIN_RETRY_AFTER_S, "{retry_after}");
 }
 
