--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -107,10 +107,10 @@
     }
 }
 
-/// Tells the caller when to come back: when a slot is expected to be free in all
-/// services, when an upstream may have started where none is left, or when one
-/// takes requests again where all have asked this daemon to back off. Only the last
-/// is known, so that it is told even if the caller has less time left.
+/// Sets the time after which the caller should retry: when a slot is expected to be
+/// free in all services, when an upstream may have started where none is left, or when
+/// a backoff ends where all upstreams asked for one. Only the last is known, so that it
+/// is set even if the caller has less time left.
 fn with_expected_wait(refusal: Refusal, pools: &[Option<&Pool>], deadline: Millis) -> Refusal {
     let now = Millis::now();
     let known = pools.iter().flatten();
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -153,8 +153,8 @@
     /// and has not asked this daemon to back off.
     pub(crate) fn is_available(&self, key: UpstreamKey) -> bool {
         let backoffs = &self.shared.backoffs;
-        let wants_none = |u: Rc<Upstream>| backoffs.time_left(&u.process, Millis::now()).0 > 0;
-        let is_backing_off = !backoffs.is_empty() && self.find(key).is_some_and(wants_none);
+        let has_backoff = |u: Rc<Upstream>| backoffs.time_left(&u.process, Millis::now()).0 > 0;
+        let is_backing_off = !backoffs.is_empty() && self.find(key).is_some_and(has_backoff);
         !is_backing_off && self.is_staying(key)
     }
 
--- a/components/upstreams/src/queue.rs
+++ b/components/upstreams/src/queue.rs
@@ -87,7 +87,7 @@
                 |w: &mut Waiter| !w.request.candidates.iter().any(|&k| is_available(k));
             waiters.extract_if(.., is_unservable).collect()
         };
-        // Wakes the receivers, which are told that there is no replica.
+        // Wakes the receivers, which find that no replica is available.
         drop(dropped);
     }
 
