--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -109,6 +109,8 @@
     metrics::gauge!(names::REVISION).set(version as f64);
     let quarantined = gateway.fleet.shared().crashes.quarantined_count(now);
     metrics::gauge!(names::QUARANTINED).set(quarantined as f64);
+    let limited = gateway.fleet.shared().rate_limits.len();
+    metrics::gauge!(names::RATE_LIMITED_UPSTREAMS).set(limited as f64);
     let pools = gateway.fleet.pools();
     let upstreams: Vec<UpstreamView> = pools.iter().flat_map(|p| p.upstream_views()).collect();
     let queued: usize = pools.iter().map(|p| p.queued()).sum();
--- a/components/telemetry/src/metric.rs
+++ b/components/telemetry/src/metric.rs
@@ -60,6 +60,12 @@
     pub const CRASHES_TOTAL: &str = "coltsfootgw_crashes_total";
     /// Answers that asked this daemon to send nothing to an upstream for a while.
     pub const BACKOFFS_TOTAL: &str = "coltsfootgw_backoffs_total";
+    /// Rate limits that upstreams named, each new value counted.
+    pub const RATE_LIMITS_TOTAL: &str = "coltsfootgw_rate_limits_total";
+    /// Sub-requests sent to upstreams with a rate limit.
+    pub const LIMITED_SENDS_TOTAL: &str = "coltsfootgw_limited_sends_total";
+    /// Upstreams that name a rate limit.
+    pub const RATE_LIMITED_UPSTREAMS: &str = "coltsfootgw_rate_limited_upstreams";
     /// Tasks that panicked.
     pub const PANICS_TOTAL: &str = "coltsfootgw_panics_total";
     /// Bytes of control messages sent to peers.
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -130,6 +130,9 @@
         .to_request(&recipient, time_left)
         .ok_or_else(|| Failure::not_run(Reason::UpstreamError))?;
     metrics::counter!(names::SENDS_TOTAL).increment(1);
+    if shared.rate_limits.count(&upstream.process) {
+        metrics::counter!(names::LIMITED_SENDS_TOTAL).increment(1);
+    }
     let mut attempt = Attempt {
         pool,
         upstream,
--- a/components/upstreams/src/attempt/record.rs
+++ b/components/upstreams/src/attempt/record.rs
@@ -9,7 +9,7 @@
 use crate::call::{Call, HEDGE_QUANTILE};
 use crate::crash_check::{check_crash, record_crashes};
 use crate::failure::{Failure, Ran, Reason, Result};
-use crate::message::{Answer, UpstreamReport};
+use crate::message::{Answer, RateReport, UpstreamReport};
 use crate::pool::Pool;
 use crate::sent::SentRequest;
 use crate::slot::Slot;
@@ -107,6 +107,7 @@
     if let Some(wait) = report.backoff {
         record_backoff(pool, upstream, wait, now);
     }
+    record_rate_limit(pool, upstream, report.rate, started);
     if report.leaving && pool.shared.drains.mark(&upstream.process, &report.boot) {
         slog::info!(pool.shared.log, "upstream is leaving"; "upstream" => &upstream.id, "source" => "answer",
             "after_ms" => now.since(started).0);
@@ -115,6 +116,28 @@
     }
 }
 
+/// Keeps what an upstream says of the rate of requests that it takes.
+fn record_rate_limit(pool: &Pool, upstream: &Upstream, rate: RateReport, started: Millis) {
+    let (limits, now) = (&pool.shared.rate_limits, Millis::now());
+    match rate {
+        RateReport::PerSecond(per_second) if limits.record(&upstream.process, per_second, now) => {
+            metrics::counter!(names::RATE_LIMITS_TOTAL).increment(1);
+            pool.shared.log_limiter.write(|| {
+                slog::info!(pool.shared.log, "upstream named a rate limit"; "upstream" => &upstream.id,
+                    "per_second" => per_second);
+            });
+        }
+        RateReport::PerSecond(_) | RateReport::Unknown => {}
+        RateReport::Unlimited if limits.is_empty() => {}
+        RateReport::Unlimited => {
+            if let Some(ended) = limits.end(&upstream.process, started) {
+                slog::info!(pool.shared.log, "upstream named a rate limit no longer"; "upstream" => &upstream.id,
+                    "per_second" => ended.per_second, "sends" => ended.sends);
+            }
+        }
+    }
+}
+
 /// Sends nothing to an upstream for a while, and little at first afterwards.
 fn record_backoff(pool: &Rc<Pool>, upstream: &Upstream, wait: Millis, now: Millis) {
     if !pool.shared.backoffs.record(&upstream.process, wait, now) {
--- a/components/upstreams/src/message.rs
+++ b/components/upstreams/src/message.rs
@@ -43,6 +43,18 @@
 /// An answer that belongs to its request.
 pub type Answer = Response<Bytes>;
 
+/// What an answer says of the rate of requests that its upstream takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateReport {
+    /// Nothing, or nothing that could be read.
+    #[default]
+    Unknown,
+    /// There is no limit.
+    Unlimited,
+    /// Requests a second from all daemons together.
+    PerSecond(f64),
+}
+
 /// State that an upstream reports with an answer.
 #[derive(Debug, Default)]
 pub struct UpstreamReport {
@@ -50,6 +62,8 @@
     pub leaving: bool,
     /// Backoff that the upstream asked of this daemon.
     pub backoff: Option<Millis>,
+    /// Rate of requests that the upstream takes.
+    pub rate: RateReport,
     /// A header of the answer that could not be read, with its value.
     pub unreadable: Option<String>,
     /// Identifier of the upstream's process.
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -13,6 +13,7 @@
 use crate::crashes::{CrashTable, DEFAULT_CRASH_LIMIT};
 use crate::drains::Drains;
 use crate::failure::Result;
+use crate::rate_limits::RateLimits;
 
 /// Decides whether this daemon owns a group of a topology.
 pub type OwnsGroup = dyn Fn(&Topology, usize) -> bool;
@@ -52,6 +53,8 @@
     pub drains: Drains,
     /// Upstreams that asked for backoff.
     pub backoffs: Backoffs,
+    /// Limits on the rate of requests that upstreams named.
+    pub rate_limits: RateLimits,
     /// Crashes of upstreams, by the requests that ran there.
     pub crashes: CrashTable,
     /// Called when the marks or crashes have changed and peers should be
@@ -81,6 +84,7 @@
         Rc::new(Self {
             drains: Drains::default(),
             backoffs: Backoffs::default(),
+            rate_limits: RateLimits::default(),
             crashes: CrashTable::new(config.crash_limit),
             peer_notifier: RefCell::default(),
             owns_group: RefCell::default(),
--- a/components/upstreams/src/wire.rs
+++ b/components/upstreams/src/wire.rs
@@ -7,7 +7,7 @@
 use transport::Payload;
 
 use crate::failure::{Failure, Ran, Reason};
-use crate::message::{Answer, DataVersion, Message, Recipient, Reply, UpstreamReport};
+use crate::message::{Answer, DataVersion, Message, RateReport, Recipient, Reply, UpstreamReport};
 
 const REQUEST_ID_HEADER: &str = "x-request-id";
 const SHARD_HEADER: &str = "x-shard";
@@ -90,6 +90,7 @@
 
 fn report(headers: &HeaderMap) -> UpstreamReport {
     UpstreamReport {
+        rate: RateReport::Unknown,
         backoff: None,
         unreadable: None,
         leaving: text(headers, LEAVING_HEADER).is_some_and(|v| v == "1"),
