--- /dev/null
+++ b/standins/src/platform/paced_load.rs
@@ -0,0 +1,90 @@
+//! Requests that are sent to a gateway at a constant rate, and what became of them.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use clock::Millis;
+use compio::runtime::JoinHandle;
+use http::{Request, Response, StatusCode};
+use transport::Payload;
+
+use super::gateway::{ANSWER_LIMIT_BYTES, TIMEOUT, retry_after_s};
+use super::site::HOST;
+
+/// One request and its outcome.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// When the request was sent.
+    pub sent_at: Millis,
+    /// Time until the answer, or until the request failed.
+    pub elapsed: Millis,
+    /// Status of the answer; `None` if there was none.
+    pub status: Option<StatusCode>,
+    /// Time in seconds after which the caller may retry, if the answer says so.
+    pub retry_after_s: Option<f64>,
+}
+
+impl Outcome {
+    /// Whether the request was served.
+    pub fn is_served(&self) -> bool {
+        self.status == Some(StatusCode::OK)
+    }
+}
+
+/// A load on one gateway; dropping it stops it.
+pub struct PacedLoad {
+    outcomes: Rc<RefCell<Vec<Outcome>>>,
+    _task: JoinHandle<()>,
+}
+
+impl PacedLoad {
+    /// Sends a request below `prefix` each `interval`, each on a new connection and
+    /// with an identifier that begins with `name`.
+    pub fn start(gateway: SocketAddr, name: &str, prefix: &str, interval: Millis) -> Self {
+        let outcomes: Rc<RefCell<Vec<Outcome>>> = Rc::default();
+        let (all, name, prefix) = (outcomes.clone(), name.to_owned(), prefix.to_owned());
+        let task = compio::runtime::spawn(async move {
+            for n in 0.. {
+                compio::time::sleep(interval.into()).await;
+                let (all, id) = (all.clone(), format!("{name}-{n}"));
+                let path = format!("{prefix}{id}");
+                compio::runtime::spawn(async move {
+                    let outcome = send(gateway, &path, &id).await;
+                    all.borrow_mut().push(outcome);
+                })
+                .detach();
+            }
+        });
+        Self {
+            outcomes,
+            _task: task,
+        }
+    }
+
+    /// Returns the outcomes of the requests that were sent at `from` or later.
+    pub fn outcomes_since(&self, from: Millis) -> Vec<Outcome> {
+        let outcomes = self.outcomes.borrow();
+        let later = outcomes.iter().filter(|o| o.sent_at >= from);
+        later.cloned().collect()
+    }
+}
+
+async fn send(gateway: SocketAddr, path: &str, id: &str) -> Outcome {
+    let request = Request::get(path)
+        .header("host", HOST)
+        .header("request-id", id)
+        .header("deadline-milliseconds", "1000")
+        .body(Payload::default())
+        .expect("the request is valid");
+    let sent_at = Millis::now();
+    let sent = transport::request(gateway, request, ANSWER_LIMIT_BYTES, TIMEOUT).await;
+    let answer: Option<Response<Bytes>> = sent.ok();
+    Outcome {
+        sent_at,
+        elapsed: Millis::now().since(sent_at),
+        status: answer.as_ref().map(Response::status),
+        retry_after_s: answer.as_ref().and_then(retry_after_s),
+    }
+}
--- a/standins/src/platform/upstream.rs
+++ b/standins/src/platform/upstream.rs
@@ -76,6 +76,10 @@
     pub mode: RefCell<Mode>,
     /// Whether its answers say that it is leaving.
     pub is_leaving: Cell<bool>,
+    /// Rate limit that its answers name, in requests a second.
+    pub rate_limit: Cell<Option<f64>>,
+    /// Times at which requests reached it, refused ones included.
+    pub arrivals: RefCell<Vec<Millis>>,
     /// Number of records in each answer.
     pub records: usize,
     /// Identifiers of the requests that it ran.
@@ -120,6 +124,8 @@
             service_time: Cell::new(service_time),
             mode: RefCell::new(Mode::Normal),
             is_leaving: Cell::new(false),
+            rate_limit: Cell::new(None),
+            arrivals: RefCell::default(),
             records,
             ran: RefCell::default(),
             deadlines: RefCell::default(),
@@ -131,6 +137,17 @@
         }
     }
 
+    /// Returns the largest number of requests that reached it within any `window`
+    /// that begins at `from` or later.
+    pub fn busiest_window(&self, from: Millis, window: Millis) -> usize {
+        let arrivals = self.arrivals.borrow();
+        let begin = arrivals.partition_point(|&at| at < from);
+        let starts = arrivals.iter().enumerate().skip(begin);
+        let count =
+            |(n, &at): (usize, &Millis)| arrivals.partition_point(|&later| later < at + window) - n;
+        starts.map(count).max().unwrap_or(0)
+    }
+
     fn body(&self, request_id: &str) -> Bytes {
         let record = |i: usize| {
             let mut record = [0_u8; RECORD_BYTES];
@@ -176,7 +193,12 @@
 
 async fn answer(State(app): State<App>, request: Request) -> Response {
     local(async move {
+        app.0.arrivals.borrow_mut().push(Millis::now());
         let mut response = run(&app.0, request).await;
+        if let Some(limit) = app.0.rate_limit.get() {
+            let value = HeaderValue::from_str(&limit.to_string()).unwrap();
+            response.headers_mut().insert("server-limit", value);
+        }
         if app.0.is_leaving.get() {
             let value = HeaderValue::from_static("1");
             response.headers_mut().insert("server-leaving", value);
