Notice and log that no upstream can be reached from a gateway

Change: evidence on all upstreams together, a check by connections to six of them, two log lines, a gauge and a counter. Callers get what they got.

--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -109,6 +109,8 @@
     metrics::gauge!(names::REVISION).set(version as f64);
     let quarantined = gateway.fleet.shared().crashes.quarantined_count(now);
     metrics::gauge!(names::QUARANTINED).set(quarantined as f64);
+    let are_cut = gateway.fleet.shared().links.are_cut();
+    metrics::gauge!(names::LINKS_LOST).set(f64::from(u8::from(are_cut)));
     let limited = gateway.fleet.shared().rate_limits.len();
     metrics::gauge!(names::RATE_LIMITED_UPSTREAMS).set(limited as f64);
     let pools = gateway.fleet.pools();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod gather;
 mod handler;
 mod in_flight;
+mod link_watch;
 mod merge;
 mod refusal;
 mod reload;
--- /dev/null
+++ b/components/gateway/src/link_watch.rs
@@ -0,0 +1,65 @@
+//! Watches whether any upstream can be reached from this daemon.
+
+use std::rc::Rc;
+
+use clock::Millis;
+use rand::seq::IteratorRandom;
+use slog::{info, warn};
+use telemetry::names;
+use upstreams::{Upstream, any_accepts};
+
+use crate::state::Gateway;
+
+/// Interval between looks at the evidence, and between checks while the links are lost.
+const INTERVAL: Millis = Millis(100);
+const LOST_INTERVAL: Millis = Millis(300);
+/// Upstreams that are tried in one check.
+const SAMPLE: usize = 6;
+
+/// Watches the links to the upstreams until the task is dropped.
+pub(crate) async fn run(gateway: Rc<Gateway>) {
+    loop {
+        let links = &gateway.fleet.shared().links;
+        let interval = match links.are_cut() {
+            true => LOST_INTERVAL,
+            false => INTERVAL,
+        };
+        compio::time::sleep(interval.into()).await;
+        if links.are_cut() || needs_check(&gateway) {
+            check(&gateway).await;
+        }
+    }
+}
+
+fn needs_check(gateway: &Gateway) -> bool {
+    let pools = gateway.fleet.pools();
+    let waiting = pools.iter().flat_map(|p| p.oldest_requests());
+    let links = &gateway.fleet.shared().links;
+    links.needs_check(waiting, Millis::now())
+}
+
+/// Tries to connect to some upstreams, whatever is known of them.
+async fn check(gateway: &Gateway) {
+    let all = gateway.fleet.pools().into_iter();
+    let all = all.flat_map(|pool| pool.upstreams());
+    let chosen: Vec<Rc<Upstream>> = all.sample(&mut rand::rng(), SAMPLE);
+    if chosen.is_empty() {
+        return;
+    }
+    let links = &gateway.fleet.shared().links;
+    let has_links = any_accepts(&chosen, links).await;
+    let outcome = match has_links {
+        true => "reachable",
+        false => "unreachable",
+    };
+    metrics::counter!(names::LINK_CHECKS_TOTAL, "outcome" => outcome).increment(1);
+    let is_changed = links.record_check(has_links, Millis::now());
+    match has_links {
+        _ if !is_changed => {}
+        true => info!(gateway.log, "upstreams reachable again"),
+        false => {
+            warn!(gateway.log, "no upstream reachable from this daemon"; "tried" => chosen.len(),
+            "in_flight" => gateway.in_flight.count())
+        }
+    }
+}
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -21,6 +21,7 @@
 use crate::crash_sharing::CrashSharing;
 use crate::fleet::Fleet;
 use crate::handler;
+use crate::link_watch;
 use crate::reload::{self, HangupFlag, ReadSettings};
 use crate::route_limiters::RouteLimiters;
 use crate::settings::Settings;
@@ -225,6 +226,7 @@
     compio::runtime::spawn(follower.clone().follow_store()).detach();
     compio::runtime::spawn(follower.clone().follow_peers()).detach();
     compio::runtime::spawn(registration.clone().run()).detach();
+    compio::runtime::spawn(link_watch::run(gateway.clone())).detach();
 }
 
 fn start_server(listener: Listener, router: Router) {
--- a/components/telemetry/src/metric.rs
+++ b/components/telemetry/src/metric.rs
@@ -66,6 +66,12 @@
     pub const LIMITED_SENDS_TOTAL: &str = "coltsfootgw_limited_sends_total";
     /// Upstreams that name a rate limit.
     pub const RATE_LIMITED_UPSTREAMS: &str = "coltsfootgw_rate_limited_upstreams";
+    /// Whether no upstream can be reached from this daemon.
+    pub const LINKS_LOST: &str = "coltsfootgw_links_lost";
+    /// Checks of the links to the upstreams, by outcome.
+    pub const LINK_CHECKS_TOTAL: &str = "coltsfootgw_link_checks_total";
+    /// Requests handed to other daemons, by outcome.
+    pub const PEER_FORWARDS_TOTAL: &str = "coltsfootgw_peer_forwards_total";
     /// Tasks that panicked.
     pub const PANICS_TOTAL: &str = "coltsfootgw_panics_total";
     /// Bytes of control messages sent to peers.
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -103,7 +103,7 @@
         Ok(pooled) => pooled,
         Err(CheckoutError::Limit) => return Err(Failure::not_run(Reason::Overloaded)),
         Err(CheckoutError::Refused) => {
-            record_refused(upstream);
+            record_refused(pool, upstream);
             return Err(Failure::not_run(Reason::NoReplica));
         }
     };
@@ -160,6 +160,7 @@
             return Err(record_lost_connection(pool, upstream).await);
         }
     };
+    shared.links.record_answer(Millis::now());
     let reply = call.message.read(&recipient, response);
     if matches!(&reply.result, Err(f) if f.reason == Reason::Mismatch) {
         metrics::counter!(names::MISMATCHES_TOTAL).increment(1);
--- a/components/upstreams/src/attempt/record.rs
+++ b/components/upstreams/src/attempt/record.rs
@@ -38,6 +38,7 @@
     let now = Millis::now();
     upstream.health.borrow_mut().record_failure(now);
     upstream.health.borrow_mut().record_outcome(true, now);
+    pool.shared.links.record_failure(&upstream.process, now);
     log_lost_connection(pool, upstream);
     match pool.shared.config.confirms_crashes {
         true => check_crash(pool, upstream).await,
@@ -79,8 +80,9 @@
     });
 }
 
-pub(crate) fn record_refused(upstream: &Upstream) {
+pub(crate) fn record_refused(pool: &Pool, upstream: &Upstream) {
     let now = Millis::now();
+    pool.shared.links.record_failure(&upstream.process, now);
     upstream.health.borrow_mut().record_refused(now);
     upstream.close_idle();
 }
--- a/components/upstreams/src/crash_check.rs
+++ b/components/upstreams/src/crash_check.rs
@@ -10,6 +10,7 @@
 use telemetry::names;
 
 use crate::crashes::{CRASH_TTL, Crash};
+use crate::link_check::accepts;
 use crate::pool::Pool;
 use crate::sent::SentRequest;
 use crate::upstream::Upstream;
@@ -59,13 +60,13 @@
 }
 
 async fn run(pool: Rc<Pool>, upstream: Rc<Upstream>) {
-    let has_crashed = !accepts(&upstream).await || {
+    let has_crashed = !accepts(&upstream, CONNECT_TIMEOUT).await || {
         // Wakes the waiters: most upstreams that accept a connection have not ended.
         if let Some(check) = upstream.check.borrow_mut().as_mut() {
             check.waiters.clear();
         }
         compio::time::sleep(SECOND_LOOK_DELAY.into()).await;
-        !upstream.has_open_idle() && !accepts(&upstream).await
+        !upstream.has_open_idle() && !accepts(&upstream, CONNECT_TIMEOUT).await
     };
     let check = upstream.check.borrow_mut().take().unwrap_or_default();
     slog::debug!(pool.shared.log, "checked whether an upstream ended"; "upstream" => &upstream.id,
@@ -76,18 +77,6 @@
     }
 }
 
-/// Whether a new connection is accepted; it is kept for the next request.
-async fn accepts(upstream: &Upstream) -> bool {
-    let connecting = compio::time::timeout(CONNECT_TIMEOUT.into(), upstream.connect()).await;
-    match connecting {
-        Ok(Ok(pooled)) => {
-            upstream.keep(pooled, None);
-            true
-        }
-        Ok(Err(_)) | Err(_) => false,
-    }
-}
-
 /// Records that an upstream crashed during requests.
 pub(crate) fn record_crashes(
     pool: &Pool,
--- a/components/upstreams/src/health.rs
+++ b/components/upstreams/src/health.rs
@@ -160,6 +160,18 @@
         }
     }
 
+    /// Forgets failures and slow answers.
+    pub(crate) fn forget_failures(&mut self) {
+        *self = Self {
+            failures_to_eject: self.failures_to_eject,
+            reported: self.reported,
+            boot: std::mem::take(&mut self.boot),
+            holds: self.holds.take(),
+            ramp: self.ramp,
+            ..Self::default()
+        };
+    }
+
     /// Returns the last reported load, from 0 to 1; 0 if the report is too old.
     pub(crate) fn load(&self, now: Millis) -> f64 {
         match now.since(self.load_at) < LOAD_VALIDITY {
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -13,6 +13,7 @@
 use crate::crashes::{CrashTable, DEFAULT_CRASH_LIMIT};
 use crate::drains::Drains;
 use crate::failure::Result;
+use crate::links::Links;
 use crate::rate_limits::RateLimits;
 
 /// Decides whether this daemon owns a group of a topology.
@@ -55,6 +56,8 @@
     pub backoffs: Backoffs,
     /// Limits on the rate of requests that upstreams named.
     pub rate_limits: RateLimits,
+    /// The links of this daemon to all upstreams together.
+    pub links: Links,
     /// Crashes of upstreams, by the requests that ran there.
     pub crashes: CrashTable,
     /// Called when the marks or crashes have changed and peers should be
@@ -85,6 +88,7 @@
             drains: Drains::default(),
             backoffs: Backoffs::default(),
             rate_limits: RateLimits::default(),
+            links: Links::default(),
             crashes: CrashTable::new(config.crash_limit),
             peer_notifier: RefCell::default(),
             owns_group: RefCell::default(),
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -198,9 +198,14 @@
 
     /// Returns how long the oldest request has run here, in milliseconds.
     fn oldest_ms(&self, now: Millis) -> f64 {
+        let oldest = self.oldest_since();
+        oldest.map_or(0.0, |since| now.since(since).0 as f64)
+    }
+
+    /// Returns since when the oldest request holds a slot here.
+    pub(crate) fn oldest_since(&self) -> Option<Millis> {
         let running = self.running.borrow();
-        let oldest = running.iter().map(|r| now.since(r.since).0).max();
-        oldest.unwrap_or(0) as f64
+        running.iter().map(|r| r.since).min()
     }
 
     /// Takes an idle connection or opens one.
