Test that callers of partitioned gateways are served like the others

Cause: no test cuts the links between some gateways and the upstreams; all share one loopback address. Change: stand-in links, a view of the store that names forwarders in place of the upstreams, which hang, close or refuse; tests of four gateways of which one to all are cut off, and of bookings meanwhile.

--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -245,7 +245,7 @@
     };
     let site = site::Site::start(size).await?;
     let endpoints = Endpoints { ip };
-    let file = site::settings("gateway-1", endpoints, site.store_address, &[]);
+    let file = site::settings("gateway-1", endpoints, "a", site.store_address, &[]);
     std::fs::write(settings, file.to_string())?;
     println!("{}", json!({ "store": site.store_address }));
     std::future::pending::<()>().await;
--- a/standins/src/platform/gateway.rs
+++ b/standins/src/platform/gateway.rs
@@ -46,12 +46,17 @@
 
 /// Starts a gateway that uses the store at an address.
 pub async fn start_gateway_at(store: SocketAddr, seeds: &[Endpoints]) -> Gateway {
+    start_gateway_in("a", store, seeds).await
+}
+
+/// Starts a gateway in a failure domain.
+pub async fn start_gateway_in(domain: &str, store: SocketAddr, seeds: &[Endpoints]) -> Gateway {
     let endpoints = unused_endpoints();
     let dir = std::env::temp_dir().join(format!("coltsfootgw-{}", Uuid::new_v4()));
     std::fs::create_dir_all(&dir).unwrap();
     let seeds: Vec<_> = seeds.iter().map(|s| s.peers()).collect();
     let name = format!("gateway-{}", endpoints.ip);
-    let settings = site::settings(&name, endpoints, store, &seeds);
+    let settings = site::settings(&name, endpoints, domain, store, &seeds);
     let path = dir.join("settings.yaml");
     std::fs::write(&path, settings.to_string()).unwrap();
     let process = start_process(&dir, 0).await;
--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -78,6 +78,11 @@
         put(&self.store, &format!("servers/{id}"), &entry);
     }
 
+    /// Returns the addresses of all upstreams.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        self.addresses.values().copied().collect()
+    }
+
     /// Sets how all upstreams of a shard answer.
     pub fn set_mode(&self, shard: usize, mode: &Mode) {
         for upstream in &self.shards[shard] {
@@ -203,11 +208,12 @@
 pub fn settings(
     name: &str,
     endpoints: Endpoints,
+    domain: &str,
     store: SocketAddr,
     seeds: &[SocketAddr],
 ) -> Value {
     json!({
-        "node-name": name, "ip-address": endpoints.ip, "zone": "a",
+        "node-name": name, "ip-address": endpoints.ip, "zone": domain,
         "listen-addresses": {
             "front": endpoints.callers(), "ready": endpoints.ready(), "control": endpoints.peers() },
         "seed-nodes": seeds,
--- a/tests/gateway_operation.rs
+++ b/tests/gateway_operation.rs
@@ -49,7 +49,7 @@
     const REQUESTS: usize = 2_500;
     let site = start_site().await;
     let endpoints = unused_endpoints();
-    let settings = site::settings("deaf", endpoints, site.store_address, &[]);
+    let settings = site::settings("deaf", endpoints, "a", site.store_address, &[]);
     let path = std::env::temp_dir().join(format!("coltsfootgw-{}.yaml", Uuid::new_v4()));
     std::fs::write(&path, settings.to_string()).unwrap();
     let mut child = std::process::Command::new(Binaries::find().product)
--- /dev/null
+++ b/tests/gateway_partition.rs
@@ -0,0 +1,181 @@
+//! Gateways that are partitioned from all upstreams while callers, the store and the
+//! other gateways reach them. Real processes run against a stand-in store and upstreams.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use clock::Millis;
+use futures_util::future::join_all;
+use http::{Method, StatusCode};
+use rstest::rstest;
+use standins::fleet::wait_until;
+use standins::platform::gateway::{Gateway, PROPAGATION, retry_after_s, start_gateway_in};
+use standins::platform::link::{LinkState, Links};
+use standins::platform::paced_load::{Outcome, PacedLoad};
+use standins::platform::site::{READ, SEARCH, Site, WRITE, start_site};
+
+/// Failure domains of the gateways; those of the first are cut off together.
+const DOMAINS: [&str; 4] = ["a", "a", "b", "b"];
+const INTERVAL: Millis = Millis(25);
+/// Time after which the callers of all gateways are to be served alike
+/// (`stable-window-ms`).
+const STABLE_WINDOW: Duration = Duration::from_secs(4);
+const RUN_TIME: Duration = Duration::from_secs(4);
+/// Callers of a partitioned gateway are served at least this often, as a share of the
+/// others.
+const SERVED_SHARE: f64 = 2.0 / 3.0;
+/// Time after the end of a partition in which a gateway uses its own links again.
+const RETURN_TIME: Duration = Duration::from_secs(2);
+/// A caller that can't be served is told within this time.
+const REFUSAL_TIME: Millis = Millis(150);
+const WRITES: usize = 40;
+
+/// Starts gateways, the first `behind` of which reach the upstreams by links that can be
+/// cut.
+async fn start(site: &Site, links: &Links, behind: usize) -> Vec<Gateway> {
+    let mut all: Vec<Gateway> = Vec::new();
+    for (n, domain) in DOMAINS.into_iter().enumerate() {
+        let store = match n < behind {
+            true => links.store_address,
+            false => site.store_address,
+        };
+        let seeds: Vec<_> = all.iter().take(3).map(|g| g.endpoints).collect();
+        all.push(start_gateway_in(domain, store, &seeds).await);
+    }
+    for gateway in &all {
+        wait_until("the gateway is ready", PROPAGATION, async || {
+            gateway.is_ready().await
+        })
+        .await;
+    }
+    compio::time::sleep(PROPAGATION).await;
+    all
+}
+
+fn start_load(gateways: &[Gateway], prefix: &str) -> Vec<PacedLoad> {
+    let each = gateways.iter().enumerate();
+    let load = each.map(|(n, g)| {
+        let address = g.endpoints.callers();
+        PacedLoad::start(address, &format!("g{n}"), prefix, INTERVAL)
+    });
+    load.collect()
+}
+
+fn served_share(load: &[PacedLoad], from: Millis) -> f64 {
+    let outcomes: Vec<Outcome> = load.iter().flat_map(|l| l.outcomes_since(from)).collect();
+    let served = outcomes.iter().filter(|o| o.is_served()).count();
+    println!("{served} of {} served", outcomes.len());
+    served as f64 / outcomes.len() as f64
+}
+
+fn count_lines(gateways: &[Gateway], text: &str) -> usize {
+    let logs = gateways.iter().map(|g| g.process.read_log());
+    logs.map(|log| log.lines().filter(|l| l.contains(text)).count())
+        .sum()
+}
+
+#[rstest]
+#[case::reads_over_hanging_links(READ, LinkState::Hanging, 1)]
+#[case::searches_over_hanging_links(SEARCH, LinkState::Hanging, 2)]
+#[case::searches_over_closed_links(SEARCH, LinkState::Closed, 2)]
+#[case::searches_without_new_connections(SEARCH, LinkState::NewRefused, 2)]
+#[case::most_gateways(SEARCH, LinkState::Hanging, 3)]
+#[compio::test]
+async fn callers_of_partitioned_gateways_are_served_like_the_others(
+    #[case] prefix: &str,
+    #[case] state: LinkState,
+    #[case] behind: usize,
+) {
+    let site = start_site().await;
+    let links = Links::start(&site).await;
+    let gateways = start(&site, &links, behind).await;
+    let load = start_load(&gateways, prefix);
+    compio::time::sleep(Duration::from_secs(1)).await;
+    links.set(state).await;
+    compio::time::sleep(STABLE_WINDOW).await;
+    let from = Millis::now();
+    compio::time::sleep(RUN_TIME).await;
+    let (there, elsewhere) = load.split_at(behind);
+    let there = served_share(there, from);
+    let elsewhere = served_share(elsewhere, from);
+    assert!(there >= elsewhere * SERVED_SHARE, "{there} of {elsewhere}");
+    assert_eq!(count_lines(&gateways, "crashed during request"), 0);
+    links.set(LinkState::Up).await;
+    compio::time::sleep(RETURN_TIME).await;
+    let from = Millis::now();
+    compio::time::sleep(RETURN_TIME).await;
+    let after = served_share(&load[..behind], from);
+    assert!(after > 0.99, "{after} served after the partition");
+    for gateway in &gateways[..behind] {
+        let metrics = gateway.metrics("/metrics").await;
+        assert!(metrics.contains("coltsfootgw_links_lost 0"), "{metrics}");
+    }
+}
+
+#[rstest]
+#[case::hanging(LinkState::Hanging)]
+#[case::closed(LinkState::Closed)]
+#[compio::test]
+async fn a_booking_runs_at_most_once_when_its_gateway_is_partitioned(#[case] state: LinkState) {
+    let site = start_site().await;
+    let links = Links::start(&site).await;
+    let gateways = start(&site, &links, 2).await;
+    let write = async |n: usize| {
+        compio::time::sleep(Duration::from_millis(50 * n as u64)).await;
+        let (path, id) = (format!("{WRITE}{n}"), format!("w-{n}"));
+        let gateway = &gateways[n % 2];
+        let answer = gateway.send(Method::POST, &path, &id, Bytes::new()).await;
+        (id, answer.status())
+    };
+    let cut = async {
+        compio::time::sleep(Duration::from_millis(500)).await;
+        links.set(state).await;
+    };
+    let writes = join_all((0..WRITES).map(write));
+    let (answers, ()) = futures_util::future::join(writes, cut).await;
+    links.set(LinkState::Up).await;
+    compio::time::sleep(RETURN_TIME).await;
+    let served = answers.iter().filter(|(_, s)| *s == StatusCode::OK).count();
+    println!("{served} of {WRITES} served");
+    for (id, status) in &answers {
+        let runs = site.runs(id);
+        assert!(runs <= 1, "{id} ran {runs} times, {status}");
+        assert!(*status != StatusCode::OK || runs == 1, "{id} did not run");
+        assert!(
+            *status != StatusCode::SERVICE_UNAVAILABLE || runs == 0,
+            "{id} was refused and ran"
+        );
+    }
+    // From the moment at which the gateways know, all are served.
+    let late = &answers[WRITES * 3 / 4..];
+    assert!(late.iter().all(|(_, s)| *s == StatusCode::OK), "{late:?}");
+}
+
+#[compio::test]
+async fn callers_are_refused_at_once_when_no_gateway_has_links() {
+    let site = start_site().await;
+    let links = Links::start(&site).await;
+    let gateways = start(&site, &links, DOMAINS.len()).await;
+    let load = start_load(&gateways, SEARCH);
+    compio::time::sleep(Duration::from_secs(1)).await;
+    links.set(LinkState::Hanging).await;
+    compio::time::sleep(RETURN_TIME).await;
+    let from = Millis::now();
+    compio::time::sleep(RETURN_TIME).await;
+    for outcome in load.iter().flat_map(|l| l.outcomes_since(from)) {
+        assert_eq!(outcome.status, Some(StatusCode::SERVICE_UNAVAILABLE));
+        assert!(outcome.elapsed < REFUSAL_TIME, "{outcome:?}");
+        assert!(outcome.retry_after_s.is_some(), "{outcome:?}");
+    }
+    assert!(!gateways[0].is_ready().await, "ready without any links");
+    links.set(LinkState::Up).await;
+    compio::time::sleep(RETURN_TIME).await;
+    let answer = gateways[0].get(&format!("{SEARCH}again"), "again").await;
+    assert_eq!(
+        answer.status(),
+        StatusCode::OK,
+        "{:?}",
+        retry_after_s(&answer)
+    );
+    assert!(gateways[0].is_ready().await);
+}
