Hand requests to other gateways while no upstream is reachable

What callers saw: at gateways that were partitioned from all upstreams 2 to 7 in 100 first tries were served while connections hung, and about one in five while they were refused; elsewhere all. Cause: a gateway took the loss of its own links for the loss of each upstream, waited for one after the other, and could not let a gateway that reaches them serve the request. By reading, it also wrote crashes of sound upstreams to the store, which counts against harmless requests everywhere. Change: while none of six upstreams accepts a connection, requests go to gateways with links, also those that run and may be repeated; a crash counts only if another upstream is reached; what was concluded meanwhile is forgotten when the links are back. With no gateway left, callers are refused at once.

--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -16,6 +16,7 @@
 use transport::{Local, local};
 use upstreams::{UpstreamState, UpstreamView};
 
+use crate::handler;
 use crate::state::Gateway;
 use crate::view::StateView;
 
@@ -37,6 +38,7 @@
     Router::new()
         .route("/v1/directory", get(directory))
         .route(CRASHES_PATH, post(crashes))
+        .fallback(handed_over)
         .with_state(App(Local::new(gateway.clone())))
 }
 
@@ -89,6 +91,15 @@
     .await
 }
 
+/// Serves a request of a daemon that reaches no upstream.
+async fn handed_over(State(app): State<App>, request: Request) -> Response {
+    local(async move {
+        let answer = handler::answer_peer(&app.0, request).await;
+        answer.unwrap_or_else(|| StatusCode::NOT_FOUND.into_response())
+    })
+    .await
+}
+
 async fn metrics(State(app): State<App>) -> String {
     refresh_gauges(&app.0);
     app.0.recorder.render()
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -3,16 +3,19 @@
 mod rates;
 mod search;
 
+use std::pin::pin;
+
 use bytes::Bytes;
 use clock::Millis;
+use futures_util::future::{Either, select};
 use http::Response;
 use routes::{Delivery, Target};
-use upstreams::{Answer, Failure, Pool, Ran, Shard, UpstreamKey};
+use upstreams::{Failure, Pool, Ran, Shard, UpstreamKey};
 
 use self::rates::rate_wait;
 use self::search::gather_shards;
 use crate::refusal::{Cause, Refusal, Result};
-use crate::routed_request::{RoutedRequest, remove_hop_by_hop, with_retry_after};
+use crate::routed_request::{Origin, RoutedRequest, caller_response, with_retry_after};
 use crate::state::Gateway;
 
 /// Time after which another upstream of a service without one may have started.
@@ -34,13 +37,42 @@
     }
 }
 
-/// Serves a routed request, subject to quarantine and to the route's
-/// concurrency limit.
+/// Serves a routed request, subject to quarantine.
 pub(crate) async fn run(gateway: &Gateway, request: &RoutedRequest) -> Result<Response<Bytes>> {
     let (fingerprint, deadline) = (request.call.fingerprint, request.call.deadline);
     let shared = gateway.fleet.shared();
     let checked = shared.check_quarantine(fingerprint, deadline).await;
     checked.map_err(|failure| Refusal::from_failure(&failure))?;
+    match request.origin {
+        Origin::Caller => run_with_links(gateway, request).await,
+        Origin::Peer => run_here(gateway, request).await,
+    }
+}
+
+/// Serves a caller's request by this daemon's own links, or by another daemon's if they
+/// are lost, before or while it runs. A request that must not be repeated stays here
+/// once it may have been sent.
+async fn run_with_links(gateway: &Gateway, request: &RoutedRequest) -> Result<Response<Bytes>> {
+    let links = &gateway.fleet.shared().links;
+    if links.are_cut() {
+        return gateway.peer_forwarder.forward(request).await;
+    }
+    let running = Box::pin(run_here(gateway, request));
+    let running = match select(running, pin!(links.wait_for_loss())).await {
+        Either::Left((result, _)) => return result,
+        Either::Right((_, running)) => running,
+    };
+    let is_repeatable = request.entry.route.delivery == Delivery::Idempotent;
+    if !is_repeatable && request.call.may_have_run.get() {
+        return running.await;
+    }
+    drop(running);
+    gateway.peer_forwarder.forward(request).await
+}
+
+/// Serves a request by this daemon's own links, subject to the route's concurrency
+/// limit.
+async fn run_here(gateway: &Gateway, request: &RoutedRequest) -> Result<Response<Bytes>> {
     let route = &request.entry.route;
     let permit = gateway.limiters.admit(route).map_err(|wait| {
         let refusal = Refusal::not_run(Cause::Overloaded, "the limit of the route is reached");
@@ -94,12 +126,6 @@
     }
 }
 
-fn caller_response(answer: Answer) -> Response<Bytes> {
-    let (mut head, body) = answer.into_parts();
-    head.headers = remove_hop_by_hop(head.headers);
-    Response::from_parts(head, body)
-}
-
 fn to_refusal(request: &RoutedRequest, failure: &Failure, pool: &Pool) -> Refusal {
     let refusal = Refusal::from_failure(failure);
     match failure.ran {
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -19,9 +19,10 @@
 
 use crate::forward;
 use crate::in_flight::InFlightRequest;
+use crate::peer_forward::{read_handover, unserved};
 use crate::refusal::{Cause, Refusal, Result};
 use crate::routed_request::{
-    ResolvedRoute, RoutedRequest, deadline, read_request, with_retry_after,
+    Origin, ResolvedRoute, RoutedRequest, deadline, read_request, with_retry_after,
 };
 use crate::state::Gateway;
 use crate::wire::RequestContext;
@@ -42,44 +43,72 @@
 async fn handle(State(app): State<App>, request: Request) -> Response<Body> {
     local(async move {
         let gateway: Rc<Gateway> = (*app.0).clone();
-        let arrived = Millis::now();
         let context = gateway.wire.request_context(request.headers());
-        let id = context.as_ref().map(|c| c.id.clone()).unwrap_or_default();
-        let resolved = resolve(&gateway, context, &request, arrived);
-        let route = resolved
-            .as_ref()
-            .map_or("", |r| &r.entry.route.name)
-            .to_owned();
-        let in_flight = gateway.in_flight.begin(InFlightRequest {
-            id: id.clone(),
-            route: route.clone(),
-            arrived,
-        });
-        let result = match resolved {
-            Ok(resolved) => serve_before_exit(&gateway, resolved, request).await,
-            Err(refusal) => Err(refusal),
-        };
-        let elapsed = Millis::now().since(arrived);
-        record_outcome(&result, route, elapsed);
-        let mut response = match result {
-            Ok(response) => response,
-            Err(refusal) => {
-                log_refusal(&gateway, &id, &refusal, elapsed);
-                refusal.to_response()
-            }
-        };
-        if gateway.is_leaving() {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(header::CONNECTION, close);
-        }
-        drop(in_flight);
-        response.map(Body::from)
+        answer(&gateway, Origin::Caller, context, request).await
     })
     .await
 }
 
+/// Answers a request that another daemon hands over because it reaches no upstream;
+/// `None` if it is no such request.
+pub(crate) async fn answer_peer(
+    gateway: &Rc<Gateway>,
+    mut request: Request,
+) -> Option<Response<Body>> {
+    let handover = read_handover(&mut request)?;
+    if let Some(reason) = gateway.handover_obstacle(handover.version) {
+        return Some(unserved(reason).map(Body::from));
+    }
+    let context = gateway.wire.request_context(request.headers());
+    let context = context.map(|context| RequestContext {
+        timeout: Some(handover.time_left),
+        ..context
+    });
+    Some(answer(gateway, Origin::Peer, context, request).await)
+}
+
+async fn answer(
+    gateway: &Rc<Gateway>,
+    origin: Origin,
+    context: Result<RequestContext, String>,
+    request: Request,
+) -> Response<Body> {
+    let arrived = Millis::now();
+    let id = context.as_ref().map(|c| c.id.clone()).unwrap_or_default();
+    let resolved = resolve(gateway, origin, context, &request, arrived);
+    let route = resolved
+        .as_ref()
+        .map_or("", |r| &r.entry.route.name)
+        .to_owned();
+    let in_flight = gateway.in_flight.begin(InFlightRequest {
+        id: id.clone(),
+        route: route.clone(),
+        arrived,
+    });
+    let result = match resolved {
+        Ok(resolved) => serve_before_exit(gateway, resolved, request).await,
+        Err(refusal) => Err(refusal),
+    };
+    let elapsed = Millis::now().since(arrived);
+    record_outcome(&result, route, elapsed);
+    let mut response = match result {
+        Ok(response) => response,
+        Err(refusal) => {
+            log_refusal(gateway, &id, &refusal, elapsed);
+            refusal.to_response()
+        }
+    };
+    if gateway.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    drop(in_flight);
+    response.map(Body::from)
+}
+
 fn resolve(
     gateway: &Gateway,
+    origin: Origin,
     context: Result<RequestContext, String>,
     request: &Request,
     arrived: Millis,
@@ -91,6 +120,7 @@
         deadline: deadline(&entry.route, &context, arrived),
         table,
         entry,
+        origin,
         context,
         arrived,
         may_have_run: Rc::default(),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod in_flight;
 mod link_watch;
 mod merge;
+mod peer_forward;
 mod refusal;
 mod reload;
 mod retry_after;
--- a/components/gateway/src/link_watch.rs
+++ b/components/gateway/src/link_watch.rs
@@ -56,10 +56,23 @@
     let is_changed = links.record_check(has_links, Millis::now());
     match has_links {
         _ if !is_changed => {}
-        true => info!(gateway.log, "upstreams reachable again"),
+        true => {
+            info!(gateway.log, "upstreams reachable again");
+            forget_failures(gateway);
+        }
         false => {
             warn!(gateway.log, "no upstream reachable from this daemon"; "tried" => chosen.len(),
-            "in_flight" => gateway.in_flight.count())
+                "in_flight" => gateway.in_flight.count());
         }
     }
 }
+
+/// Forgets what this daemon concluded while its links were lost, and the connections
+/// from before.
+fn forget_failures(gateway: &Gateway) {
+    for pool in gateway.fleet.pools() {
+        pool.close_idle();
+        pool.forget_failures();
+    }
+    gateway.limiters.reset();
+}
--- /dev/null
+++ b/components/gateway/src/peer_forward.rs
@@ -0,0 +1,219 @@
+//! Hands requests to other gateways while this one reaches no upstream, and answers
+//! those that other gateways hand over.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use clock::Millis;
+use discovery::SharedDirectory;
+use http::header::HeaderName;
+use http::{HeaderMap, Request, Response, StatusCode, Uri};
+use rand::seq::IndexedRandom;
+use routes::Delivery;
+use telemetry::names;
+use transport::{Client, Payload};
+use upstreams::Ran;
+
+use crate::refusal::{Cause, Refusal, Result};
+use crate::routed_request::{RoutedRequest, caller_response, with_retry_after};
+
+/// Prefix of the path under which gateways accept requests of their peers; the path and
+/// query of the caller follow.
+const REQUESTS_PATH: &str = "/v1/requests";
+/// Time that is left for the request, in milliseconds.
+const TIME_LEFT_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-time-left-ms");
+/// Version of the configuration that the sender has in force.
+const VERSION_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-version");
+/// Present if a gateway did not take the request; says why.
+const UNSERVED_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-unserved");
+/// A gateway that did not take a request is passed over for so long.
+const PEER_PAUSE: Millis = Millis(1_000);
+/// A gateway has this many objectives of the route to answer a request that may be
+/// repeated.
+const OBJECTIVES: u64 = 2;
+/// Time after which callers may come back if no gateway took their request.
+const RETURN_TIME: Millis = Millis(500);
+const IDLE_CONNECTIONS: usize = 16;
+const RESPONSE_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+
+/// Why a gateway is passed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pause {
+    /// It takes no requests.
+    Refused,
+    /// It did not answer; it is tried again if there is no other one.
+    Failed,
+}
+
+/// Hands requests to other gateways.
+pub(crate) struct PeerForwarder {
+    directory: SharedDirectory,
+    me: SocketAddr,
+    clients: RefCell<HashMap<SocketAddr, Rc<Client>>>,
+    paused: RefCell<HashMap<SocketAddr, (Pause, Millis)>>,
+    has_failed: Cell<bool>,
+}
+
+impl PeerForwarder {
+    pub(crate) fn new(directory: SharedDirectory, me: SocketAddr) -> Self {
+        Self {
+            directory,
+            me,
+            clients: RefCell::default(),
+            paused: RefCell::default(),
+            has_failed: Cell::new(false),
+        }
+    }
+
+    /// Whether no gateway took the last request.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.has_failed.get()
+    }
+
+    /// Hands a request to one gateway after the other until one takes it. A request
+    /// that must not be repeated goes to another one only if the last did not take it.
+    pub(crate) async fn forward(&self, request: &RoutedRequest) -> Result<Response<Bytes>> {
+        let mut tried = Vec::new();
+        let mut ran = match request.call.may_have_run.get() {
+            true => Ran::Unknown,
+            false => Ran::No,
+        };
+        while let Some(peer) = self.choose(&tried) {
+            tried.push(peer);
+            let pause = match self.send(peer, request).await {
+                Ok(response) if response.headers().contains_key(UNSERVED_HEADER) => Pause::Refused,
+                Ok(response) => {
+                    self.has_failed.set(false);
+                    count("answered");
+                    return Ok(caller_response(response));
+                }
+                Err(e) if e.is_unsent() => Pause::Refused,
+                Err(_) => {
+                    ran = Ran::Unknown;
+                    Pause::Failed
+                }
+            };
+            count("failed");
+            self.pause(peer, pause);
+            let is_repeatable = request.entry.route.delivery == Delivery::Idempotent;
+            if Millis::now() >= request.call.deadline || (ran != Ran::No && !is_repeatable) {
+                break;
+            }
+        }
+        self.has_failed.set(true);
+        Err(no_links(request, ran, tried.len()))
+    }
+
+    /// Chooses a gateway among those that did not fail lately.
+    fn choose(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        let now = Millis::now();
+        let directory = self.directory.borrow();
+        let peers = directory.instances().map(|i| i.address);
+        let peers: Vec<SocketAddr> = peers
+            .filter(|a| *a != self.me && !tried.contains(a))
+            .collect();
+        let mut paused = self.paused.borrow_mut();
+        paused.retain(|_, (_, until)| *until > now);
+        let pause = |a: &SocketAddr| paused.get(a).map(|(pause, _)| *pause);
+        let select = |wanted: Option<Pause>| {
+            let matching: Vec<&SocketAddr> = peers.iter().filter(|a| pause(a) == wanted).collect();
+            matching.choose(&mut rand::rng()).map(|a| **a)
+        };
+        select(None).or_else(|| select(Some(Pause::Failed)))
+    }
+
+    fn pause(&self, peer: SocketAddr, pause: Pause) {
+        let until = Millis::now() + PEER_PAUSE;
+        self.paused.borrow_mut().insert(peer, (pause, until));
+    }
+
+    async fn send(
+        &self,
+        peer: SocketAddr,
+        request: &RoutedRequest,
+    ) -> transport::Result<Response<Bytes>> {
+        let left = request.call.deadline.since(Millis::now());
+        let route = &request.entry.route;
+        let timeout = match route.delivery {
+            Delivery::Idempotent => left.min(Millis(route.objective.0 * OBJECTIVES)),
+            Delivery::AtMostOnce => left,
+        };
+        let client = self.client(peer);
+        let message = peer_request(request, left);
+        client.send(message, RESPONSE_LIMIT_BYTES, timeout).await
+    }
+
+    fn client(&self, peer: SocketAddr) -> Rc<Client> {
+        let mut clients = self.clients.borrow_mut();
+        let create = || Rc::new(Client::with_idle_limit(peer, IDLE_CONNECTIONS));
+        clients.entry(peer).or_insert_with(create).clone()
+    }
+}
+
+fn count(outcome: &'static str) {
+    metrics::counter!(names::PEER_FORWARDS_TOTAL, "outcome" => outcome).increment(1);
+}
+
+fn no_links(request: &RoutedRequest, ran: Ran, tried: usize) -> Refusal {
+    let detail = format!("this daemon reaches no upstream, and none of {tried} others took it");
+    let refusal = Refusal {
+        ran,
+        ..Refusal::not_run(Cause::NoLinks, detail)
+    };
+    match ran {
+        Ran::No => with_retry_after(refusal, RETURN_TIME, request.call.deadline),
+        Ran::Yes | Ran::Unknown => refusal,
+    }
+}
+
+/// Returns the request for a gateway, with what it needs to serve it.
+fn peer_request(request: &RoutedRequest, left: Millis) -> Request<Payload> {
+    let forwarded = &request.forwarded;
+    let mut message = Request::new(Payload::new(forwarded.body.clone()));
+    *message.method_mut() = forwarded.method.clone();
+    let path = forwarded.uri.path_and_query().map_or("/", |p| p.as_str());
+    if let Ok(uri) = format!("{REQUESTS_PATH}{path}").parse() {
+        *message.uri_mut() = uri;
+    }
+    *message.headers_mut() = forwarded.headers.clone();
+    let headers = message.headers_mut();
+    headers.insert(TIME_LEFT_HEADER, left.0.into());
+    headers.insert(VERSION_HEADER, request.version.into());
+    message
+}
+
+/// What a gateway says of a request that it hands over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Handover {
+    /// Time that is left for the request.
+    pub(crate) time_left: Millis,
+    /// Version of the configuration that it has in force.
+    pub(crate) version: u64,
+}
+
+/// Restores a caller's request that another gateway handed over; `None` if it is no
+/// such request.
+pub(crate) fn read_handover<B>(request: &mut http::Request<B>) -> Option<Handover> {
+    let path = request.uri().path_and_query()?.as_str();
+    let uri: Uri = path.strip_prefix(REQUESTS_PATH)?.parse().ok()?;
+    *request.uri_mut() = uri;
+    let headers = request.headers_mut();
+    Some(Handover {
+        time_left: Millis(take_number(headers, &TIME_LEFT_HEADER)?),
+        version: take_number(headers, &VERSION_HEADER)?,
+    })
+}
+
+fn take_number(headers: &mut HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.remove(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Returns the answer of a gateway that does not take a request.
+pub(crate) fn unserved(reason: &'static str) -> Response<Bytes> {
+    let builder = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
+    let builder = builder.header(UNSERVED_HEADER, reason);
+    builder.body(Bytes::new()).unwrap_or_default()
+}
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -26,6 +26,8 @@
     RateLimited,
     /// No upstream accepts requests.
     NoUpstream,
+    /// This daemon and the other daemons reach no upstream.
+    NoLinks,
     /// The request crashes upstreams.
     Quarantined,
     /// Too few shards answered a search.
@@ -49,6 +51,7 @@
             Cause::Overloaded => "overloaded",
             Cause::RateLimited => "rate_limited",
             Cause::NoUpstream => "no_upstream",
+            Cause::NoLinks => "no_links",
             Cause::Quarantined => "quarantined",
             Cause::Coverage => "coverage",
             Cause::UpstreamFailed => "upstream_failed",
--- a/components/gateway/src/route_limiters.rs
+++ b/components/gateway/src/route_limiters.rs
@@ -46,6 +46,11 @@
         })
     }
 
+    /// Forgets all limits, because the load does not explain them.
+    pub(crate) fn reset(&self) {
+        self.by_route.borrow_mut().clear();
+    }
+
     /// Returns the current limits of all routes.
     pub(crate) fn limits(&self) -> Vec<LimitView> {
         let by_route = self.by_route.borrow();
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -9,10 +9,10 @@
 use clock::Millis;
 use http::header::{self, HeaderName};
 use http::request::Parts;
-use http::{HeaderMap, Uri};
+use http::{HeaderMap, Response, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use routes::{Entry, Route, Table, Target};
-use upstreams::{Call, RetryPolicy};
+use upstreams::{Answer, Call, RetryPolicy};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::refusal::{Cause, Refusal, Result};
@@ -44,6 +44,7 @@
 pub(crate) struct ResolvedRoute {
     pub(crate) table: Rc<Table>,
     pub(crate) entry: Rc<Entry>,
+    pub(crate) origin: Origin,
     pub(crate) context: RequestContext,
     pub(crate) arrived: Millis,
     /// Time by which the answer must have arrived.
@@ -52,9 +53,19 @@
     pub(crate) may_have_run: Rc<Cell<bool>>,
 }
 
+/// Who sent a request to this daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// A caller.
+    Caller,
+    /// Another daemon, which reaches no upstream itself.
+    Peer,
+}
+
 /// A complete request with its route.
 pub(crate) struct RoutedRequest {
     pub(crate) entry: Rc<Entry>,
+    pub(crate) origin: Origin,
     /// Version of the configuration with which the request is served.
     pub(crate) version: u64,
     pub(crate) arrived: Millis,
@@ -71,6 +82,7 @@
     let ResolvedRoute {
         table,
         entry,
+        origin,
         context,
         arrived,
         deadline,
@@ -96,6 +108,7 @@
     };
     Ok(RoutedRequest {
         entry,
+        origin,
         version: table.version,
         arrived,
         call,
@@ -222,3 +235,10 @@
         ..refusal
     }
 }
+
+/// Returns the response for the caller from the answer of an upstream or another daemon.
+pub(crate) fn caller_response(answer: Answer) -> Response<Bytes> {
+    let (mut head, body) = answer.into_parts();
+    head.headers = remove_hop_by_hop(head.headers);
+    Response::from_parts(head, body)
+}
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -22,6 +22,7 @@
 use crate::fleet::Fleet;
 use crate::handler;
 use crate::link_watch;
+use crate::peer_forward::PeerForwarder;
 use crate::reload::{self, HangupFlag, ReadSettings};
 use crate::route_limiters::RouteLimiters;
 use crate::settings::Settings;
@@ -39,6 +40,9 @@
 /// Peers are told of a crash within this time.
 const CRASH_SETTLE_TIME: Millis = Millis(100);
 
+/// Headers of a request that a peer hands over, which the limit for its caller bounds.
+const PEER_HEADER_BYTES: u32 = 256 * 1024;
+
 /// Result of running a gateway.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -103,9 +107,14 @@
     let gateway = build(settings, &adapters, recorder, &log);
     start_tasks(&gateway, &registration);
     compio::runtime::spawn(reload::run(gateway.clone(), hangup, adapters.read_settings)).detach();
-    start_server(ready, admin::ready_router(&gateway));
-    start_server(peers, admin::peer_router(&gateway));
-    start_server(metrics, admin::metrics_router(&gateway));
+    let limits = ServerLimits::default();
+    let peer_limits = ServerLimits {
+        header_bytes: PEER_HEADER_BYTES,
+        ..limits
+    };
+    start_server(ready, admin::ready_router(&gateway), limits);
+    start_server(peers, admin::peer_router(&gateway), peer_limits);
+    start_server(metrics, admin::metrics_router(&gateway), limits);
     let serving = serve_with_shared_limits(
         callers,
         handler::router(&gateway),
@@ -159,6 +168,7 @@
         settings.peer_address,
         log,
     );
+    let peer_forwarder = PeerForwarder::new(directory.clone(), settings.peer_address);
     follower.add_listener(move |directory| {
         updated.update(directory);
         if let Some(table) = updated.table() {
@@ -171,6 +181,7 @@
         follower,
         directory,
         crash_sharing,
+        peer_forwarder,
         limiters: RouteLimiters::default(),
         wire: adapters.wire.clone(),
         recorder,
@@ -229,8 +240,7 @@
     compio::runtime::spawn(link_watch::run(gateway.clone())).detach();
 }
 
-fn start_server(listener: Listener, router: Router) {
-    let limits = ServerLimits::default();
+fn start_server(listener: Listener, router: Router, limits: ServerLimits) {
     let serving = serve(listener, router, limits, Event::default(), Rc::default());
     compio::runtime::spawn(serving).detach();
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use crate::crash_sharing::CrashSharing;
 use crate::fleet::Fleet;
 use crate::in_flight::InFlight;
+use crate::peer_forward::PeerForwarder;
 use crate::route_limiters::RouteLimiters;
 use crate::settings::Settings;
 use crate::shutdown_schedule::ShutdownSchedule;
@@ -23,6 +24,7 @@
     pub(crate) follower: Rc<Follower>,
     pub(crate) directory: discovery::SharedDirectory,
     pub(crate) crash_sharing: Rc<CrashSharing>,
+    pub(crate) peer_forwarder: PeerForwarder,
     pub(crate) limiters: RouteLimiters,
     pub(crate) wire: Rc<dyn WireFormat>,
     pub(crate) recorder: Recorder,
@@ -54,6 +56,25 @@
         match () {
             () if self.is_leaving() => Some("this daemon is shutting down"),
             () if self.fleet.table().is_none() => Some("no configuration is in force yet"),
+            () if self.has_no_links() => Some("no upstream and no other daemon is reachable"),
+            () => None,
+        }
+    }
+
+    /// Whether this daemon reaches no upstream and found no other daemon that does.
+    fn has_no_links(&self) -> bool {
+        self.fleet.shared().links.are_cut() && self.peer_forwarder.has_failed()
+    }
+
+    /// Returns why this daemon takes no requests of a daemon that has a version of the
+    /// configuration in force; `None` if it does. An older one would undo what the
+    /// caller has seen.
+    pub(crate) fn handover_obstacle(&self, version: u64) -> Option<&'static str> {
+        let known = self.fleet.table().map_or(0, |table| table.version);
+        match () {
+            () if self.is_leaving() => Some("leaving"),
+            () if self.fleet.shared().links.are_cut() => Some("no links"),
+            () if known < version => Some("older configuration"),
             () => None,
         }
     }
--- a/components/upstreams/src/crash_check.rs
+++ b/components/upstreams/src/crash_check.rs
@@ -10,7 +10,7 @@
 use telemetry::names;
 
 use crate::crashes::{CRASH_TTL, Crash};
-use crate::link_check::accepts;
+use crate::link_check::{accepts, any_accepts};
 use crate::pool::Pool;
 use crate::sent::SentRequest;
 use crate::upstream::Upstream;
@@ -20,6 +20,8 @@
 /// A failed request waits this long for the result, so that it is not sent on
 /// before it is known as a suspect.
 const RESULT_WAIT: Millis = Millis(25);
+/// Time for any upstream to answer, if no other one of the service is reached.
+const CONTACT_WAIT: Millis = Millis(500);
 /// A process that ends may accept one more connection and close it soon after.
 const SECOND_LOOK_DELAY: Millis = Millis(50);
 
@@ -60,6 +62,7 @@
 }
 
 async fn run(pool: Rc<Pool>, upstream: Rc<Upstream>) {
+    let began = Millis::now();
     let has_crashed = !accepts(&upstream, CONNECT_TIMEOUT).await || {
         // Wakes the waiters: most upstreams that accept a connection have not ended.
         if let Some(check) = upstream.check.borrow_mut().as_mut() {
@@ -68,6 +71,7 @@
         compio::time::sleep(SECOND_LOOK_DELAY.into()).await;
         !upstream.has_open_idle() && !accepts(&upstream, CONNECT_TIMEOUT).await
     };
+    let has_crashed = has_crashed && reaches_others(&pool, &upstream, began).await;
     let check = upstream.check.borrow_mut().take().unwrap_or_default();
     slog::debug!(pool.shared.log, "checked whether an upstream ended"; "upstream" => &upstream.id,
         "ended" => has_crashed, "requests" => check.requests.len());
@@ -77,6 +81,20 @@
     }
 }
 
+/// Whether this daemon reaches other upstreams. If it does not, its own links are lost,
+/// and the upstream may serve others.
+async fn reaches_others(pool: &Pool, upstream: &Rc<Upstream>, since: Millis) -> bool {
+    let links = &pool.shared.links;
+    let mut others = pool.upstreams();
+    others.retain(|other| !Rc::ptr_eq(other, upstream));
+    let is_reached = links.has_contact_since(since) || any_accepts(&others, links).await;
+    if is_reached {
+        return true;
+    }
+    compio::time::sleep(CONTACT_WAIT.into()).await;
+    links.has_contact_since(since) && !links.are_cut()
+}
+
 /// Records that an upstream crashed during requests.
 pub(crate) fn record_crashes(
     pool: &Pool,
--- a/components/upstreams/src/links.rs
+++ b/components/upstreams/src/links.rs
@@ -9,8 +9,7 @@
 
 /// Failures count as evidence for this long.
 const EVIDENCE_TTL: Millis = Millis(1_000);
-/// Upstreams that failed lately, without a new connection to any, after which the links
-/// are checked.
+/// Upstreams that failed lately, though others answer, after which the links are checked.
 const FAILED_UPSTREAMS: usize = 3;
 /// Requests that wait for longer, while nobody answers, are a reason to check the links.
 const SILENCE: Millis = Millis(150);
@@ -56,9 +55,9 @@
         self.answered_at.get().max(self.connected_at.get()) > since
     }
 
-    /// Whether the links are to be checked: several upstreams refuse connections, or
-    /// several requests wait while nobody answers. `waiting` holds for each upstream
-    /// with requests since when the oldest one waits.
+    /// Whether the links are to be checked: several upstreams refuse connections, or one
+    /// does or several requests wait while nobody answers. `waiting` holds for each
+    /// upstream with requests since when the oldest one waits.
     pub fn needs_check(&self, waiting: impl Iterator<Item = Millis>, now: Millis) -> bool {
         if now.since(self.checked_at.get()) < RECHECK_INTERVAL {
             return false;
@@ -67,7 +66,11 @@
         let recent = failed.values().filter(|at| now.since(**at) < EVIDENCE_TTL);
         let is_silent = now.since(self.answered_at.get()) > SILENCE;
         let silent = waiting.filter(|since| now.since(*since) > SILENCE);
-        recent.count() >= FAILED_UPSTREAMS || (is_silent && silent.count() >= SILENT_UPSTREAMS)
+        match recent.count() {
+            FAILED_UPSTREAMS.. => true,
+            0 => is_silent && silent.count() >= SILENT_UPSTREAMS,
+            _ => is_silent,
+        }
     }
 
     /// Records the result of a check; `true` if it changes what is known.
