Share what the tests of load repeat, split the conversion of crashes, wake waiters for any rate limit

Cause: two new tests repeated a load and its shares; crash_sharing.rs held the conversions beside the exchange; the server of native requests built its calls twice. By reading: a request that waits for a busy upstream was not woken when the rate limit of another one allowed it.

--- a/components/gateway/src/crash_sharing.rs
+++ b/components/gateway/src/crash_sharing.rs
@@ -17,7 +17,11 @@
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use slog::{Logger, debug, info, warn};
-use upstreams::{CRASH_TTL, Crash, Shared, SharedCrash};
+use upstreams::{CRASH_TTL, Shared, SharedCrash};
+
+use self::convert::{CrashKey, key, to_entry, to_shared_crash};
+
+mod convert;
 
 /// Delay before a crash is written; most harmless requests are served by another
 /// upstream meanwhile and need no record.
@@ -38,9 +42,6 @@
 /// Crashes that expire sooner are not written again when their lease has ended.
 const MIN_REMAINING: Millis = Millis(60_000);
 
-/// The request and the process of the upstream.
-type CrashKey = (u64, String);
-
 /// Shares the crashes that one gateway knows.
 pub(crate) struct CrashSharing {
     shared: Rc<Shared>,
@@ -281,38 +282,3 @@
         self.merge(crashes.iter(), "peer");
     }
 }
-
-fn key(shared: &SharedCrash) -> CrashKey {
-    (shared.fingerprint, shared.crash.upstream.clone())
-}
-
-/// Converts a crash for other daemons, whose monotonic clocks differ.
-fn to_entry(shared: &SharedCrash, now: Millis, wall: Millis) -> CrashEntry {
-    let age = CRASH_TTL.since(shared.crash.expires_at.since(now));
-    CrashEntry {
-        fingerprint: shared.fingerprint,
-        upstream: shared.crash.upstream.clone(),
-        shard: shared.crash.shard.clone(),
-        domain: shared.crash.domain.clone(),
-        alone: shared.crash.alone,
-        cleared: shared.is_cleared,
-        crashed_at: wall - age,
-    }
-}
-
-fn to_shared_crash(entry: &CrashEntry, now: Millis, wall: Millis) -> SharedCrash {
-    let age = wall.since(entry.crashed_at);
-    let crash = Crash {
-        upstream: entry.upstream.clone(),
-        shard: entry.shard.clone(),
-        domain: entry.domain.clone(),
-        alone: entry.alone,
-        expires_at: now + CRASH_TTL.since(age),
-    };
-    SharedCrash {
-        fingerprint: entry.fingerprint,
-        crash,
-        is_cleared: entry.cleared,
-        is_own: false,
-    }
-}
--- a/components/query/src/server.rs
+++ b/components/query/src/server.rs
@@ -79,18 +79,10 @@
             partitioning: message.partitioning.clone(),
             snapshot: message.snapshot,
         };
-        let deadline = self.exit.bound(Millis::now() + Millis(request.budget_ms));
         let call = Call {
-            message: Rc::new(message.clone()),
             version: Some(version),
             fingerprint: request.fingerprint,
-            priority: 0,
-            deadline,
-            rate_by: deadline,
-            draw: rand::random(),
-            caller_left: Rc::default(),
-            may_have_run: Rc::default(),
-            policy: retry_policy(&topology),
+            ..self.call(message.clone(), request.budget_ms, &topology)
         };
         let outcome = pool.search(&topology, &call, &shards).await;
         let wait_ms = pool.shard_wait(&topology, &shards).0;
@@ -116,6 +108,23 @@
         }
     }
 
+    /// Returns the call of a message that is to be answered within `budget_ms`.
+    fn call(&self, message: NativeMessage, budget_ms: u64, topology: &Topology) -> Call {
+        let deadline = self.exit.bound(Millis::now() + Millis(budget_ms));
+        Call {
+            message: Rc::new(message),
+            version: None,
+            fingerprint: 0,
+            priority: 0,
+            deadline,
+            rate_by: deadline,
+            draw: rand::random(),
+            caller_left: Rc::default(),
+            may_have_run: Rc::default(),
+            policy: retry_policy(topology),
+        }
+    }
+
     /// Runs a booking.
     pub async fn dispatch(&self, request: DispatchRequest) -> DispatchReply {
         let found = self.pools.find(&request.service).and_then(|pool| {
@@ -133,18 +142,9 @@
             key: Some(request.key),
             body: request.body.into(),
         };
-        let deadline = self.exit.bound(Millis::now() + Millis(request.budget_ms));
         let call = Call {
-            message: Rc::new(message),
-            version: None,
             fingerprint: request.fingerprint,
-            priority: 0,
-            deadline,
-            rate_by: deadline,
-            draw: rand::random(),
-            caller_left: Rc::default(),
-            may_have_run: Rc::default(),
-            policy: retry_policy(&topology),
+            ..self.call(message, request.budget_ms, &topology)
         };
         dispatch_reply(pool.book(&topology, &call, shard).await)
     }
--- a/components/upstreams/src/placement.rs
+++ b/components/upstreams/src/placement.rs
@@ -110,14 +110,14 @@
         }
     }
 
-    /// Returns the time until the deadline of a waiting request, or until a rate limit
-    /// may allow it.
+    /// Returns the time until the deadline of a waiting request, or until the rate limit
+    /// of another upstream allows it.
     fn next_check(&self, request: &SlotRequest, now: Millis) -> Millis {
+        let keys = request.candidates.iter();
+        let waits = keys.filter_map(|&key| self.upstream_rate_wait(key, request.draw, now));
+        let next = waits.filter(|wait| *wait > Millis::ZERO).min();
         let left = request.deadline.since(now);
-        match self.shortest_rate_wait(&request.candidates, request.draw, now) {
-            Some(Millis::ZERO) | None => left,
-            Some(wait) => left.min(wait),
-        }
+        next.map_or(left, |wait| wait.min(left))
     }
 
     /// Whether more sub-requests wait than there are slots; hedges would then
--- a/standins/src/platform/paced_load.rs
+++ b/standins/src/platform/paced_load.rs
@@ -10,7 +10,7 @@
 use http::{Request, Response, StatusCode};
 use transport::Payload;
 
-use super::gateway::{ANSWER_LIMIT_BYTES, TIMEOUT, retry_after_s};
+use super::gateway::{ANSWER_LIMIT_BYTES, Gateway, TIMEOUT, retry_after_s};
 use super::site::HOST;
 
 /// One request and its outcome.
@@ -71,6 +71,29 @@
     }
 }
 
+/// Starts a load on each of some gateways.
+pub fn start_loads(gateways: &[Gateway], prefix: &str, interval: Millis) -> Vec<PacedLoad> {
+    let each = gateways.iter().enumerate();
+    let load = each.map(|(n, gateway)| {
+        let address = gateway.endpoints.callers();
+        PacedLoad::start(address, &format!("g{n}"), prefix, interval)
+    });
+    load.collect()
+}
+
+/// Returns the outcomes of all requests that were sent at `from` or later.
+pub fn outcomes_since(loads: &[PacedLoad], from: Millis) -> Vec<Outcome> {
+    let all = loads.iter();
+    all.flat_map(|load| load.outcomes_since(from)).collect()
+}
+
+/// Returns the share of requests that were served, and prints it.
+pub fn served_share(outcomes: &[Outcome]) -> f64 {
+    let served = outcomes.iter().filter(|o| o.is_served()).count();
+    println!("{served} of {} served", outcomes.len());
+    served as f64 / outcomes.len() as f64
+}
+
 async fn send(gateway: SocketAddr, path: &str, id: &str) -> Outcome {
     let request = Request::get(path)
         .header("host", HOST)
--- a/tests/gateway_partition.rs
+++ b/tests/gateway_partition.rs
@@ -11,7 +11,7 @@
 use standins::fleet::wait_until;
 use standins::platform::gateway::{Gateway, PROPAGATION, retry_after_s, start_gateway_in};
 use standins::platform::link::{LinkState, Links};
-use standins::platform::paced_load::{Outcome, PacedLoad};
+use standins::platform::paced_load::{outcomes_since, served_share, start_loads};
 use standins::platform::site::{READ, SEARCH, Site, WRITE, start_site};
 
 /// Failure domains of the gateways; those of the first are cut off together.
@@ -52,22 +52,6 @@
     all
 }
 
-fn start_load(gateways: &[Gateway], prefix: &str) -> Vec<PacedLoad> {
-    let each = gateways.iter().enumerate();
-    let load = each.map(|(n, g)| {
-        let address = g.endpoints.callers();
-        PacedLoad::start(address, &format!("g{n}"), prefix, INTERVAL)
-    });
-    load.collect()
-}
-
-fn served_share(load: &[PacedLoad], from: Millis) -> f64 {
-    let outcomes: Vec<Outcome> = load.iter().flat_map(|l| l.outcomes_since(from)).collect();
-    let served = outcomes.iter().filter(|o| o.is_served()).count();
-    println!("{served} of {} served", outcomes.len());
-    served as f64 / outcomes.len() as f64
-}
-
 fn count_lines(gateways: &[Gateway], text: &str) -> usize {
     let logs = gateways.iter().map(|g| g.process.read_log());
     logs.map(|log| log.lines().filter(|l| l.contains(text)).count())
@@ -89,22 +73,22 @@
     let site = start_site().await;
     let links = Links::start(&site).await;
     let gateways = start(&site, &links, behind).await;
-    let load = start_load(&gateways, prefix);
+    let load = start_loads(&gateways, prefix, INTERVAL);
     compio::time::sleep(Duration::from_secs(1)).await;
     links.set(state).await;
     compio::time::sleep(STABLE_WINDOW).await;
     let from = Millis::now();
     compio::time::sleep(RUN_TIME).await;
     let (there, elsewhere) = load.split_at(behind);
-    let there = served_share(there, from);
-    let elsewhere = served_share(elsewhere, from);
+    let there = served_share(&outcomes_since(there, from));
+    let elsewhere = served_share(&outcomes_since(elsewhere, from));
     assert!(there >= elsewhere * SERVED_SHARE, "{there} of {elsewhere}");
     assert_eq!(count_lines(&gateways, "crashed during request"), 0);
     links.set(LinkState::Up).await;
     compio::time::sleep(RETURN_TIME).await;
     let from = Millis::now();
     compio::time::sleep(RETURN_TIME).await;
-    let after = served_share(&load[..behind], from);
+    let after = served_share(&outcomes_since(&load[..behind], from));
     assert!(after > 0.99, "{after} served after the partition");
     for gateway in &gateways[..behind] {
         let metrics = gateway.metrics("/metrics").await;
@@ -156,13 +140,13 @@
     let site = start_site().await;
     let links = Links::start(&site).await;
     let gateways = start(&site, &links, DOMAINS.len()).await;
-    let load = start_load(&gateways, SEARCH);
+    let load = start_loads(&gateways, SEARCH, INTERVAL);
     compio::time::sleep(Duration::from_secs(1)).await;
     links.set(LinkState::Hanging).await;
     compio::time::sleep(RETURN_TIME).await;
     let from = Millis::now();
     compio::time::sleep(RETURN_TIME).await;
-    for outcome in load.iter().flat_map(|l| l.outcomes_since(from)) {
+    for outcome in outcomes_since(&load, from) {
         assert_eq!(outcome.status, Some(StatusCode::SERVICE_UNAVAILABLE));
         assert!(outcome.elapsed < REFUSAL_TIME, "{outcome:?}");
         assert!(outcome.retry_after_s.is_some(), "{outcome:?}");
--- a/tests/gateway_rate_limits.rs
+++ b/tests/gateway_rate_limits.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use standins::fleet::wait_until;
 use standins::platform::gateway::{Gateway, PROPAGATION, start_gateway};
-use standins::platform::paced_load::{Outcome, PacedLoad};
+use standins::platform::paced_load::{outcomes_since, served_share, start_loads};
 use standins::platform::site::{READ, SEARCH, Site, Size};
 
 /// Upstreams of each shard.
@@ -51,15 +51,6 @@
     (site, all)
 }
 
-fn start_load(gateways: &[Gateway], prefix: &str) -> Vec<PacedLoad> {
-    let each = gateways.iter().enumerate();
-    let load = each.map(|(n, g)| {
-        let address = g.endpoints.callers();
-        PacedLoad::start(address, &format!("g{n}"), prefix, INTERVAL)
-    });
-    load.collect()
-}
-
 fn set_limit(site: &Site, replicas: usize, limit: Option<f64>) {
     for shard in &site.shards {
         for upstream in &shard[..replicas] {
@@ -78,16 +69,6 @@
     }
 }
 
-fn outcomes_since(load: &[PacedLoad], from: Millis) -> Vec<Outcome> {
-    load.iter().flat_map(|l| l.outcomes_since(from)).collect()
-}
-
-fn served_share(outcomes: &[Outcome]) -> f64 {
-    let served = outcomes.iter().filter(|o| o.is_served()).count();
-    println!("{served} of {} served", outcomes.len());
-    served as f64 / outcomes.len() as f64
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Trouble {
     None,
@@ -120,7 +101,7 @@
         1 => READ,
         _ => SEARCH,
     };
-    let mut load = start_load(&gateways, prefix);
+    let mut load = start_loads(&gateways, prefix, INTERVAL);
     compio::time::sleep(Duration::from_secs(1)).await;
     set_limit(&site, LIMITED, Some(limit));
     site.store.is_down.set(trouble == Trouble::StoreAway);
@@ -138,7 +119,7 @@
             let seeds = [gateways[0].endpoints];
             gateways.push(start_gateway(&site, &seeds).await);
             compio::time::sleep(PROPAGATION).await;
-            load.extend(start_load(&gateways[6..], prefix));
+            load.extend(start_loads(&gateways[6..], prefix, INTERVAL));
             compio::time::sleep(RUN_TIME / 2).await;
         }
     }
@@ -160,7 +141,7 @@
 ) {
     const LIMIT: f64 = 21.0;
     let (site, gateways) = start(7, shards).await;
-    let load = start_load(&gateways, prefix);
+    let load = start_loads(&gateways, prefix, INTERVAL);
     compio::time::sleep(Duration::from_secs(1)).await;
     set_limit(&site, REPLICAS, Some(LIMIT));
     let named = Millis::now();
