Say that a request handed to another gateway may have run until that is known

Cause, by reading: a request that must not be repeated was marked as not run while another gateway had it. A shutdown of the gateway that handed it over would have refused it as not run though it may run. Change: it is marked before it is sent and unmarked only if the other gateway did not take it; a caller that has left stops the search for another one; a gateway is unready only if none is left to ask.

--- a/components/gateway/src/peer_forward.rs
+++ b/components/gateway/src/peer_forward.rs
@@ -76,37 +76,55 @@
     /// Hands a request to one gateway after the other until one takes it. A request
     /// that must not be repeated goes to another one only if the last did not take it.
     pub(crate) async fn forward(&self, request: &RoutedRequest) -> Result<Response<Bytes>> {
+        let is_repeatable = request.entry.route.delivery == Delivery::Idempotent;
+        let may_have_run = &request.call.may_have_run;
         let mut tried = Vec::new();
-        let mut ran = match request.call.may_have_run.get() {
-            true => Ran::Unknown,
-            false => Ran::No,
-        };
         while let Some(peer) = self.choose(&tried) {
             tried.push(peer);
-            let pause = match self.send(peer, request).await {
-                Ok(response) if response.headers().contains_key(UNSERVED_HEADER) => Pause::Refused,
-                Ok(response) => {
-                    self.has_failed.set(false);
-                    count("answered");
-                    return Ok(caller_response(response));
-                }
-                Err(e) if e.is_unsent() => Pause::Refused,
-                Err(_) => {
-                    ran = Ran::Unknown;
-                    Pause::Failed
-                }
-            };
-            count("failed");
-            self.pause(peer, pause);
-            let is_repeatable = request.entry.route.delivery == Delivery::Idempotent;
-            if Millis::now() >= request.call.deadline || (ran != Ran::No && !is_repeatable) {
+            if let Some(response) = self.hand_over(peer, request).await {
+                return Ok(response);
+            }
+            let has_time = Millis::now() < request.call.deadline;
+            let is_wanted = has_time && !request.call.caller_left.get();
+            if !is_wanted || (may_have_run.get() && !is_repeatable) {
                 break;
             }
         }
-        self.has_failed.set(true);
+        self.has_failed.set(self.choose(&tried).is_none());
+        let ran = match may_have_run.get() {
+            true => Ran::Unknown,
+            false => Ran::No,
+        };
         Err(no_links(request, ran, tried.len()))
     }
 
+    /// Hands a request to one gateway; `None` if that did not take or not answer it. A
+    /// request may have run from the moment at which it is sent, unless it is known that
+    /// the gateway did not take it.
+    async fn hand_over(
+        &self,
+        peer: SocketAddr,
+        request: &RoutedRequest,
+    ) -> Option<Response<Bytes>> {
+        let may_have_run = &request.call.may_have_run;
+        let before = may_have_run.replace(true);
+        let pause = match self.send(peer, request).await {
+            Ok(response) if !response.headers().contains_key(UNSERVED_HEADER) => {
+                self.has_failed.set(false);
+                count("answered");
+                return Some(caller_response(response));
+            }
+            Err(e) if !e.is_unsent() => Pause::Failed,
+            Ok(_) | Err(_) => {
+                may_have_run.set(before);
+                Pause::Refused
+            }
+        };
+        count("failed");
+        self.pause(peer, pause);
+        None
+    }
+
     /// Chooses a gateway among those that did not fail lately.
     fn choose(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
         let now = Millis::now();
