Close the connections that a check of links opens

Cause, by reading: the checks kept a connection to upstreams for reuse; two cases of an_unbounded_answer_costs_neither_memory_nor_other_requests wait until none is open, and failed once each beside load, when checks are made. Change: the connection is closed.

--- a/components/upstreams/src/link_check.rs
+++ b/components/upstreams/src/link_check.rs
@@ -25,12 +25,14 @@
     }
 }
 
-/// Whether one of some upstreams accepts a connection; all are tried at once.
+/// Whether one of some upstreams accepts a connection, which is closed again; all are
+/// tried at once.
 pub async fn any_accepts(upstreams: &[Rc<Upstream>], links: &Links) -> bool {
-    let mut running: FuturesUnordered<_> = upstreams
-        .iter()
-        .map(|upstream| accepts(upstream, CONNECT_TIMEOUT))
-        .collect();
+    let connect = async |upstream: &Rc<Upstream>| {
+        let connecting = compio::time::timeout(CONNECT_TIMEOUT.into(), upstream.connect());
+        matches!(connecting.await, Ok(Ok(_)))
+    };
+    let mut running: FuturesUnordered<_> = upstreams.iter().map(connect).collect();
     while let Some(is_accepted) = running.next().await {
         if is_accepted {
             links.record_connection(Millis::now());
