Check the links by upstreams of all services, and only if the daemon knows another one

Cause: a crash counted only if another upstream of the same service accepted a connection, of which all were tried at once; with no other upstream, or after 500 ms without an answer, it never counted. The check of the links chose its sample by other code. Change: one check for both, six upstreams at random of all that the daemon knows; a daemon that knows no other one takes the end of its only upstream for what it seems. Tests: a crash counts only while other upstreams are reached; a check leaves no connection open.

--- a/components/gateway/src/link_watch.rs
+++ b/components/gateway/src/link_watch.rs
@@ -3,18 +3,15 @@
 use std::rc::Rc;
 
 use clock::Millis;
-use rand::seq::IteratorRandom;
 use slog::{info, warn};
 use telemetry::names;
-use upstreams::{Upstream, any_accepts};
+use upstreams::LinkCheck;
 
 use crate::state::Gateway;
 
 /// Interval between looks at the evidence, and between checks while the links are lost.
 const INTERVAL: Millis = Millis(100);
 const LOST_INTERVAL: Millis = Millis(300);
-/// Upstreams that are tried in one check.
-const SAMPLE: usize = 6;
 
 /// Watches the links to the upstreams until the task is dropped.
 pub(crate) async fn run(gateway: Rc<Gateway>) {
@@ -38,22 +35,16 @@
     links.needs_check(waiting, Millis::now())
 }
 
-/// Tries to connect to some upstreams, whatever is known of them.
+/// Checks the links and acts on a change.
 async fn check(gateway: &Gateway) {
-    let all = gateway.fleet.pools().into_iter();
-    let all = all.flat_map(|pool| pool.upstreams());
-    let chosen: Vec<Rc<Upstream>> = all.sample(&mut rand::rng(), SAMPLE);
-    if chosen.is_empty() {
-        return;
-    }
-    let links = &gateway.fleet.shared().links;
-    let has_links = any_accepts(&chosen, links).await;
-    let outcome = match has_links {
-        true => "reachable",
-        false => "unreachable",
+    let shared = gateway.fleet.shared();
+    let (has_links, outcome) = match shared.check_links().await {
+        LinkCheck::Reachable => (true, "reachable"),
+        LinkCheck::Unreachable => (false, "unreachable"),
+        LinkCheck::Unknown => return,
     };
     metrics::counter!(names::LINK_CHECKS_TOTAL, "outcome" => outcome).increment(1);
-    let is_changed = links.record_check(has_links, Millis::now());
+    let is_changed = shared.links.record_check(has_links, Millis::now());
     match has_links {
         _ if !is_changed => {}
         true => {
@@ -61,7 +52,7 @@
             forget_failures(gateway);
         }
         false => {
-            warn!(gateway.log, "no upstream reachable from this daemon"; "tried" => chosen.len(),
+            warn!(gateway.log, "no upstream reachable from this daemon";
                 "in_flight" => gateway.in_flight.count());
         }
     }
--- a/components/upstreams/src/crash_check.rs
+++ b/components/upstreams/src/crash_check.rs
@@ -10,7 +10,7 @@
 use telemetry::names;
 
 use crate::crashes::{CRASH_TTL, Crash};
-use crate::link_check::{accepts, any_accepts};
+use crate::link_check::{LinkCheck, accepts};
 use crate::pool::Pool;
 use crate::sent::SentRequest;
 use crate::upstream::Upstream;
@@ -20,8 +20,6 @@
 /// A failed request waits this long for the result, so that it is not sent on
 /// before it is known as a suspect.
 const RESULT_WAIT: Millis = Millis(25);
-/// Time for any upstream to answer, if no other one of the service is reached.
-const CONTACT_WAIT: Millis = Millis(500);
 /// A process that ends may accept one more connection and close it soon after.
 const SECOND_LOOK_DELAY: Millis = Millis(50);
 
@@ -81,18 +79,14 @@
     }
 }
 
-/// Whether this daemon reaches other upstreams. If it does not, its own links are lost,
-/// and the upstream may serve others.
+/// Whether this daemon reaches other upstreams, or knows none. If it does not reach them,
+/// its own links are lost, and the upstream may serve others.
 async fn reaches_others(pool: &Pool, upstream: &Rc<Upstream>, since: Millis) -> bool {
-    let links = &pool.shared.links;
-    let mut others = pool.upstreams();
-    others.retain(|other| !Rc::ptr_eq(other, upstream));
-    let is_reached = links.has_contact_since(since) || any_accepts(&others, links).await;
-    if is_reached {
+    let shared = &pool.shared;
+    if shared.links.has_contact_since(since) {
         return true;
     }
-    compio::time::sleep(CONTACT_WAIT.into()).await;
-    links.has_contact_since(since) && !links.are_cut()
+    shared.check_links_without(Some(upstream)).await != LinkCheck::Unreachable
 }
 
 /// Records that an upstream crashed during requests.
--- /dev/null
+++ b/components/upstreams/src/known_upstreams.rs
@@ -0,0 +1,36 @@
+//! The upstreams of all pools of a daemon.
+
+use std::cell::RefCell;
+use std::rc::{Rc, Weak};
+
+use rand::seq::IteratorRandom;
+
+use crate::upstream::Upstream;
+
+/// The upstreams of all pools; those that a pool drops are gone.
+#[derive(Default)]
+pub(crate) struct KnownUpstreams(RefCell<Vec<Weak<Upstream>>>);
+
+impl KnownUpstreams {
+    /// Adds an upstream of a pool.
+    pub(crate) fn add(&self, upstream: &Rc<Upstream>) {
+        let mut known = self.0.borrow_mut();
+        // Before it grows, so that each addition costs little.
+        if known.len() == known.capacity() {
+            known.retain(|upstream| upstream.strong_count() > 0);
+        }
+        known.push(Rc::downgrade(upstream));
+    }
+
+    /// Returns up to `count` upstreams at random, without `excluded`.
+    pub(crate) fn sample(
+        &self,
+        count: usize,
+        excluded: Option<&Rc<Upstream>>,
+    ) -> Vec<Rc<Upstream>> {
+        let known = self.0.borrow();
+        let alive = known.iter().filter_map(Weak::upgrade);
+        let is_other = |u: &Rc<Upstream>| excluded.is_none_or(|e| !Rc::ptr_eq(u, e));
+        alive.filter(is_other).sample(&mut rand::rng(), count)
+    }
+}
--- a/components/upstreams/src/link_check.rs
+++ b/components/upstreams/src/link_check.rs
@@ -5,10 +5,12 @@
 use clock::Millis;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
-use crate::links::Links;
 use crate::pool::Pool;
+use crate::shared::Shared;
 use crate::upstream::Upstream;
 
+/// Upstreams that are tried in one check.
+const SAMPLE: usize = 6;
 /// Time for one of several upstreams to accept a connection.
 const CONNECT_TIMEOUT: Millis = Millis(250);
 
@@ -25,21 +27,44 @@
     }
 }
 
-/// Whether one of some upstreams accepts a connection, which is closed again; all are
-/// tried at once.
-pub async fn any_accepts(upstreams: &[Rc<Upstream>], links: &Links) -> bool {
-    let connect = async |upstream: &Rc<Upstream>| {
-        let connecting = compio::time::timeout(CONNECT_TIMEOUT.into(), upstream.connect());
-        matches!(connecting.await, Ok(Ok(_)))
-    };
-    let mut running: FuturesUnordered<_> = upstreams.iter().map(connect).collect();
-    while let Some(is_accepted) = running.next().await {
-        if is_accepted {
-            links.record_connection(Millis::now());
-            return true;
+/// Result of a check of the links.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkCheck {
+    /// Some upstream accepted a connection.
+    Reachable,
+    /// None did.
+    Unreachable,
+    /// No upstream is known.
+    Unknown,
+}
+
+impl Shared {
+    /// Tries to connect to some upstreams of all services at once, whatever is known of
+    /// them; the connections are closed again.
+    pub async fn check_links(&self) -> LinkCheck {
+        self.check_links_without(None).await
+    }
+
+    /// Checks the links as [`Shared::check_links`] does, without one of the upstreams.
+    pub(crate) async fn check_links_without(&self, excluded: Option<&Rc<Upstream>>) -> LinkCheck {
+        let chosen = self.upstreams.sample(SAMPLE, excluded);
+        if chosen.is_empty() {
+            return LinkCheck::Unknown;
         }
+        let mut connecting: FuturesUnordered<_> = chosen.iter().map(can_connect).collect();
+        while let Some(is_accepted) = connecting.next().await {
+            if is_accepted {
+                self.links.record_connection(Millis::now());
+                return LinkCheck::Reachable;
+            }
+        }
+        LinkCheck::Unreachable
     }
-    false
+}
+
+async fn can_connect(upstream: &Rc<Upstream>) -> bool {
+    let connecting = compio::time::timeout(CONNECT_TIMEOUT.into(), upstream.connect());
+    matches!(connecting.await, Ok(Ok(_)))
 }
 
 impl Pool {
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -120,6 +120,7 @@
             return known;
         }
         let upstream = Rc::new(Upstream::new(&self.name, endpoint, &self.shared.config));
+        self.shared.upstreams.add(&upstream);
         let key = self.upstreams.borrow_mut().insert(upstream.clone());
         self.keys.borrow_mut().insert(endpoint.id.clone(), key);
         upstream
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -13,6 +13,7 @@
 use crate::crashes::{CrashTable, DEFAULT_CRASH_LIMIT};
 use crate::drains::Drains;
 use crate::failure::Result;
+use crate::known_upstreams::KnownUpstreams;
 use crate::links::Links;
 use crate::rate_limits::RateLimits;
 
@@ -56,6 +57,8 @@
     pub backoffs: Backoffs,
     /// Limits on the rate of requests that upstreams named.
     pub rate_limits: RateLimits,
+    /// The upstreams of all pools.
+    pub(crate) upstreams: KnownUpstreams,
     /// The links of this daemon to all upstreams together.
     pub links: Links,
     /// Crashes of upstreams, by the requests that ran there.
@@ -88,6 +91,7 @@
             drains: Drains::default(),
             backoffs: Backoffs::default(),
             rate_limits: RateLimits::default(),
+            upstreams: KnownUpstreams::default(),
             links: Links::default(),
             crashes: CrashTable::new(config.crash_limit),
             peer_notifier: RefCell::default(),
--- a/components/upstreams/tests/crash_check.rs
+++ b/components/upstreams/tests/crash_check.rs
@@ -8,7 +8,7 @@
 use clock::Millis;
 use futures_util::future::join;
 use rstest::rstest;
-use upstreams::{CrashStatus, Endpoint, Pool, PoolConfig};
+use upstreams::{CrashStatus, Endpoint, LinkCheck, Pool, PoolConfig};
 
 #[path = "support/test_pool.rs"]
 mod test_pool;
@@ -29,16 +29,20 @@
     };
     let pool = empty_pool(config);
     listener.set_nonblocking(true).unwrap();
-    pool.install(&[Endpoint {
-        id: "u1".to_owned(),
+    pool.install(&[endpoint("u1", listener)]);
+    pool
+}
+
+fn endpoint(id: &str, listener: &TcpListener) -> Endpoint {
+    Endpoint {
+        id: id.to_owned(),
         address: listener.local_addr().unwrap(),
         domain: "a".to_owned(),
         started_at: Some(Millis(7)),
         slots: 2,
         connections: 2,
         is_drained: false,
-    }]);
-    pool
+    }
 }
 
 async fn accept(listener: &TcpListener) -> TcpStream {
@@ -97,3 +101,41 @@
     assert_eq!(status(&pool, 1), CrashStatus::Suspect);
     assert_eq!(status(&pool, 2), CrashStatus::Clear);
 }
+
+/// The daemon's own links are lost if it reaches no other upstream either.
+#[rstest]
+#[case::another_one_is_reached(true, CrashStatus::Suspect)]
+#[case::none_is_reached(false, CrashStatus::Clear)]
+#[compio::test]
+async fn a_crash_counts_only_while_other_upstreams_are_reached(
+    #[case] is_reached: bool,
+    #[case] expected: CrashStatus,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let other = TcpListener::bind("127.0.0.1:0").unwrap();
+    let pool = pool(&listener);
+    let call = call_once(1, TIMEOUT);
+    let shard = AllUpstreams(pool.clone());
+    let serve = async {
+        let stream = accept(&listener).await;
+        // Known only now, so that the request goes to the first one.
+        pool.install(&[endpoint("u1", &listener), endpoint("u2", &other)]);
+        let kept = is_reached.then_some(other);
+        drop(listener);
+        drop(stream);
+        compio::time::sleep(Duration::from_millis(200)).await;
+        drop(kept);
+    };
+    let (result, ()) = join(pool.fetch(&shard, &call), serve).await;
+    result.expect_err("the connection is lost");
+    assert_eq!(status(&pool, 1), expected);
+}
+
+#[compio::test]
+async fn a_check_of_the_links_leaves_no_connection_open() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let pool = pool(&listener);
+    assert_eq!(pool.shared().check_links().await, LinkCheck::Reachable);
+    let open: usize = pool.upstream_views().iter().map(|u| u.open).sum();
+    assert_eq!(open, 0);
+}
