Keep the cost of rate limits off requests while no upstream names one

Cause, by reading: each search listed the upstreams of each of its shards, and each request for a slot those of its candidates, though no limit was known.

--- a/components/upstreams/src/rate_wait.rs
+++ b/components/upstreams/src/rate_wait.rs
@@ -52,8 +52,11 @@
         draw: f64,
         now: Millis,
     ) -> Option<Millis> {
+        if self.shared.rate_limits.is_empty() {
+            return Some(Millis::ZERO);
+        }
         let available = candidates.iter().filter(|&&k| self.is_available(k));
-        if self.shared.rate_limits.is_empty() || available.clone().next().is_none() {
+        if available.clone().next().is_none() {
             return Some(Millis::ZERO);
         }
         let waits = available.filter_map(|&k| self.upstream_rate_wait(k, draw, now));
@@ -64,6 +67,9 @@
     /// request, with those that wait already; zero if they allow one now, `None` if
     /// they never do.
     pub fn rate_wait(&self, draw: f64, now: Millis) -> Option<Millis> {
+        if self.shared.rate_limits.is_empty() {
+            return Some(Millis::ZERO);
+        }
         let keys = self.keys();
         match self.shortest_rate_wait(&keys, draw, now)? {
             Millis::ZERO => Some(Millis::ZERO),
@@ -84,6 +90,9 @@
     /// upstreams; zero if one of them has no limit.
     pub(crate) fn rate_queue_time(&self, keys: &[UpstreamKey]) -> Millis {
         let limits = &self.shared.rate_limits;
+        if limits.is_empty() {
+            return Millis::ZERO;
+        }
         let per_ms = |&key: &UpstreamKey| limits.per_ms(&self.find(key)?.process);
         let rates: Option<Vec<f64>> = keys.iter().map(per_ms).collect();
         let total: f64 = rates.unwrap_or_default().iter().sum();
