Count the attempts that a gateway made before it hands a request over

Cause: a gateway whose links seem lost hands its requests to others, and each made as many attempts as the route allows. Change: attempts are counted by shard and go with the request. A gateway that does not answer counts with what it was allowed; one attempt is kept for the next if two are left.

--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -15,7 +15,7 @@
 use slog::info;
 use telemetry::names;
 use transport::{Local, detached, local};
-use upstreams::Ran;
+use upstreams::{AttemptsMade, Ran};
 
 use crate::forward;
 use crate::in_flight::InFlightRequest;
@@ -44,7 +44,8 @@
     local(async move {
         let gateway: Rc<Gateway> = (*app.0).clone();
         let context = gateway.wire.request_context(request.headers());
-        answer(&gateway, Origin::Caller, context, request).await
+        let attempts = AttemptsMade::default();
+        answer(&gateway, Origin::Caller, attempts, context, request).await
     })
     .await
 }
@@ -64,18 +65,24 @@
         timeout: Some(handover.time_left),
         ..context
     });
-    Some(answer(gateway, Origin::Peer, context, request).await)
+    let attempts = handover.attempts;
+    Some(answer(gateway, Origin::Peer, attempts, context, request).await)
 }
 
 async fn answer(
     gateway: &Rc<Gateway>,
     origin: Origin,
+    attempts: AttemptsMade,
     context: Result<RequestContext, String>,
     request: Request,
 ) -> Response<Body> {
     let arrived = Millis::now();
     let id = context.as_ref().map(|c| c.id.clone()).unwrap_or_default();
     let resolved = resolve(gateway, origin, context, &request, arrived);
+    let resolved = resolved.map(|resolved| ResolvedRoute {
+        attempts,
+        ..resolved
+    });
     let route = resolved
         .as_ref()
         .map_or("", |r| &r.entry.route.name)
@@ -124,6 +131,7 @@
         context,
         arrived,
         may_have_run: Rc::default(),
+        attempts: AttemptsMade::default(),
     })
 }
 
--- a/components/gateway/src/peer_forward.rs
+++ b/components/gateway/src/peer_forward.rs
@@ -10,12 +10,12 @@
 use clock::Millis;
 use discovery::SharedDirectory;
 use http::header::HeaderName;
-use http::{HeaderMap, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
 use rand::seq::IndexedRandom;
 use routes::Delivery;
 use telemetry::names;
 use transport::{Client, Payload};
-use upstreams::Ran;
+use upstreams::{AttemptsMade, Ran};
 
 use crate::refusal::{Cause, Refusal, Result};
 use crate::routed_request::{RoutedRequest, caller_response, with_retry_after};
@@ -27,6 +27,8 @@
 const TIME_LEFT_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-time-left-ms");
 /// Version of the configuration that the sender has in force.
 const VERSION_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-version");
+/// The attempts that may have been made for the request, as JSON.
+const ATTEMPTS_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-attempts");
 /// Present if a gateway did not take the request; says why.
 const UNSERVED_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-unserved");
 /// A gateway that did not take a request is passed over for so long.
@@ -80,6 +82,9 @@
         let may_have_run = &request.call.may_have_run;
         let mut tried = Vec::new();
         while let Some(peer) = self.choose(&tried) {
+            if attempts_left(request) == 0 {
+                break;
+            }
             tried.push(peer);
             if let Some(response) = self.hand_over(peer, request).await {
                 return Ok(response);
@@ -108,13 +113,22 @@
     ) -> Option<Response<Bytes>> {
         let may_have_run = &request.call.may_have_run;
         let before = may_have_run.replace(true);
-        let pause = match self.send(peer, request).await {
+        let attempts = attempts_for_peer(request);
+        let pause = match self.send(peer, request, &attempts).await {
             Ok(response) if !response.headers().contains_key(UNSERVED_HEADER) => {
                 self.has_failed.set(false);
                 count("answered");
                 return Some(caller_response(response));
             }
-            Err(e) if !e.is_unsent() => Pause::Failed,
+            Err(e) if !e.is_unsent() => {
+                let allowed = request
+                    .call
+                    .policy
+                    .attempts
+                    .saturating_sub(attempts.fewest());
+                request.call.attempts.borrow_mut().elsewhere += allowed;
+                Pause::Failed
+            }
             Ok(_) | Err(_) => {
                 may_have_run.set(before);
                 Pause::Refused
@@ -152,6 +166,7 @@
         &self,
         peer: SocketAddr,
         request: &RoutedRequest,
+        attempts: &AttemptsMade,
     ) -> transport::Result<Response<Bytes>> {
         let left = request.call.deadline.since(Millis::now());
         let route = &request.entry.route;
@@ -160,7 +175,7 @@
             Delivery::AtMostOnce => left,
         };
         let client = self.client(peer);
-        let message = peer_request(request, left);
+        let message = peer_request(request, left, attempts);
         client.send(message, RESPONSE_LIMIT_BYTES, timeout).await
     }
 
@@ -187,8 +202,26 @@
     }
 }
 
+/// Returns how many attempts may still be made on the shard with the fewest.
+fn attempts_left(request: &RoutedRequest) -> usize {
+    let made = request.call.attempts.borrow().fewest();
+    request.call.policy.attempts.saturating_sub(made)
+}
+
+/// Returns the attempts that a gateway has to count: those that were made, and one more if
+/// at least one is then left to it, which another gateway may need if this one does not answer.
+fn attempts_for_peer(request: &RoutedRequest) -> AttemptsMade {
+    let mut attempts = request.call.attempts.borrow().clone();
+    attempts.elsewhere += usize::from(attempts_left(request) > 1);
+    attempts
+}
+
 /// Returns the request for a gateway, with what it needs to serve it.
-fn peer_request(request: &RoutedRequest, left: Millis) -> Request<Payload> {
+fn peer_request(
+    request: &RoutedRequest,
+    left: Millis,
+    attempts: &AttemptsMade,
+) -> Request<Payload> {
     let forwarded = &request.forwarded;
     let mut message = Request::new(Payload::new(forwarded.body.clone()));
     *message.method_mut() = forwarded.method.clone();
@@ -200,16 +233,22 @@
     let headers = message.headers_mut();
     headers.insert(TIME_LEFT_HEADER, left.0.into());
     headers.insert(VERSION_HEADER, request.version.into());
+    let attempts = serde_json::to_string(attempts).unwrap_or_default();
+    if let Ok(attempts) = HeaderValue::from_bytes(attempts.as_bytes()) {
+        headers.insert(ATTEMPTS_HEADER, attempts);
+    }
     message
 }
 
 /// What a gateway says of a request that it hands over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Handover {
     /// Time that is left for the request.
     pub(crate) time_left: Millis,
     /// Version of the configuration that it has in force.
     pub(crate) version: u64,
+    /// The attempts that it and others may have made.
+    pub(crate) attempts: AttemptsMade,
 }
 
 /// Restores a caller's request that another gateway handed over; `None` if it is no
@@ -222,6 +261,7 @@
     Some(Handover {
         time_left: Millis(take_number(headers, &TIME_LEFT_HEADER)?),
         version: take_number(headers, &VERSION_HEADER)?,
+        attempts: take_attempts(headers).unwrap_or_default(),
     })
 }
 
@@ -229,6 +269,12 @@
     headers.remove(name)?.to_str().ok()?.parse().ok()
 }
 
+/// Reads the attempts; gateways that do not count them send none.
+fn take_attempts(headers: &mut HeaderMap) -> Option<AttemptsMade> {
+    let value = headers.remove(&ATTEMPTS_HEADER)?;
+    serde_json::from_slice(value.as_bytes()).ok()
+}
+
 /// Returns the answer of a gateway that does not take a request.
 pub(crate) fn unserved(reason: &'static str) -> Response<Bytes> {
     let builder = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, Response, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use routes::{Entry, Route, Table, Target};
-use upstreams::{Answer, Call, RetryPolicy};
+use upstreams::{Answer, AttemptsMade, Call, RetryPolicy};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::refusal::{Cause, Refusal, Result};
@@ -51,6 +51,8 @@
     pub(crate) deadline: Millis,
     /// Whether an upstream may have run the request.
     pub(crate) may_have_run: Rc<Cell<bool>>,
+    /// The attempts that were made before the request came here.
+    pub(crate) attempts: AttemptsMade,
 }
 
 /// Who sent a request to this daemon.
@@ -87,6 +89,7 @@
         arrived,
         deadline,
         may_have_run,
+        attempts,
     } = resolved;
     let (head, body) = request.into_parts();
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
@@ -104,6 +107,7 @@
         draw: rand::random(),
         caller_left: Rc::default(),
         may_have_run,
+        attempts: Rc::new(RefCell::new(attempts)),
         policy: retry_policy(gateway, route),
     };
     Ok(RoutedRequest {
--- a/components/query/src/server.rs
+++ b/components/query/src/server.rs
@@ -121,6 +121,7 @@
             draw: rand::random(),
             caller_left: Rc::default(),
             may_have_run: Rc::default(),
+            attempts: Rc::default(),
             policy: retry_policy(topology),
         }
     }
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -142,6 +142,7 @@
         _sent: SentGuard::new(upstream, sent_request(slot, call, shard)),
     };
     call.may_have_run.set(true);
+    call.attempts.borrow_mut().add(shard);
     let sending = pooled
         .conn
         .send_within(request, ANSWER_LIMIT_BYTES, &shared.answer_memory);
@@ -151,6 +152,7 @@
         Ok(response) => response,
         Err(e) if e.is_unsent() => {
             // The upstream had closed the idle connection.
+            call.attempts.borrow_mut().remove(shard);
             return Err(Failure::not_run(Reason::NoReplica));
         }
         Err(e) if e.is_unusable() => return Err(record_unusable(pool, upstream, &e)),
--- a/components/upstreams/src/call.rs
+++ b/components/upstreams/src/call.rs
@@ -1,10 +1,11 @@
 //! A request, independent of its wire format.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use clock::Millis;
 
+use crate::attempts_made::AttemptsMade;
 use crate::message::{DataVersion, Message};
 use crate::upstream::UpstreamKey;
 
@@ -35,6 +36,8 @@
     pub caller_left: Rc<Cell<bool>>,
     /// Whether an upstream may have run the request.
     pub may_have_run: Rc<Cell<bool>>,
+    /// The attempts so far, also those of daemons that handed the request over.
+    pub attempts: Rc<RefCell<AttemptsMade>>,
     /// Limits for attempts, hedges and retries.
     pub policy: RetryPolicy,
 }
--- a/components/upstreams/src/lib.rs
+++ b/components/upstreams/src/lib.rs
@@ -2,6 +2,7 @@
 //! retries.
 
 mod attempt;
+mod attempts_made;
 mod backoffs;
 mod batch;
 mod budget;
@@ -35,6 +36,7 @@
 mod view;
 mod wire;
 
+pub use attempts_made::AttemptsMade;
 pub use backoffs::Backoffs;
 pub use batch::jittered_wait;
 pub use budget::Budget;
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -40,7 +40,7 @@
     shard: &'a dyn Shard,
     call: &'a Call,
     tried: Vec<UpstreamKey>,
-    /// Attempts so far, without those that were not sent.
+    /// Attempts so far, also those of other daemons, without those that were not sent.
     attempts: usize,
     last: Failure,
     ran: Ran,
@@ -49,12 +49,13 @@
 impl<'a> ShardSearch<'a> {
     pub(crate) fn new(pool: &'a Rc<Pool>, shard: &'a dyn Shard, call: &'a Call) -> Self {
         let last = Failure::not_run(Reason::NoReplica);
+        let attempts = call.attempts.borrow().on(shard.name());
         Self {
             pool,
             shard,
             call,
             tried: Vec::new(),
-            attempts: 0,
+            attempts,
             last,
             ran: Ran::No,
         }
@@ -65,6 +66,10 @@
         self.pool.retries.earn(self.call.policy.retry_percent);
         self.pool.hedges.earn(self.call.policy.hedge_percent);
         metrics::counter!(names::SUBREQUESTS_TOTAL).increment(1);
+        if self.attempts >= self.call.policy.attempts {
+            // Other daemons made them, and their outcomes are unknown.
+            return Err(Failure::unknown(Reason::Timeout));
+        }
         let shared = &self.pool.shared;
         loop {
             let checked = shared.check_quarantine(self.call.fingerprint, self.call.deadline);
--- a/components/upstreams/tests/support/test_pool.rs
+++ b/components/upstreams/tests/support/test_pool.rs
@@ -39,6 +39,7 @@
         draw: 0.0,
         caller_left: Rc::default(),
         may_have_run: Rc::default(),
+        attempts: Rc::default(),
         policy,
     }
 }
--- a/standins/src/platform/link.rs
+++ b/standins/src/platform/link.rs
@@ -32,12 +32,37 @@
     Up,
     /// Nothing passes, and new connections get no answer.
     Hanging,
+    /// Requests pass on open connections, but no answers, and new connections get none.
+    AnswersHanging,
     /// All connections are closed and new ones refused.
     Closed,
     /// Open connections work, new ones are refused.
     NewRefused,
 }
 
+impl LinkState {
+    /// Whether new connections get no answer.
+    fn is_hanging(self) -> bool {
+        matches!(self, LinkState::Hanging | LinkState::AnswersHanging)
+    }
+}
+
+/// Direction in which bytes pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Direction {
+    Request,
+    Answer,
+}
+
+impl Direction {
+    fn is_held(self, state: LinkState) -> bool {
+        match self {
+            Direction::Request => state == LinkState::Hanging,
+            Direction::Answer => state.is_hanging(),
+        }
+    }
+}
+
 const LARGEST_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 const BUFFER_BYTES: usize = 64 * 1024;
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -151,9 +176,9 @@
         loop {
             match self.state.get() {
                 LinkState::Up => self.accept(&listener).await,
-                LinkState::Hanging => {
+                state if state.is_hanging() => {
                     let _fillers = fill_queue(&listener, self.address);
-                    self.wait_while(LinkState::Hanging).await;
+                    self.wait_while(state).await;
                     let all = Backlog::new(128).expect("the length is valid");
                     let _ = nix::sys::socket::listen(&listener, all);
                 }
@@ -182,8 +207,13 @@
             let Ok(callee) = TcpStream::connect(upstream).await else {
                 return;
             };
-            let there = std::pin::pin!(copy(caller.clone(), callee.clone(), state.clone()));
-            let back = std::pin::pin!(copy(callee, caller, state.clone()));
+            let there = std::pin::pin!(copy(
+                caller.clone(),
+                callee.clone(),
+                state.clone(),
+                Direction::Request
+            ));
+            let back = std::pin::pin!(copy(callee, caller, state.clone(), Direction::Answer));
             let copying = select(there, back);
             let closed = std::pin::pin!(async move {
                 while state.get() != LinkState::Closed {
@@ -205,13 +235,18 @@
 }
 
 /// Copies bytes until the connection ends; holds them while the links hang.
-async fn copy(mut from: TcpStream, mut to: TcpStream, state: Rc<Cell<LinkState>>) {
+async fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    state: Rc<Cell<LinkState>>,
+    direction: Direction,
+) {
     loop {
         let BufResult(read, mut buffer) = from.read(Vec::with_capacity(BUFFER_BYTES)).await;
         let Ok(count @ 1..) = read else {
             return;
         };
-        while state.get() == LinkState::Hanging {
+        while direction.is_held(state.get()) {
             compio::time::sleep(POLL_INTERVAL).await;
         }
         buffer.truncate(count);
--- a/tests/gateway_partition.rs
+++ b/tests/gateway_partition.rs
@@ -12,7 +12,7 @@
 use standins::platform::gateway::{Gateway, PROPAGATION, retry_after_s, start_gateway_in};
 use standins::platform::link::{LinkState, Links};
 use standins::platform::paced_load::{outcomes_since, served_share, start_loads};
-use standins::platform::site::{READ, SEARCH, Site, WRITE, start_site};
+use standins::platform::site::{READ, SEARCH, SHARDS, Site, WRITE, start_site};
 
 /// Failure domains of the gateways; those of the first are cut off together.
 const DOMAINS: [&str; 4] = ["a", "a", "b", "b"];
@@ -29,6 +29,14 @@
 /// A caller that can't be served is told within this time.
 const REFUSAL_TIME: Millis = Millis(150);
 const WRITES: usize = 40;
+/// Rounds of requests that earn the tokens for hedges.
+const WARM_UP: usize = 30;
+/// Slots of all upstreams of a shard.
+const SLOTS: usize = 4;
+/// Requests that are sent while no answers pass.
+const UNANSWERED: usize = 2;
+/// Attempts for each shard that the routes allow.
+const ATTEMPTS: usize = 2;
 
 /// Starts gateways, the first `behind` of which reach the upstreams by links that can be
 /// cut.
@@ -163,3 +171,40 @@
     );
     assert!(gateways[0].is_ready().await);
 }
+
+/// What a gateway sent may run although no answer reaches it, so that it counts as an
+/// attempt when another gateway serves the request.
+#[rstest]
+#[case::reads(READ, 1)]
+#[case::searches(SEARCH, SHARDS)]
+#[compio::test]
+async fn attempts_before_a_handover_count(#[case] prefix: &str, #[case] shards: usize) {
+    let site = start_site().await;
+    let links = Links::start(&site).await;
+    let gateways = start(&site, &links, 1).await;
+    // These open connections for all slots and earn the tokens for hedges.
+    for round in 0..WARM_UP {
+        let warm = async |n: usize| {
+            let id = format!("warm-{round}-{n}");
+            gateways[0].get(&format!("{prefix}{id}"), &id).await
+        };
+        join_all((0..SLOTS).map(warm)).await;
+    }
+    let send = async |n: usize| {
+        let id = format!("unanswered-{n}");
+        gateways[0].get(&format!("{prefix}{n}"), &id).await;
+        id
+    };
+    let cut = async {
+        links.set(LinkState::AnswersHanging).await;
+        compio::time::sleep(RETURN_TIME).await;
+        links.set(LinkState::Up).await;
+    };
+    let sent = join_all((0..UNANSWERED).map(send));
+    let (ids, ()) = futures_util::future::join(sent, cut).await;
+    compio::time::sleep(RETURN_TIME).await;
+    let runs: Vec<usize> = ids.iter().map(|id| site.runs(id)).collect();
+    println!("{runs:?}");
+    assert!(runs.iter().any(|r| *r > shards), "none ran twice: {runs:?}");
+    assert!(runs.iter().all(|r| *r <= shards * ATTEMPTS), "{runs:?}");
+}
