Write the crashes that a daemon knows in one call after the other

Cause: each crash had a moment of its own at which a daemon wrote it, and each of 64 daemons also wrote what others had seen after 2 s, before it could know that they had. Change: the schedule is code of its own. When a crash is due, all that may be written are, and a daemon makes at most one such call in 7 ms for each daemon there is; others wait for 5 s.

--- a/components/gateway/src/crash_sharing.rs
+++ b/components/gateway/src/crash_sharing.rs
@@ -14,14 +14,15 @@
     RelayClient, Result, SharedDirectory,
 };
 use futures_channel::oneshot;
-use rand::RngExt;
 use rand::seq::IndexedRandom;
 use slog::{Logger, debug, info, warn};
 use upstreams::{CRASH_TTL, Shared, SharedCrash};
 
 use self::convert::{CrashKey, key, to_entry, to_shared_crash};
+pub use self::schedule::{MissingCrash, WriteSchedule, crash_write_delay};
 
 mod convert;
+mod schedule;
 
 /// Delay before a crash is written; most harmless requests are served by another
 /// upstream meanwhile and need no record.
@@ -30,13 +31,6 @@
 const REVIEW_INTERVAL: Millis = Millis(1_000);
 /// Peers that a daemon sends its crashes to; the others read them from the store.
 const NOTIFIED_PEERS: usize = 16;
-/// Mean interval between daemons that write what they have seen themselves. All may
-/// see crashes at once, and each makes two calls.
-const OWN_INTERVAL_MS: f64 = 7.0;
-/// Mean interval between the daemons that write what another one has seen, and the
-/// shortest time that it has to write it itself.
-const OTHERS_INTERVAL_MS: f64 = 50.0;
-const OTHERS_DELAY: Millis = Millis(2_000);
 /// A lease is used for new crashes for so long.
 const LEASE_REUSE: Millis = Millis(30_000);
 /// Crashes that expire sooner are not written again when their lease has ended.
@@ -52,8 +46,7 @@
     me: SocketAddr,
     /// Own crashes that were sent to peers, and whether as cleared.
     sent: RefCell<HashMap<CrashKey, bool>>,
-    /// When crashes that the store lacks are to be written.
-    due: RefCell<HashMap<CrashKey, Millis>>,
+    schedule: RefCell<WriteSchedule<CrashKey>>,
     lease: Cell<Option<(Lease, Millis)>>,
     wake: RefCell<Option<oneshot::Sender<()>>>,
     is_failing: Cell<bool>,
@@ -76,7 +69,7 @@
             leases,
             me,
             sent: RefCell::default(),
-            due: RefCell::default(),
+            schedule: RefCell::default(),
             lease: Cell::new(None),
             wake: RefCell::default(),
             is_failing: Cell::new(false),
@@ -125,7 +118,7 @@
         let (sender, receiver) = oneshot::channel::<()>();
         *self.wake.borrow_mut() = Some(sender);
         let now = Millis::now();
-        let next = self.due.borrow().values().min().copied();
+        let next = self.schedule.borrow().next();
         let left = next.map_or(REVIEW_INTERVAL, |at| at.since(now));
         let waiting = compio::time::timeout(left.min(REVIEW_INTERVAL).into(), receiver);
         waiting.await.is_ok()
@@ -188,22 +181,18 @@
     /// Returns the crashes that the store lacks and that are to be written now. They
     /// are due again later, if they are missing still.
     fn find_due(&self, now: Millis) -> Vec<CrashEntry> {
-        let missing = self.find_missing(now);
-        let mut due = self.due.borrow_mut();
-        let at = |shared: &SharedCrash| {
-            let known = due.get(&key(shared)).copied();
-            known.unwrap_or_else(|| now + self.delay(shared))
+        let mut crashes = self.find_missing(now);
+        let missing_crash = |shared: &SharedCrash| MissingCrash {
+            key: key(shared),
+            is_own: shared.is_own && !shared.is_cleared,
         };
-        *due = missing.iter().map(|m| (key(m), at(m))).collect();
+        let missing: Vec<MissingCrash<CrashKey>> = crashes.iter().map(missing_crash).collect();
+        let daemons = self.directory.borrow().instances().count();
+        let mut schedule = self.schedule.borrow_mut();
+        let due = schedule.take_due(&missing, daemons, now, rand::random);
+        crashes.retain(|crash| due.contains(&key(crash)));
         let wall = Millis::wall();
-        let mut entries = Vec::new();
-        for crash in &missing {
-            if let Some(at) = due.get_mut(&key(crash)).filter(|at| **at <= now) {
-                *at = now + REVIEW_INTERVAL;
-                entries.push(to_entry(crash, now, wall));
-            }
-        }
-        entries
+        crashes.iter().map(|c| to_entry(c, now, wall)).collect()
     }
 
     /// Returns the crashes that the store lacks, or that it lists though a success
@@ -230,12 +219,6 @@
         all
     }
 
-    fn delay(&self, shared: &SharedCrash) -> Millis {
-        let daemons = self.directory.borrow().instances().count();
-        let is_first = shared.is_own && !shared.is_cleared;
-        crash_write_delay(daemons, is_first, rand::rng().random())
-    }
-
     async fn current_lease(&self, now: Millis) -> Result<Lease> {
         match self.lease.get() {
             Some((lease, granted)) if now.since(granted) < LEASE_REUSE => Ok(lease),
@@ -260,17 +243,6 @@
     }
 }
 
-/// Returns how long one of `daemons` daemons waits before it writes a crash, by a
-/// random number from 0 to 1: the daemons that have seen it write first, and neither
-/// they nor the others write all at once.
-pub fn crash_write_delay(daemons: usize, is_own: bool, random: f64) -> Millis {
-    let (least, interval_ms) = match is_own {
-        true => (Millis::ZERO, OWN_INTERVAL_MS),
-        false => (OTHERS_DELAY, OTHERS_INTERVAL_MS),
-    };
-    least + Millis((daemons as f64 * interval_ms * random) as u64)
-}
-
 impl CrashExchange for CrashSharing {
     fn unwritten_crashes(&self) -> Vec<CrashEntry> {
         let (now, wall) = (Millis::now(), Millis::wall());
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -26,7 +26,7 @@
 mod wire;
 
 pub use concurrency::ConcurrencyLimiter;
-pub use crash_sharing::crash_write_delay;
+pub use crash_sharing::{MissingCrash, WriteSchedule, crash_write_delay};
 pub use fleet::{connection_share, token_limit};
 pub use gather::{Progress, Step, partial_answer_after};
 pub use merge::top_records;
