Relay large values to peers compressed

Cause: with 1,576 routes a configuration has some 280 kB, 376 kB in the relay. Change: values above 4 kB go deflated to peers that ask for it, each compressed once. Peers of earlier versions neither ask nor get it. Ruled out: the store's own answers (once for each watcher).

--- a/components/discovery/src/follow.rs
+++ b/components/discovery/src/follow.rs
@@ -11,6 +11,7 @@
 use slog::{Logger, info, warn};
 use telemetry::names;
 
+use crate::compression::Compressor;
 use crate::crash_records::CrashExchange;
 use crate::directory::Directory;
 use crate::feed::{Error, Feed, Result};
@@ -57,6 +58,7 @@
     direct_until: Cell<Millis>,
     waiting_peers: RefCell<Vec<oneshot::Sender<()>>>,
     crash_exchange: RefCell<Option<Rc<dyn CrashExchange>>>,
+    compressor: Compressor,
     log: Logger,
 }
 
@@ -83,6 +85,7 @@
             direct_until: Cell::new(Millis::ZERO),
             waiting_peers: RefCell::default(),
             crash_exchange: RefCell::default(),
+            compressor: Compressor::default(),
             log: log.clone(),
         })
     }
--- a/components/discovery/src/follow/peers.rs
+++ b/components/discovery/src/follow/peers.rs
@@ -12,7 +12,7 @@
 
 use super::{Follower, RELAY_SILENCE, WATCH_WAIT};
 use crate::feed::Position;
-use crate::relay::{PeerUpdate, RelayClient};
+use crate::relay::{PeerUpdate, RelayClient, RelayState};
 
 /// Peers are polled if the store has not answered for longer.
 const STORE_SILENCE: Millis = Millis(1_500);
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Returns the form of an update for a peer.
+    pub fn relay_state(&self, update: PeerUpdate, accepts_deflated: bool) -> RelayState {
+        RelayState::new(update, accepts_deflated.then_some(&self.compressor))
+    }
+
     /// Returns a receiver that completes when the directory is updated.
     fn wait_for_change(&self) -> oneshot::Receiver<()> {
         let (sender, receiver) = oneshot::channel();
--- a/components/discovery/src/lib.rs
+++ b/components/discovery/src/lib.rs
@@ -2,6 +2,7 @@
 //! other daemons, read from a watched store or from peers, which relay its
 //! records and stand in while it is unreachable.
 
+mod compression;
 mod crash_records;
 mod directory;
 mod entry;
@@ -12,6 +13,7 @@
 mod relay;
 mod watchers;
 
+pub use compression::Compressor;
 pub use crash_records::{CRASH_BATCH, CrashExchange, CrashRecords};
 pub use directory::Directory;
 pub use entry::{CrashEntry, Decode, Entry, InstanceEntry, Lifecycle, Record, UpstreamEntry};
--- a/components/discovery/src/relay.rs
+++ b/components/discovery/src/relay.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use transport::{Client, Payload};
 
+use crate::compression::{Compressor, inflate};
 use crate::entry::{CrashEntry, Record};
 use crate::feed::{Change, Changes, Error, Position, Result, Snapshot, Update};
 
@@ -55,28 +56,44 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct RelayRecord {
     key: String,
-    // Base64, since foreign values need not be text; `None` for a deletion.
+    // Base64, since foreign values need not be text; `None` for a deletion, or if the value
+    // is in `deflated`.
     value: Option<String>,
+    // Sent only to peers that accept it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    deflated: Option<String>,
     revision: u64,
 }
 
-impl From<Record> for RelayRecord {
-    fn from(record: Record) -> Self {
-        Self {
+/// Builds the records for one peer.
+struct RecordWriter<'a> {
+    /// Present if the peer accepts compressed values.
+    compressor: Option<&'a Compressor>,
+    epoch: u64,
+}
+
+impl RecordWriter<'_> {
+    fn record(&self, record: Record) -> RelayRecord {
+        let compressor = self.compressor;
+        let deflated = compressor.and_then(|c| c.deflate(&record, self.epoch));
+        RelayRecord {
             key: record.key,
-            value: Some(STANDARD.encode(record.value)),
+            value: match deflated {
+                Some(_) => None,
+                None => Some(STANDARD.encode(record.value)),
+            },
+            deflated,
             revision: record.revision,
         }
     }
-}
 
-impl From<Change> for RelayRecord {
-    fn from(change: Change) -> Self {
+    fn change(&self, change: Change) -> RelayRecord {
         match change {
-            Change::Put(record) => record.into(),
-            Change::Delete { key, revision } => Self {
+            Change::Put(record) => self.record(record),
+            Change::Delete { key, revision } => RelayRecord {
                 key,
                 value: None,
+                deflated: None,
                 revision,
             },
         }
@@ -84,18 +101,22 @@
 }
 
 impl TryFrom<RelayRecord> for Change {
-    type Error = base64::DecodeError;
+    type Error = Error;
 
-    fn try_from(record: RelayRecord) -> std::result::Result<Self, Self::Error> {
+    fn try_from(record: RelayRecord) -> Result<Self> {
         let (key, revision) = (record.key, record.revision);
-        match record.value {
-            Some(value) => Ok(Change::Put(Record {
-                key,
-                value: STANDARD.decode(value)?,
-                revision,
-            })),
-            None => Ok(Change::Delete { key, revision }),
-        }
+        let value = match (record.deflated, record.value) {
+            (Some(deflated), _) => inflate(&deflated)?,
+            (None, Some(value)) => STANDARD.decode(value).map_err(|e| Error::Unavailable {
+                detail: e.to_string(),
+            })?,
+            (None, None) => return Ok(Change::Delete { key, revision }),
+        };
+        Ok(Change::Put(Record {
+            key,
+            value,
+            revision,
+        }))
     }
 }
 
@@ -109,15 +130,21 @@
     }
 }
 
-impl From<PeerUpdate> for RelayState {
-    fn from(update: PeerUpdate) -> Self {
+impl RelayState {
+    /// Returns the form of an update for a peer, with compressed values if the peer accepts
+    /// them.
+    pub fn new(update: PeerUpdate, compressor: Option<&Compressor>) -> Self {
+        let writer = RecordWriter {
+            compressor,
+            epoch: update.position().epoch,
+        };
         let (is_all, at, records) = match update.update {
             Update::Snapshot(all) => {
-                let records = all.records.into_iter().map(RelayRecord::from);
+                let records = all.records.into_iter().map(|r| writer.record(r));
                 (true, all.at, records.collect())
             }
             Update::Changes(changes) => {
-                let records = changes.list.into_iter().map(RelayRecord::from);
+                let records = changes.list.into_iter().map(|c| writer.change(c));
                 (false, changes.at, records.collect())
             }
         };
@@ -134,15 +161,15 @@
 }
 
 impl TryFrom<RelayState> for PeerUpdate {
-    type Error = base64::DecodeError;
+    type Error = Error;
 
-    fn try_from(state: RelayState) -> std::result::Result<Self, Self::Error> {
+    fn try_from(state: RelayState) -> Result<Self> {
         let at = Position {
             epoch: state.epoch,
             revision: state.revision,
         };
         let changes = state.records.into_iter().map(Change::try_from);
-        let list = changes.collect::<std::result::Result<Vec<Change>, _>>()?;
+        let list = changes.collect::<Result<Vec<Change>>>()?;
         let put = |change| match change {
             Change::Put(record) => Some(record),
             Change::Delete { .. } => None,
@@ -188,7 +215,7 @@
     pub async fn poll(&self, after: Position, wait: Millis) -> Result<PeerUpdate> {
         let unavailable = |detail: String| Error::Unavailable { detail };
         let uri = format!(
-            "/v1/directory?epoch={}&after={}&wait_ms={}",
+            "/v1/directory?epoch={}&after={}&wait_ms={}&deflate=1",
             after.epoch, after.revision, wait.0
         );
         let body = self
@@ -196,7 +223,7 @@
             .await?;
         let state: RelayState =
             serde_json::from_slice(&body).map_err(|e| unavailable(e.to_string()))?;
-        PeerUpdate::try_from(state).map_err(|e| unavailable(e.to_string()))
+        PeerUpdate::try_from(state)
     }
 
     /// Sends crashes that the peer may not know.
--- a/components/discovery/tests/watchers.rs
+++ b/components/discovery/tests/watchers.rs
@@ -129,7 +129,7 @@
             crashed_at: Millis(1_770_000_000_000),
         }],
     };
-    let json = serde_json::to_string(&RelayState::from(sent.clone())).unwrap();
+    let json = serde_json::to_string(&RelayState::new(sent.clone(), None)).unwrap();
     let received: RelayState = serde_json::from_str(&json).unwrap();
     let received = PeerUpdate::try_from(received).unwrap();
     assert_eq!(received, sent);
--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -10,7 +10,7 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use clock::Millis;
-use discovery::{CRASHES_PATH, CrashEntry, CrashExchange, Position, RelayState};
+use discovery::{CRASHES_PATH, CrashEntry, CrashExchange, Position};
 use http::StatusCode;
 use telemetry::names;
 use transport::{Local, local};
@@ -60,13 +60,14 @@
 async fn directory(State(app): State<App>, Query(query): Query<HashMap<String, u64>>) -> Response {
     let number = |name| query.get(name).copied().unwrap_or(0);
     let wait = Millis(number("wait_ms"));
+    let accepts_deflated = number("deflate") > 0;
     let after = Position {
         epoch: number("epoch"),
         revision: number("after"),
     };
     local(async move {
-        let state = app.0.follower.serve_peer(after, wait).await;
-        Json(RelayState::from(state)).into_response()
+        let update = app.0.follower.serve_peer(after, wait).await;
+        Json(app.0.follower.relay_state(update, accepts_deflated)).into_response()
     })
     .await
 }
