--- a/components/upstreams/tests/crash_check.rs
+++ b/components/upstreams/tests/crash_check.rs
@@ -1,6 +1,7 @@
 //! Whether a lost connection counts as a crash: the upstream may have ended, or
 //! only dropped the connection.
 
+use std::io::Read;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -139,3 +140,42 @@
     let open: usize = pool.upstream_views().iter().map(|u| u.open).sum();
     assert_eq!(open, 0);
 }
+
+/// Accepts connections until `end`; returns how many are still open then.
+async fn count_open(listeners: &[TcpListener], end: Millis) -> usize {
+    let mut streams: Vec<TcpStream> = Vec::new();
+    while Millis::now() < end {
+        let accepted = listeners.iter().filter_map(|l| l.accept().ok());
+        streams.extend(accepted.map(|(stream, _)| stream));
+        compio::time::sleep(ACCEPT_INTERVAL).await;
+    }
+    assert!(!streams.is_empty(), "nothing was accepted");
+    let is_open = |mut stream: &TcpStream| {
+        stream.set_nonblocking(true).unwrap();
+        !matches!(stream.read(&mut [0]), Ok(0))
+    };
+    streams.iter().filter(|stream| is_open(stream)).count()
+}
+
+/// A daemon that checks its links again and again must not hold connections that no
+/// request uses: upstreams accept few.
+#[compio::test]
+async fn a_check_of_links_leaves_no_connection_open() {
+    let listeners: Vec<TcpListener> = (0..3)
+        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+        .collect();
+    let pool = pool(&listeners[0]);
+    let endpoints = listeners.iter().enumerate().map(|(n, listener)| {
+        listener.set_nonblocking(true).unwrap();
+        endpoint(&format!("u{n}"), listener)
+    });
+    pool.install(&endpoints.collect::<Vec<Endpoint>>());
+    let checks = async {
+        for _ in 0..3 {
+            assert_eq!(pool.shared().check_links().await, LinkCheck::Reachable);
+        }
+    };
+    let end = Millis::now() + Millis(300);
+    let (open, ()) = join(count_open(&listeners, end), checks).await;
+    assert_eq!(open, 0);
+}
