Never answer as not run what may have run before it was handed over

Cause: a gateway passed on the 503 of the gateway that it had handed a request to, though it had sent the request itself before. Change: such a refusal becomes a 502.

--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -12,7 +12,7 @@
 use futures_util::future::{Either, select};
 use http::{HeaderValue, Response, header};
 use routes::{Delivery, Entry, Table};
-use slog::info;
+use slog::{info, warn};
 use telemetry::names;
 use transport::{Local, detached, local};
 use upstreams::{AttemptsMade, Ran};
@@ -30,6 +30,8 @@
 /// Retry-After of requests that arrive before a configuration is in force.
 const LOADING_RETRY_AFTER: Millis = Millis(200);
 
+const UNREADABLE_ATTEMPTS: &str = "the attempts made before can't be read";
+
 #[derive(Clone)]
 struct App(Local<Rc<Gateway>>);
 
@@ -60,12 +62,15 @@
     if let Some(reason) = gateway.handover_obstacle(handover.version) {
         return Some(unserved(reason).map(Body::from));
     }
+    let Some(attempts) = handover.attempts else {
+        warn!(gateway.log, "request of a peer not taken"; "reason" => UNREADABLE_ATTEMPTS);
+        return Some(unserved(UNREADABLE_ATTEMPTS).map(Body::from));
+    };
     let context = gateway.wire.request_context(request.headers());
     let context = context.map(|context| RequestContext {
         timeout: Some(handover.time_left),
         ..context
     });
-    let attempts = handover.attempts;
     Some(answer(gateway, Origin::Peer, attempts, context, request).await)
 }
 
@@ -78,11 +83,7 @@
 ) -> Response<Body> {
     let arrived = Millis::now();
     let id = context.as_ref().map(|c| c.id.clone()).unwrap_or_default();
-    let resolved = resolve(gateway, origin, context, &request, arrived);
-    let resolved = resolved.map(|resolved| ResolvedRoute {
-        attempts,
-        ..resolved
-    });
+    let resolved = resolve(gateway, origin, attempts, context, &request, arrived);
     let route = resolved
         .as_ref()
         .map_or("", |r| &r.entry.route.name)
@@ -116,6 +117,7 @@
 fn resolve(
     gateway: &Gateway,
     origin: Origin,
+    attempts: AttemptsMade,
     context: Result<RequestContext, String>,
     request: &Request,
     arrived: Millis,
@@ -131,7 +133,7 @@
         context,
         arrived,
         may_have_run: Rc::default(),
-        attempts: AttemptsMade::default(),
+        attempts,
     })
 }
 
--- a/components/gateway/src/peer_forward.rs
+++ b/components/gateway/src/peer_forward.rs
@@ -86,8 +86,8 @@
                 break;
             }
             tried.push(peer);
-            if let Some(response) = self.hand_over(peer, request).await {
-                return Ok(response);
+            if let Some(result) = self.hand_over(peer, request).await {
+                return result;
             }
             let has_time = Millis::now() < request.call.deadline;
             let is_wanted = has_time && !request.call.caller_left.get();
@@ -110,7 +110,7 @@
         &self,
         peer: SocketAddr,
         request: &RoutedRequest,
-    ) -> Option<Response<Bytes>> {
+    ) -> Option<Result<Response<Bytes>>> {
         let may_have_run = &request.call.may_have_run;
         let before = may_have_run.replace(true);
         let attempts = attempts_for_peer(request);
@@ -118,14 +118,14 @@
             Ok(response) if !response.headers().contains_key(UNSERVED_HEADER) => {
                 self.has_failed.set(false);
                 count("answered");
-                return Some(caller_response(response));
+                return Some(match response.status() {
+                    StatusCode::SERVICE_UNAVAILABLE if before => Err(refused_elsewhere(peer)),
+                    _ => Ok(caller_response(response)),
+                });
             }
             Err(e) if !e.is_unsent() => {
-                let allowed = request
-                    .call
-                    .policy
-                    .attempts
-                    .saturating_sub(attempts.fewest());
+                let limit = request.call.policy.attempts;
+                let allowed = limit.saturating_sub(attempts.elsewhere);
                 request.call.attempts.borrow_mut().elsewhere += allowed;
                 Pause::Failed
             }
@@ -202,6 +202,16 @@
     }
 }
 
+/// Returns the refusal of a request that another gateway refused as not run, though it may
+/// have run before it was handed over.
+fn refused_elsewhere(peer: SocketAddr) -> Refusal {
+    let detail = format!("{peer} refused the request, which may have run before");
+    Refusal {
+        ran: Ran::Unknown,
+        ..Refusal::not_run(Cause::NoLinks, detail)
+    }
+}
+
 /// Returns how many attempts may still be made on the shard with the fewest.
 fn attempts_left(request: &RoutedRequest) -> usize {
     let made = request.call.attempts.borrow().fewest();
@@ -211,7 +221,7 @@
 /// Returns the attempts that a gateway has to count: those that were made, and one more if
 /// at least one is then left to it, which another gateway may need if this one does not answer.
 fn attempts_for_peer(request: &RoutedRequest) -> AttemptsMade {
-    let mut attempts = request.call.attempts.borrow().clone();
+    let mut attempts = request.call.attempts.borrow().compact();
     attempts.elsewhere += usize::from(attempts_left(request) > 1);
     attempts
 }
@@ -233,6 +243,8 @@
     let headers = message.headers_mut();
     headers.insert(TIME_LEFT_HEADER, left.0.into());
     headers.insert(VERSION_HEADER, request.version.into());
+    // The caller's own header of this name says nothing.
+    headers.remove(ATTEMPTS_HEADER);
     let attempts = serde_json::to_string(attempts).unwrap_or_default();
     if let Ok(attempts) = HeaderValue::from_bytes(attempts.as_bytes()) {
         headers.insert(ATTEMPTS_HEADER, attempts);
@@ -247,8 +259,8 @@
     pub(crate) time_left: Millis,
     /// Version of the configuration that it has in force.
     pub(crate) version: u64,
-    /// The attempts that it and others may have made.
-    pub(crate) attempts: AttemptsMade,
+    /// The attempts that it and others may have made; `None` if they can't be read.
+    pub(crate) attempts: Option<AttemptsMade>,
 }
 
 /// Restores a caller's request that another gateway handed over; `None` if it is no
@@ -261,7 +273,7 @@
     Some(Handover {
         time_left: Millis(take_number(headers, &TIME_LEFT_HEADER)?),
         version: take_number(headers, &VERSION_HEADER)?,
-        attempts: take_attempts(headers).unwrap_or_default(),
+        attempts: take_attempts(headers),
     })
 }
 
@@ -271,8 +283,10 @@
 
 /// Reads the attempts; gateways that do not count them send none.
 fn take_attempts(headers: &mut HeaderMap) -> Option<AttemptsMade> {
-    let value = headers.remove(&ATTEMPTS_HEADER)?;
-    serde_json::from_slice(value.as_bytes()).ok()
+    match headers.remove(&ATTEMPTS_HEADER) {
+        Some(value) => serde_json::from_slice(value.as_bytes()).ok(),
+        None => Some(AttemptsMade::default()),
+    }
 }
 
 /// Returns the answer of a gateway that does not take a request.
--- a/components/upstreams/src/attempts_made.rs
+++ b/components/upstreams/src/attempts_made.rs
@@ -27,6 +27,19 @@
         self.elsewhere + self.by_shard.values().min().copied().unwrap_or(0)
     }
 
+    /// Returns the same attempts in a form that lists only the shards with more than the
+    /// fewest; those that are not listed count as sent to.
+    pub fn compact(&self) -> Self {
+        let fewest = self.fewest();
+        let beyond = |count: usize| (self.elsewhere + count).saturating_sub(fewest);
+        let by_shard = self.by_shard.iter();
+        let by_shard = by_shard.map(|(shard, count)| (shard.clone(), beyond(*count)));
+        Self {
+            elsewhere: fewest,
+            by_shard: by_shard.filter(|(_, beyond)| *beyond > 0).collect(),
+        }
+    }
+
     /// Counts a request that is sent to a shard.
     pub(crate) fn add(&mut self, shard: &str) {
         *self.by_shard.entry(shard.to_owned()).or_default() += 1;
--- a/tests/gateway_partition.rs
+++ b/tests/gateway_partition.rs
@@ -6,13 +6,14 @@
 use bytes::Bytes;
 use clock::Millis;
 use futures_util::future::join_all;
-use http::{Method, StatusCode};
+use http::{Method, Response, StatusCode};
 use rstest::rstest;
 use standins::fleet::wait_until;
 use standins::platform::gateway::{Gateway, PROPAGATION, retry_after_s, start_gateway_in};
 use standins::platform::link::{LinkState, Links};
 use standins::platform::paced_load::{outcomes_since, served_share, start_loads};
 use standins::platform::site::{READ, SEARCH, SHARDS, Site, WRITE, start_site};
+use standins::platform::upstream::Mode;
 
 /// Failure domains of the gateways; those of the first are cut off together.
 const DOMAINS: [&str; 4] = ["a", "a", "b", "b"];
@@ -172,6 +173,17 @@
     assert!(gateways[0].is_ready().await);
 }
 
+/// Opens connections for all slots; several rounds also earn tokens for hedges.
+async fn warm_up(gateway: &Gateway, prefix: &str, rounds: usize) {
+    for round in 0..rounds {
+        let warm = async |n: usize| {
+            let id = format!("warm-{round}-{n}");
+            gateway.get(&format!("{prefix}{id}"), &id).await
+        };
+        join_all((0..SLOTS).map(warm)).await;
+    }
+}
+
 /// What a gateway sent may run although no answer reaches it, so that it counts as an
 /// attempt when another gateway serves the request.
 #[rstest]
@@ -182,14 +194,7 @@
     let site = start_site().await;
     let links = Links::start(&site).await;
     let gateways = start(&site, &links, 1).await;
-    // These open connections for all slots and earn the tokens for hedges.
-    for round in 0..WARM_UP {
-        let warm = async |n: usize| {
-            let id = format!("warm-{round}-{n}");
-            gateways[0].get(&format!("{prefix}{id}"), &id).await
-        };
-        join_all((0..SLOTS).map(warm)).await;
-    }
+    warm_up(&gateways[0], prefix, WARM_UP).await;
     let send = async |n: usize| {
         let id = format!("unanswered-{n}");
         gateways[0].get(&format!("{prefix}{n}"), &id).await;
@@ -208,3 +213,37 @@
     assert!(runs.iter().any(|r| *r > shards), "none ran twice: {runs:?}");
     assert!(runs.iter().all(|r| *r <= shards * ATTEMPTS), "{runs:?}");
 }
+
+/// Another gateway that refuses a request as not run knows nothing of what ran before.
+#[rstest]
+#[case::reads(READ)]
+#[case::searches(SEARCH)]
+#[compio::test]
+async fn a_request_that_may_have_run_is_not_refused_as_not_run(#[case] prefix: &str) {
+    let site = start_site().await;
+    let links = Links::start(&site).await;
+    let gateways = start(&site, &links, 1).await;
+    warm_up(&gateways[0], prefix, 1).await;
+    links.set(LinkState::AnswersHanging).await;
+    let send = async |n: usize| {
+        let id = format!("ran-{n}");
+        let answer = gateways[0].get(&format!("{prefix}{n}"), &id).await;
+        (id, answer)
+    };
+    let refusing = async {
+        let has_run = |n: usize| site.runs(&format!("ran-{n}")) > 0;
+        wait_until("all requests run", PROPAGATION, async || {
+            (0..UNANSWERED).all(has_run)
+        })
+        .await;
+        (0..SHARDS).for_each(|shard| site.set_mode(shard, &Mode::NotRun));
+    };
+    let sent = join_all((0..UNANSWERED).map(send));
+    let (answers, ()) = futures_util::future::join(sent, refusing).await;
+    for (id, answer) in &answers {
+        println!("{id}: {} {:?}", answer.status(), answer.body());
+        assert_ne!(answer.status(), StatusCode::SERVICE_UNAVAILABLE, "{id}");
+    }
+    let is_refused = |answer: &Response<Bytes>| answer.body().starts_with(b"no_links");
+    assert!(answers.iter().any(|(_, answer)| is_refused(answer)));
+}
