Bound the crashes that a daemon writes at once to one call

Cause: the schedule bounded how often a daemon writes, but what was due went out in calls of 32, as many as needed: with hundreds of daemons that each see crashes, tens of calls at once that the test of the store's limit counted as one. Change: at most 32 in each write, a daemon's own first; the others follow an interval later. Test: the simulation checks that each write fits into a call; calls stay at most 152 a second for 64 daemons and 186 for 195, as before.

--- a/components/gateway/src/crash_sharing.rs
+++ b/components/gateway/src/crash_sharing.rs
@@ -10,8 +10,8 @@
 
 use clock::Millis;
 use discovery::{
-    CRASH_BATCH, CrashEntry, CrashExchange, CrashRecords, Directory, Error, Lease, Leases,
-    RelayClient, Result, SharedDirectory,
+    CrashEntry, CrashExchange, CrashRecords, Directory, Error, Lease, Leases, RelayClient, Result,
+    SharedDirectory,
 };
 use futures_channel::oneshot;
 use rand::seq::IndexedRandom;
@@ -165,16 +165,18 @@
     }
 
     async fn write_due(&self, now: Millis) -> Result<()> {
-        for batch in self.find_due(now).chunks(CRASH_BATCH) {
-            let lease = self.current_lease(now).await?;
-            let written = self.records.write_crashes(lease, batch).await;
-            if matches!(written, Err(Error::LeaseEnded)) {
-                self.lease.set(None);
-            }
-            written?;
-            info!(self.log, "crashes written to the store"; "count" => batch.len(),
-                "fingerprints" => ?batch.iter().map(|c| c.fingerprint).collect::<Vec<u64>>());
+        let due = self.find_due(now);
+        if due.is_empty() {
+            return Ok(());
+        }
+        let lease = self.current_lease(now).await?;
+        let written = self.records.write_crashes(lease, &due).await;
+        if matches!(written, Err(Error::LeaseEnded)) {
+            self.lease.set(None);
         }
+        written?;
+        info!(self.log, "crashes written to the store"; "count" => due.len(),
+            "fingerprints" => ?due.iter().map(|c| c.fingerprint).collect::<Vec<u64>>());
         Ok(())
     }
 
--- a/components/gateway/src/crash_sharing/schedule.rs
+++ b/components/gateway/src/crash_sharing/schedule.rs
@@ -6,6 +6,7 @@
 use std::hash::Hash;
 
 use clock::Millis;
+use discovery::CRASH_BATCH;
 
 /// Mean interval between daemons that write what they have seen themselves. All may
 /// see crashes at once, and each makes two calls.
@@ -69,7 +70,8 @@
 
 impl<K: Clone + Eq + Hash> WriteSchedule<K> {
     /// Returns which of the missing crashes one of `daemons` daemons writes now: none until
-    /// one is due, and then all that it may write. `random` returns numbers from 0 to 1.
+    /// one is due, and then all that it may write and that fit into one call, its own first.
+    /// `random` returns numbers from 0 to 1.
     pub fn take_due(
         &mut self,
         missing: &[MissingCrash<K>],
@@ -91,16 +93,20 @@
             return Vec::new();
         }
         self.next_write = now + Millis((daemons as f64 * OWN_INTERVAL_MS) as u64);
-        let written = self.times.iter_mut().filter(|(_, t)| t.earliest <= now);
-        let written = written.map(|(key, times)| {
-            let again = now + REWRITE_DELAY;
-            *times = WriteTimes {
+        let own = missing.iter().filter(|crash| crash.is_own);
+        let others = missing.iter().filter(|crash| !crash.is_own);
+        let keys = own.chain(others).map(|crash| &crash.key);
+        let ready = keys.filter(|key| self.times[key].earliest <= now);
+        let written: Vec<K> = ready.take(CRASH_BATCH).cloned().collect();
+        let again = now + REWRITE_DELAY;
+        for key in &written {
+            let times = WriteTimes {
                 earliest: again,
                 due: again,
             };
-            key.clone()
-        });
-        written.collect()
+            self.times.insert(key.clone(), times);
+        }
+        written
     }
 
     /// Returns when crashes are to be written next.
--- a/components/gateway/tests/crash_writes.rs
+++ b/components/gateway/tests/crash_writes.rs
@@ -2,6 +2,7 @@
 //! as when a failure domain or all daemons are lost.
 
 use clock::Millis;
+use discovery::CRASH_BATCH;
 use gateway::{MissingCrash, WriteSchedule, crash_write_delay};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -65,6 +66,11 @@
                 })
                 .collect();
             let written = schedule.take_due(&missing, daemons, now, || rng.random());
+            assert!(
+                written.len() <= CRASH_BATCH,
+                "{} need more calls",
+                written.len()
+            );
             calls[(now.0 / SECOND.0) as usize] += usize::from(!written.is_empty());
             for key in written {
                 known_at.entry(key).or_insert(now + LAG);
