Name the native store's header for restores Store-Epoch

Cause: components/store used a name of the platform, and a test of relays keys of its store. Change: the native interface has its own name; platform/ keeps the platform's.

--- a/components/discovery/tests/relay.rs
+++ b/components/discovery/tests/relay.rs
@@ -28,7 +28,7 @@
         .unwrap();
     }
     Record {
-        key: "op/config".to_owned(),
+        key: "configuration".to_owned(),
         value: text.into_bytes(),
         revision: 9,
     }
@@ -45,12 +45,12 @@
 
 fn changes() -> PeerUpdate {
     let small = Record {
-        key: "servers/u1".to_owned(),
+        key: "upstreams/u1".to_owned(),
         value: b"ready".to_vec(),
         revision: 8,
     };
     let deletion = Change::Delete {
-        key: "servers/u2".to_owned(),
+        key: "upstreams/u2".to_owned(),
         revision: 10,
     };
     let list = vec![Change::Put(small), Change::Put(configuration()), deletion];
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -18,7 +18,7 @@
 
 const SERVICE: &str = "store";
 /// Rises each time that the store is restored from a backup.
-const EPOCH_HEADER: &str = "store-era";
+const EPOCH_HEADER: &str = "store-epoch";
 const CALL_TIMEOUT: Millis = Millis(1_500);
 /// Time allowed for the response to a watch beyond the time that it waits.
 const WATCH_MARGIN: Millis = Millis(1_000);
--- a/standins/src/epoch.rs
+++ b/standins/src/epoch.rs
@@ -1,13 +1,16 @@
-//! The header in which both stores report how often they were restored.
+//! The headers in which both stores report how often they were restored.
 
 use axum::response::Response;
 
-const EPOCH_HEADER: &str = "store-era";
+/// Header of the store of the native interface.
+pub(crate) const STORE_HEADER: &str = "store-epoch";
+/// Header of the platform's store.
+pub(crate) const PLATFORM_STORE_HEADER: &str = "store-era";
 
 /// Adds the epoch to an answer once there is one.
-pub(crate) fn add_epoch(mut response: Response, epoch: u64) -> Response {
+pub(crate) fn add_epoch(mut response: Response, header: &'static str, epoch: u64) -> Response {
     if epoch > 0 {
-        response.headers_mut().insert(EPOCH_HEADER, epoch.into());
+        response.headers_mut().insert(header, epoch.into());
     }
     response
 }
--- a/standins/src/platform/store/routes.rs
+++ b/standins/src/platform/store/routes.rs
@@ -14,7 +14,7 @@
 use transport::{Local, local};
 
 use super::{Item, Lease, PlatformStore};
-use crate::epoch::add_epoch;
+use crate::epoch::{PLATFORM_STORE_HEADER, add_epoch};
 
 const PAGE_ITEMS: usize = 500;
 const WATCH_POLL_INTERVAL: Millis = Millis(5);
@@ -37,7 +37,7 @@
 }
 
 async fn with_epoch(State(app): State<App>, response: Response) -> Response {
-    add_epoch(response, app.0.epoch.get())
+    add_epoch(response, PLATFORM_STORE_HEADER, app.0.epoch.get())
 }
 
 #[derive(Deserialize)]
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -17,7 +17,7 @@
 use serde_json::json;
 use transport::{Local, local};
 
-use crate::epoch::add_epoch;
+use crate::epoch::{STORE_HEADER, add_epoch};
 
 const VALUE_LIMIT_BYTES: usize = 1_000_000;
 const WATCH_POLL_INTERVAL: Millis = Millis(5);
@@ -236,7 +236,7 @@
 }
 
 async fn with_epoch(State(app): State<App>, response: Response) -> Response {
-    add_epoch(response, app.0.epoch.get())
+    add_epoch(response, STORE_HEADER, app.0.epoch.get())
 }
 
 async fn stats(State(app): State<App>) -> Response {
