--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 
 mod base;
 mod crossed;
+mod poison;
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
@@ -13,6 +14,7 @@
     let path = dir.to_string_lossy().into_owned();
     let is_broken = match case {
         "crossed" => crossed::run(record, &path),
+        "poison" => poison::run(record, &path),
         _ => base::cannot_run(&format!("no case {case}")),
     };
     base::end_processes();
