Review case 3: servers that are gone stay in use after silent connections

Shows that a deletion is deferred by 2.3 s after any failed call to the store, so that requests reach a server later than drain-ms after its removal and one is lost when it exits.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 mod base;
 mod crossed;
 mod poison;
+mod silent;
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
@@ -15,6 +16,7 @@
     let is_broken = match case {
         "crossed" => crossed::run(record, &path),
         "poison" => poison::run(record, &path),
+        "silent" => silent::run(record, &path),
         _ => base::cannot_run(&format!("no case {case}")),
     };
     base::end_processes();
