--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,7 +3,9 @@
 
 mod base;
 mod crossed;
+mod link;
 mod poison;
+mod regress;
 mod silent;
 
 fn main() {
@@ -15,6 +17,7 @@
     let path = dir.to_string_lossy().into_owned();
     let is_broken = match case {
         "crossed" => crossed::run(record, &path),
+        "regress" => regress::run(record, &path),
         "poison" => poison::run(record, &path),
         "silent" => silent::run(record, &path),
         _ => base::cannot_run(&format!("no case {case}")),
