--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 mod base;
 mod crossed;
 mod link;
+mod memory;
 mod poison;
 mod regress;
 mod silent;
@@ -18,6 +19,7 @@
     let is_broken = match case {
         "crossed" => crossed::run(record, &path),
         "regress" => regress::run(record, &path),
+        "memory" => memory::run(record, &path),
         "poison" => poison::run(record, &path),
         "silent" => silent::run(record, &path),
         _ => base::cannot_run(&format!("no case {case}")),
