Take no refusal of one request for the answer to the next

Cause: an answer's identifier was compared only after status 421 and Not-Executed had been believed. A second copy of a refusal, late on its connection, counted for the request that ran there.

Change: an answer with another identifier says nothing about the request or the upstream. One without an identifier still counts, but its connection is closed, as a second copy of it could not be told from the next answer.

--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -169,7 +169,9 @@
         upstream.health.borrow_mut().record_failure(Millis::now());
         return reply.result;
     }
-    upstream.keep(pooled, reply.report.idle_timeout);
+    if reply.is_identified {
+        upstream.keep(pooled, reply.report.idle_timeout);
+    }
     record_report(pool, upstream, reply.report, started);
     record_outcome(pool, slot, call, shard, &reply.result, started);
     reply.result
--- a/components/upstreams/src/message.rs
+++ b/components/upstreams/src/message.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use transport::Payload;
 
-use crate::failure::Result;
+use crate::failure::{Failure, Reason, Result};
 
 /// The upstream that one attempt is sent to.
 #[derive(Clone, Copy, Debug)]
@@ -38,6 +38,22 @@
     pub report: UpstreamReport,
     /// The answer to the request, or why there is none.
     pub result: Result<Answer>,
+    /// Whether the answer bears the identifier of the request. A second copy of one
+    /// without an identifier could not be told from the next answer on its connection,
+    /// which is therefore closed.
+    pub is_identified: bool,
+}
+
+impl Reply {
+    /// Returns what an answer that belongs to another request says of this one and its
+    /// upstream: nothing.
+    pub fn mismatch() -> Self {
+        Self {
+            report: UpstreamReport::default(),
+            result: Err(Failure::unknown(Reason::Mismatch)),
+            is_identified: false,
+        }
+    }
 }
 
 /// An answer that belongs to its request.
--- a/components/upstreams/src/wire.rs
+++ b/components/upstreams/src/wire.rs
@@ -64,14 +64,12 @@
 
     fn read(&self, recipient: &Recipient<'_>, response: Response<Bytes>) -> Reply {
         if !self.is_echoed(recipient.shard, response.headers()) {
-            return Reply {
-                report: UpstreamReport::default(),
-                result: Err(Failure::unknown(Reason::Mismatch)),
-            };
+            return Reply::mismatch();
         }
         Reply {
             report: report(response.headers()),
             result: outcome(response),
+            is_identified: true,
         }
     }
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod load;
 pub mod memory;
 pub mod platform;
+pub mod raw_request;
 pub mod store;
 pub mod upstream;
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -6,6 +6,7 @@
 pub mod gateway;
 pub mod link;
 pub mod paced_load;
+pub mod repeating;
 pub mod site;
 pub mod store;
 pub mod unbounded;
