Read raw requests of stand-in upstreams in one place

The upstream of tests/crossed_answers.rs that answers twice had a reader of its own; it uses the one of the repeating upstreams now. Both of its tests pass.

--- a/tests/crossed_answers.rs
+++ b/tests/crossed_answers.rs
@@ -5,11 +5,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::io::AsyncWriteExt;
 use compio::net::{TcpListener, TcpStream};
 use futures_util::future::join_all;
 use serde_json::{Value, json};
 use standins::fleet::{Binaries, Fleet, Plan, ServicePlan, search};
+use standins::raw_request::RawRequest;
 
 const REQUESTS: usize = 3_000;
 const BATCH_SIZE: usize = 50;
@@ -59,35 +60,16 @@
 
 /// Serves a connection and sends every answer twice, the second one 1 ms later.
 async fn answer_twice(mut stream: TcpStream) {
-    let mut pending = Vec::new();
-    loop {
-        let compio::BufResult(read, buffer) = stream.read(Vec::with_capacity(4_096)).await;
-        match read {
-            Ok(0) | Err(_) => return,
-            Ok(_) => pending.extend(buffer),
-        }
-        let text = String::from_utf8_lossy(&pending).into_owned();
-        let Some((head, body)) = text.split_once("\r\n\r\n") else {
-            continue;
-        };
-        let header = |name: &str| {
-            let line = head
-                .lines()
-                .find(|l| l.to_lowercase().starts_with(&format!("{name}:")));
-            line.and_then(|l| l.split_once(':'))
-                .map_or("", |(_, v)| v.trim())
-                .to_owned()
-        };
-        if body.len() < header("content-length").parse().unwrap_or(0) {
-            continue;
-        }
-        pending.clear();
-        let answer = match head.starts_with("GET /health") {
+    while let Some(request) = RawRequest::read(&mut stream).await {
+        let header = |name: &str| request.header(name);
+        let answer = match request.head.starts_with("GET /health") {
             true => {
                 json!({ "state": "ok", "boot": "b", "holds": [{ "partitioning": "p1", "snapshot": 1 }] })
             }
-            false => json!([{ "query": serde_json::from_str::<Value>(body).unwrap_or_default(),
-                "shard": header("x-shard") }]),
+            false => {
+                json!([{ "query": serde_json::from_str::<Value>(&request.body).unwrap_or_default(),
+                "shard": header("x-shard") }])
+            }
         };
         let answer = answer.to_string();
         let reply = format!(
