Count no failed call to the store as an outage in which records expire

Cause: any failed call, such as one on a connection that had gone silent, started the grace period of 2.3 s in which missing records stay in use. It is meant for records that expire while upstreams can't write either.

Change: the grace follows only two heartbeats or more without an answer, the shortest outage in which a record can expire; failures in quick succession count as one outage. A watch that is overdue by half a second is repeated on a new connection. Log fields outage_ms and keeps_missing, a counter of repeated watches; heartbeat-ms is read from the settings.

--- a/components/discovery/src/feed.rs
+++ b/components/discovery/src/feed.rs
@@ -108,6 +108,11 @@
     /// [`Error::Restored`] if the store is in another epoch.
     async fn watch(&self, after: Position, wait: Millis) -> Result<Changes>;
 
+    /// Returns the changes after a position without waiting for any, over a new
+    /// connection, which later calls use; fails as [`Feed::watch`] does, and if there is
+    /// no answer `within` a time.
+    async fn watch_anew(&self, after: Position, within: Millis) -> Result<Changes>;
+
     /// Returns the latest epoch in any answer of the store or of a peer.
     fn epoch(&self) -> u64;
 
--- a/components/discovery/src/follow.rs
+++ b/components/discovery/src/follow.rs
@@ -2,27 +2,37 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 
 use clock::Millis;
 use futures_channel::oneshot;
+use futures_util::future::{Either, select};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 use telemetry::names;
 
 use crate::compression::Compressor;
 use crate::crash_records::CrashExchange;
 use crate::directory::Directory;
-use crate::feed::{Error, Feed, Result};
+use crate::feed::{Changes, Error, Feed, Position, Result};
 use crate::relay::{PeerUpdate, RelayClient};
 use crate::watchers::watchers;
 
+mod outage;
 mod peers;
 
+use outage::Outage;
+
 /// Longest wait of one watch; a watch that does not respond soon after has
 /// failed.
 const WATCH_WAIT: Millis = Millis(700);
+/// A watch that has no answer this long after its wait is repeated on a new connection:
+/// an open one can go silent without being closed.
+const WATCH_OVERDUE: Millis = Millis(500);
+/// Time for the answer to a repeated watch.
+const REPEAT_TIMEOUT: Millis = Millis(500);
 /// Delay between watches, so that the reports of many upstreams are read in
 /// batches.
 const WATCH_DELAY: Millis = Millis(700);
@@ -51,7 +61,7 @@
     seeds: RefCell<Vec<SocketAddr>>,
     me: SocketAddr,
     is_loaded: Cell<bool>,
-    is_store_lost: Cell<bool>,
+    outage: RefCell<Outage>,
     last_contact: Cell<Millis>,
     watcher: RefCell<Option<Rc<RelayClient>>>,
     /// When the [`DIRECT_PERIOD_MS`] ends.
@@ -64,12 +74,14 @@
 
 impl Follower {
     /// Returns a follower that has read nothing yet; `seeds` are peers to poll
-    /// besides the registered ones, `me` is this daemon's own address.
+    /// besides the registered ones, `me` is this daemon's own address. Upstreams write
+    /// their records once in a `heartbeat`, which is zero if unknown.
     pub fn new(
         feed: Rc<dyn Feed>,
         directory: SharedDirectory,
         seeds: Vec<SocketAddr>,
         me: SocketAddr,
+        heartbeat: Millis,
         log: &Logger,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -79,7 +91,7 @@
             seeds: RefCell::new(seeds),
             me,
             is_loaded: Cell::new(false),
-            is_store_lost: Cell::new(false),
+            outage: RefCell::new(Outage::new(heartbeat)),
             last_contact: Cell::new(Millis::ZERO),
             watcher: RefCell::default(),
             direct_until: Cell::new(Millis::ZERO),
@@ -201,11 +213,31 @@
             return self.update(|d, now| d.replace(snapshot, now));
         }
         let after = self.directory.borrow().position();
-        let changes = self.feed.watch(after, WATCH_WAIT).await?;
+        let changes = self.watch(after).await?;
         self.record_contact(Millis::ZERO);
         self.update(|d, now| d.apply(changes, now))
     }
 
+    /// Watches the store, and if the watch is overdue once more on a new connection; the
+    /// first answer counts.
+    async fn watch(&self, after: Position) -> Result<Changes> {
+        let watch = pin!(self.feed.watch(after, WATCH_WAIT));
+        let repeat = pin!(async {
+            compio::time::sleep((WATCH_WAIT + WATCH_OVERDUE).into()).await;
+            metrics::counter!(names::STORE_REPEATS_TOTAL).increment(1);
+            debug!(self.log, "watch overdue, repeated on a new connection");
+            self.feed.watch_anew(after, REPEAT_TIMEOUT).await
+        });
+        match select(watch, repeat).await {
+            Either::Left((result, _)) => result,
+            Either::Right((Err(Error::Unavailable { .. }), watch)) => watch.await,
+            Either::Right((result, _)) => {
+                info!(self.log, "connection to the store had gone silent");
+                result
+            }
+        }
+    }
+
     fn update(&self, change: impl FnOnce(&mut Directory, Millis) -> bool) -> Result<()> {
         let now = Millis::now();
         let before = self.directory.borrow().position();
@@ -250,10 +282,13 @@
         let now = Millis::now();
         let at = now.since(age);
         self.last_contact.set(self.last_contact.get().max(at));
-        if self.is_store_lost.replace(false) {
+        if let Some(end) = self.outage.borrow_mut().record_contact(at) {
             let revision = self.directory.borrow().position().revision;
-            info!(self.log, "store reachable again"; "revision" => revision);
-            self.directory.borrow_mut().record_reconnect(now);
+            info!(self.log, "store reachable again"; "revision" => revision,
+                "outage_ms" => end.duration.0, "keeps_missing" => end.can_expire);
+            if end.can_expire {
+                self.directory.borrow_mut().record_reconnect(now);
+            }
         }
     }
 
@@ -264,7 +299,7 @@
                 self.is_loaded.set(false);
             }
             Err(Error::Restored { .. }) => self.is_loaded.set(false),
-            Err(e) if !self.is_store_lost.replace(true) => {
+            Err(e) if self.record_failure() => {
                 warn!(self.log, "store unreachable"; "error" => %e,
                     "revision" => self.directory.borrow().position().revision);
             }
@@ -272,6 +307,12 @@
         }
     }
 
+    /// Records a failed call; `true` if the one before did not fail.
+    fn record_failure(&self) -> bool {
+        let mut outage = self.outage.borrow_mut();
+        outage.record_failure(self.last_contact.get(), Millis::now())
+    }
+
     fn apply_update(&self, update: PeerUpdate) {
         self.feed.observe_epoch(update.position().epoch);
         if let Some(exchange) = &*self.crash_exchange.borrow() {
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -144,6 +144,7 @@
         directory.clone(),
         settings.seeds.clone(),
         settings.peer_address,
+        settings.heartbeat,
         log,
     );
     let config = upstreams::PoolConfig {
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -23,6 +23,8 @@
     pub metrics_address: SocketAddr,
     /// Peers to poll besides the registered ones while the store does not answer.
     pub seeds: Vec<SocketAddr>,
+    /// How often upstreams write their records; zero if unknown.
+    pub heartbeat: Millis,
     /// Time from a stop signal until the process is killed.
     pub grace_period: Millis,
     /// Limit on the extra load that all daemons together may cause.
--- a/components/telemetry/src/metric.rs
+++ b/components/telemetry/src/metric.rs
@@ -42,6 +42,8 @@
     pub const LEDGER_CLAIMS_TOTAL: &str = "coltsfootgw_ledger_claims_total";
     /// Calls to the store, by operation.
     pub const STORE_CALLS_TOTAL: &str = "coltsfootgw_store_calls_total";
+    /// Watches of the store that were repeated on a new connection.
+    pub const STORE_REPEATS_TOTAL: &str = "coltsfootgw_store_repeats_total";
     /// Times that the store was restored from a backup.
     pub const STORE_RESTORES_TOTAL: &str = "coltsfootgw_store_restores_total";
     /// Open connections to upstreams.
--- a/components/transport/src/client.rs
+++ b/components/transport/src/client.rs
@@ -46,7 +46,30 @@
         limit: usize,
         timeout: Millis,
     ) -> Result<Response<Bytes>> {
-        match compio::time::timeout(timeout.into(), self.exchange(request, limit)).await {
+        self.within(timeout, self.exchange(request, limit)).await
+    }
+
+    /// Sends a request as [`Client::send`] does, but on a new connection.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`].
+    pub async fn send_anew(
+        &self,
+        request: Request<Payload>,
+        limit: usize,
+        timeout: Millis,
+    ) -> Result<Response<Bytes>> {
+        self.within(timeout, self.exchange_anew(request, limit))
+            .await
+    }
+
+    async fn within(
+        &self,
+        timeout: Millis,
+        exchange: impl Future<Output = Result<Response<Bytes>>>,
+    ) -> Result<Response<Bytes>> {
+        match compio::time::timeout(timeout.into(), exchange).await {
             Ok(result) => result,
             Err(_) => Err(Error::Timeout {
                 address: self.address,
@@ -63,6 +86,14 @@
                 Err(e) => return Err(e),
             }
         }
+        self.exchange_anew(request, limit).await
+    }
+
+    async fn exchange_anew(
+        &self,
+        request: Request<Payload>,
+        limit: usize,
+    ) -> Result<Response<Bytes>> {
         let mut conn = Connection::open(self.address).await?;
         let response = conn.send(request, limit).await?;
         Ok(self.keep_idle(conn, response))
--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -217,6 +217,7 @@
         "listen-addresses": {
             "front": endpoints.callers(), "ready": endpoints.ready(), "control": endpoints.peers() },
         "seed-nodes": seeds,
+        "heartbeat-ms": 1_200,
         "bounds": { "grace-s": 6, "retry-budget-ratio": 0.2, "budget-slack": 54 },
         "platform": { "address": store },
     })
