Refuse late writes that may outlast a planned stop as not run

What callers saw: a write that arrived 3 s or more after SIGTERM on a kept connection was passed on if its route's objective fitted into the rest of the grace period, and answered 504 at 5.2 s while it ran; its outcome stayed unknown. The operators' report itself, requests cut with no answer, does not happen here: a_request_that_is_passed_on_in_the_grace_period_gets_a_complete_answer passes on the code before, for reads and writes, short, long, pipelined and with slow bodies.

Cause: admission during a shutdown rested on the objective for every request. Change: once the load balancer sends no more callers, a request that must not be repeated needs all its time before the exit.

Tests: a_late_write_that_may_outlast_the_grace_period_is_refused_as_not_run failed before in 3 of 3 cases (504 for long writes and slow bodies; no refusal of short writes). a_request_that_arrives_while_leaving_is_answered_before_the_exit sent its write at 3.2 s and expected it to run, which is the fault; it sends it at 2.0 s now, with the same checks of the answer, the exit and the upstream's deadline, and the new tests hold the refusal at 3 s and later.

--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -147,9 +147,10 @@
     let Some(schedule) = gateway.shutdown.get() else {
         return Ok(deadline);
     };
-    let bounded = schedule.deadline(Millis::now(), route.objective, deadline);
+    let now = Millis::now();
+    let bounded = schedule.deadline(now, route.delivery, route.objective, deadline);
     bounded.ok_or_else(|| {
-        let detail = "less time than the objective of the route is left before the exit";
+        let detail = "the request may need more time than is left before the exit";
         let refusal = Refusal::not_run(Cause::ShuttingDown, detail);
         with_retry_after(refusal, Millis::ZERO, deadline)
     })
--- a/components/gateway/src/shutdown_schedule.rs
+++ b/components/gateway/src/shutdown_schedule.rs
@@ -3,6 +3,7 @@
 //! sends, while the process has little time left. No I/O.
 
 use clock::Millis;
+use routes::Delivery;
 
 /// Time until the load balancer sends no new connections: it needs two failed
 /// readiness checks, one second apart, and some time to distribute the change.
@@ -50,11 +51,25 @@
     }
 
     /// Returns the deadline of a request that would else have to end by
-    /// `deadline`; `None` if it is to be refused, because the time that such a
-    /// request usually takes at most, its route's objective, is not left. Another
-    /// daemon can serve it.
-    pub fn deadline(&self, now: Millis, objective: Millis, deadline: Millis) -> Option<Millis> {
+    /// `deadline`; `None` if it is to be refused, because too little time is left, so that
+    /// another daemon can serve it.
+    ///
+    /// A request needs the time that such requests usually take at most, its route's
+    /// `objective`. One that must not be repeated needs all its time as soon as the load
+    /// balancer sends nothing more: the outcome of one that is cut off is unknown for good,
+    /// and its caller reaches another daemon at once.
+    pub fn deadline(
+        &self,
+        now: Millis,
+        delivery: Delivery,
+        objective: Millis,
+        deadline: Millis,
+    ) -> Option<Millis> {
         let usual_end = deadline.min(now + objective);
-        (usual_end <= self.request_deadline).then(|| deadline.min(self.request_deadline))
+        let ends_by = match delivery {
+            Delivery::AtMostOnce if now >= self.unlisted_at => deadline,
+            Delivery::AtMostOnce | Delivery::Idempotent => usual_end,
+        };
+        (ends_by <= self.request_deadline).then(|| deadline.min(self.request_deadline))
     }
 }
