Serve handed over requests by no older version than earlier ones

Cause: a request that is handed over bears the sender's own version as its bound, and an answer did not tell which version had served it.

Change: the response names the version; the sender asks for at least that one from then on, and hands requests over until it has it itself, at most 10 s. A route that its older table lacks gets 503 meanwhile, not 404.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -50,11 +50,12 @@
 }
 
 /// Serves a caller's request by this daemon's own links, or by another daemon's if they
-/// are lost, before or while it runs. A request that must not be repeated stays here
-/// once it may have been sent.
+/// are lost, before or while it runs, or if others have served its callers by a newer
+/// configuration meanwhile. A request that must not be repeated stays here once it may have
+/// been sent.
 async fn run_with_links(gateway: &Gateway, request: &RoutedRequest) -> Result<Response<Bytes>> {
     let links = &gateway.fleet.shared().links;
-    if links.are_cut() {
+    if links.are_cut() || gateway.peer_forwarder.is_ahead_of(request.version) {
         return gateway.peer_forwarder.forward(request).await;
     }
     let running = Box::pin(run_here(gateway, request));
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -19,7 +19,7 @@
 
 use crate::forward;
 use crate::in_flight::InFlightRequest;
-use crate::peer_forward::{read_handover, unserved};
+use crate::peer_forward::{read_handover, unserved, with_version};
 use crate::refusal::{Cause, Refusal, Result};
 use crate::routed_request::{
     Origin, ResolvedRoute, RoutedRequest, deadline, read_request, with_retry_after,
@@ -88,6 +88,7 @@
         .as_ref()
         .map_or("", |r| &r.entry.route.name)
         .to_owned();
+    let version = gateway.fleet.table().map_or(0, |table| table.version);
     let in_flight = gateway.in_flight.begin(InFlightRequest {
         id: id.clone(),
         route: route.clone(),
@@ -111,7 +112,11 @@
         response.headers_mut().insert(header::CONNECTION, close);
     }
     drop(in_flight);
-    response.map(Body::from)
+    let response = response.map(Body::from);
+    match origin {
+        Origin::Caller => response,
+        Origin::Peer => with_version(response, version),
+    }
 }
 
 fn resolve(
@@ -124,7 +129,12 @@
 ) -> Result<ResolvedRoute> {
     let table = gateway.fleet.table().ok_or_else(not_loaded)?;
     let context = context.map_err(|detail| Refusal::not_run(Cause::BadRequest, detail))?;
-    let entry = find_route(&table, request)?;
+    let entry = find_route(&table, request).map_err(|refusal| {
+        match gateway.peer_forwarder.is_ahead_of(table.version) {
+            true => not_loaded(),
+            false => refusal,
+        }
+    })?;
     Ok(ResolvedRoute {
         deadline: deadline(&entry.route, &context, arrived),
         table,
@@ -237,7 +247,7 @@
 fn not_loaded() -> Refusal {
     Refusal {
         retry_after: Some(LOADING_RETRY_AFTER),
-        ..Refusal::not_run(Cause::NotLoaded, "no configuration is in force yet")
+        ..Refusal::not_run(Cause::NotLoaded, "the configuration is not in force yet")
     }
 }
 
--- a/components/gateway/src/peer_forward.rs
+++ b/components/gateway/src/peer_forward.rs
@@ -25,7 +25,8 @@
 const REQUESTS_PATH: &str = "/v1/requests";
 /// Time that is left for the request, in milliseconds.
 const TIME_LEFT_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-time-left-ms");
-/// Version of the configuration that the sender has in force.
+/// In a request the lowest version of the configuration that may serve it, in its response
+/// the version that did.
 const VERSION_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-version");
 /// The attempts that may have been made for the request, as JSON.
 const ATTEMPTS_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-attempts");
@@ -38,6 +39,9 @@
 const OBJECTIVES: u64 = 2;
 /// Time after which callers may come back if no gateway took their request.
 const RETURN_TIME: Millis = Millis(500);
+/// A daemon that has not followed its peers to a version within this time serves by its
+/// own again: it may be unable to read that configuration.
+const CATCH_UP_TIME: Millis = Millis(10_000);
 const IDLE_CONNECTIONS: usize = 16;
 const RESPONSE_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
@@ -57,6 +61,9 @@
     clients: RefCell<HashMap<SocketAddr, Rc<Client>>>,
     paused: RefCell<HashMap<SocketAddr, (Pause, Millis)>>,
     has_failed: Cell<bool>,
+    /// Newest version that has served a request of this daemon's callers elsewhere, and
+    /// when it first did.
+    newest: Cell<(u64, Millis)>,
 }
 
 impl PeerForwarder {
@@ -67,6 +74,7 @@
             clients: RefCell::default(),
             paused: RefCell::default(),
             has_failed: Cell::new(false),
+            newest: Cell::new((0, Millis::ZERO)),
         }
     }
 
@@ -75,6 +83,20 @@
         self.has_failed.get()
     }
 
+    /// Whether another daemon has served callers of this one by a newer version of the
+    /// configuration lately: an older one would undo what they have seen.
+    pub(crate) fn is_ahead_of(&self, version: u64) -> bool {
+        let (newest, since) = self.newest.get();
+        newest > version && Millis::now().since(since) < CATCH_UP_TIME
+    }
+
+    fn record_version(&self, response: &Response<Bytes>) {
+        let version = header_number(response.headers(), &VERSION_HEADER).unwrap_or(0);
+        if version > self.newest.get().0 {
+            self.newest.set((version, Millis::now()));
+        }
+    }
+
     /// Hands a request to one gateway after the other until one takes it. A request
     /// that must not be repeated goes to another one only if the last did not take it.
     pub(crate) async fn forward(&self, request: &RoutedRequest) -> Result<Response<Bytes>> {
@@ -117,10 +139,11 @@
         let pause = match self.send(peer, request, &attempts).await {
             Ok(response) if !response.headers().contains_key(UNSERVED_HEADER) => {
                 self.has_failed.set(false);
+                self.record_version(&response);
                 count("answered");
                 return Some(match response.status() {
                     StatusCode::SERVICE_UNAVAILABLE if before => Err(refused_elsewhere(peer)),
-                    _ => Ok(caller_response(response)),
+                    _ => Ok(without_version(caller_response(response))),
                 });
             }
             Err(e) if !e.is_unsent() => {
@@ -175,7 +198,8 @@
             Delivery::AtMostOnce => left,
         };
         let client = self.client(peer);
-        let message = peer_request(request, left, attempts);
+        let version = request.version.max(self.newest.get().0);
+        let message = peer_request(request, version, left, attempts);
         client.send(message, RESPONSE_LIMIT_BYTES, timeout).await
     }
 
@@ -229,6 +253,7 @@
 /// Returns the request for a gateway, with what it needs to serve it.
 fn peer_request(
     request: &RoutedRequest,
+    version: u64,
     left: Millis,
     attempts: &AttemptsMade,
 ) -> Request<Payload> {
@@ -242,7 +267,7 @@
     *message.headers_mut() = forwarded.headers.clone();
     let headers = message.headers_mut();
     headers.insert(TIME_LEFT_HEADER, left.0.into());
-    headers.insert(VERSION_HEADER, request.version.into());
+    headers.insert(VERSION_HEADER, version.into());
     // The caller's own header of this name says nothing.
     headers.remove(ATTEMPTS_HEADER);
     let attempts = serde_json::to_string(attempts).unwrap_or_default();
@@ -257,7 +282,7 @@
 pub(crate) struct Handover {
     /// Time that is left for the request.
     pub(crate) time_left: Millis,
-    /// Version of the configuration that it has in force.
+    /// Lowest version of the configuration that may serve it.
     pub(crate) version: u64,
     /// The attempts that it and others may have made; `None` if they can't be read.
     pub(crate) attempts: Option<AttemptsMade>,
@@ -278,7 +303,26 @@
 }
 
 fn take_number(headers: &mut HeaderMap, name: &HeaderName) -> Option<u64> {
-    headers.remove(name)?.to_str().ok()?.parse().ok()
+    let number = header_number(headers, name);
+    headers.remove(name);
+    number
+}
+
+fn header_number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Tells the gateway that handed a request over which version served it.
+pub(crate) fn with_version<B>(mut response: Response<B>, version: u64) -> Response<B> {
+    response
+        .headers_mut()
+        .insert(VERSION_HEADER, version.into());
+    response
+}
+
+fn without_version(mut response: Response<Bytes>) -> Response<Bytes> {
+    response.headers_mut().remove(VERSION_HEADER);
+    response
 }
 
 /// Reads the attempts; gateways that do not count them send none.
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -6,6 +6,7 @@
 pub mod gateway;
 pub mod link;
 pub mod paced_load;
+pub mod peer;
 pub mod repeating;
 pub mod silent_link;
 pub mod site;
