Keep a request under suspicion at its upstreams after its caller has left

Cause: the entry of a request at its upstream went with its attempt when the caller left.

The other cases of gateway_crashes pass, no harmless request is quarantined.

--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -181,7 +181,12 @@
 ) -> Result<Response<Bytes>> {
     let routed = read_request(gateway, resolved, request).await?;
     match routed.entry.route.delivery {
-        Delivery::Idempotent => forward::run(gateway, &routed).await,
+        Delivery::Idempotent => {
+            let guard = DisconnectGuard(Some(routed.call.caller_left.clone()));
+            let result = forward::run(gateway, &routed).await;
+            guard.disarm();
+            result
+        }
         Delivery::AtMostOnce => run_once(gateway, routed).await,
     }
 }
@@ -190,7 +195,7 @@
 /// disconnects: cancelling a request that was sent would not undo it.
 async fn run_once(gateway: &Rc<Gateway>, routed: RoutedRequest) -> Result<Response<Bytes>> {
     let gateway = gateway.clone();
-    let _guard = DisconnectGuard(routed.call.caller_left.clone());
+    let guard = DisconnectGuard(Some(routed.call.caller_left.clone()));
     let running = gateway.detached.begin(InFlightRequest {
         id: routed.forwarded.id.clone(),
         route: routed.entry.route.name.clone(),
@@ -209,15 +214,26 @@
             "the request's task ended without an outcome",
         )
     };
-    detached(task).await.unwrap_or_else(|| Err(task_ended()))
+    let result = detached(task).await;
+    guard.disarm();
+    result.unwrap_or_else(|| Err(task_ended()))
 }
 
-/// Marks a request's caller as disconnected when the handler is dropped.
-struct DisconnectGuard(Rc<Cell<bool>>);
+/// Marks a request's caller as disconnected when the handler is dropped before the request
+/// is answered.
+struct DisconnectGuard(Option<Rc<Cell<bool>>>);
+
+impl DisconnectGuard {
+    fn disarm(mut self) {
+        self.0 = None;
+    }
+}
 
 impl Drop for DisconnectGuard {
     fn drop(&mut self) {
-        self.0.set(true);
+        if let Some(caller_left) = &self.0 {
+            caller_left.set(true);
+        }
     }
 }
 
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -8,6 +8,7 @@
 use clock::Millis;
 use telemetry::names;
 
+use crate::abandoned;
 use crate::attempt::record::{
     is_slow, record_lost_connection, record_outcome, record_refused, record_report, record_unusable,
 };
@@ -25,14 +26,15 @@
 ///
 /// Dropping it before it is finished cancels the request, mostly because its
 /// hedge was answered first, and records the time for the upstream's latency
-/// and, if it was slow, for its health.
+/// and, if it was slow, for its health. The upstream may go on with a request
+/// whose caller has left.
 struct Attempt<'a> {
-    pool: &'a Pool,
-    upstream: &'a Upstream,
+    pool: &'a Rc<Pool>,
+    upstream: &'a Rc<Upstream>,
+    call: &'a Call,
     started: Millis,
-    deadline: Millis,
     is_finished: bool,
-    _sent: SentGuard<'a>,
+    sent: SentGuard<'a>,
 }
 
 impl Drop for Attempt<'_> {
@@ -42,7 +44,7 @@
             return;
         }
         let elapsed = now.since(self.started);
-        if now >= self.deadline {
+        if now >= self.call.deadline {
             log_timeout(self.pool, self.upstream, elapsed);
         }
         let pool_mean_ms = self.pool.latency.borrow().mean_ms();
@@ -51,6 +53,12 @@
         if is_slow(self.pool, elapsed) {
             self.upstream.health.borrow_mut().record_slow(now);
         }
+        if let Some(request) = self.sent.request().filter(|_| now < self.call.deadline) {
+            let caller_left = self.call.caller_left.clone();
+            let abandoned = &self.upstream.abandoned;
+            abandoned.add(request, caller_left, self.call.deadline);
+            abandoned::watch(self.pool, self.upstream);
+        }
     }
 }
 
@@ -136,10 +144,10 @@
     let mut attempt = Attempt {
         pool,
         upstream,
+        call,
         started,
-        deadline: call.deadline,
         is_finished: false,
-        _sent: SentGuard::new(upstream, sent_request(slot, call, shard)),
+        sent: SentGuard::new(upstream, sent_request(slot, call, shard)),
     };
     call.may_have_run.set(true);
     call.attempts.borrow_mut().add(shard);
--- a/components/upstreams/src/crash_check.rs
+++ b/components/upstreams/src/crash_check.rs
@@ -51,6 +51,7 @@
         let mut check = upstream.check.borrow_mut();
         let check = check.get_or_insert_default();
         check.add(upstream.sent.borrow().values());
+        check.add(upstream.abandoned.requests(Millis::now()).iter());
         check.waiters.push(sender);
     }
     if is_first {
@@ -99,6 +100,7 @@
     if requests.is_empty() {
         return;
     }
+    upstream.abandoned.clear();
     for request in requests {
         log_crash(pool, upstream, request, now);
         let crash = Crash {
--- a/components/upstreams/src/lib.rs
+++ b/components/upstreams/src/lib.rs
@@ -1,6 +1,7 @@
 //! Sends requests to upstreams: slots, connections, health, hedges and
 //! retries.
 
+mod abandoned;
 mod attempt;
 mod attempts_made;
 mod backoffs;
--- a/components/upstreams/src/sent.rs
+++ b/components/upstreams/src/sent.rs
@@ -31,6 +31,11 @@
         let key = upstream.sent.borrow_mut().insert(request);
         Self { upstream, key }
     }
+
+    /// Returns the listed request.
+    pub(crate) fn request(&self) -> Option<SentRequest> {
+        self.upstream.sent.borrow().get(self.key).cloned()
+    }
 }
 
 impl Drop for SentGuard<'_> {
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -9,6 +9,7 @@
 use slotmap::{SlotMap, new_key_type};
 use transport::Connection;
 
+use crate::abandoned::Abandoned;
 use crate::crash_check::CrashCheck;
 use crate::endpoint::Endpoint;
 use crate::health::Health;
@@ -63,6 +64,8 @@
     is_preferred: bool,
     /// Requests that were sent to it and are not answered yet.
     pub(crate) sent: RefCell<SlotMap<SentKey, SentRequest>>,
+    /// Requests that may run there without a caller.
+    pub(crate) abandoned: Abandoned,
     /// Set while it is checked whether it ended.
     pub(crate) check: RefCell<Option<CrashCheck>>,
     /// Requests that run here now.
@@ -137,6 +140,7 @@
             health: RefCell::new(Health::new(config.failures_to_eject)),
             is_preferred,
             sent: RefCell::default(),
+            abandoned: Abandoned::default(),
             check: RefCell::default(),
             latency: RefCell::default(),
             running: RefCell::default(),
--- a/standins/src/platform/upstream.rs
+++ b/standins/src/platform/upstream.rs
@@ -50,6 +50,8 @@
     pub arrivals: RefCell<Vec<Millis>>,
     /// Times at which an upstream ended.
     pub ends: RefCell<Vec<Millis>>,
+    /// Whether an upstream goes on with a request whose caller has disconnected.
+    pub outlives_callers: Cell<bool>,
 }
 
 impl CrashLog {
@@ -240,8 +242,15 @@
     let load = format!("{},0,{}", upstream.busy.get(), upstream.slots);
     if let Some(log) = upstream.crash_log.as_ref().filter(|_| is_crashing) {
         log.arrivals.borrow_mut().push(Millis::now());
-        compio::time::sleep(TIME_TO_CRASH.into()).await;
-        upstream.crash.set();
+        let crash = upstream.crash.clone();
+        let crashing = compio::runtime::spawn(async move {
+            compio::time::sleep(TIME_TO_CRASH.into()).await;
+            crash.set();
+        });
+        match log.outlives_callers.get() {
+            true => crashing.detach(),
+            false => drop(crashing.await),
+        }
         std::future::pending::<()>().await;
     }
     compio::time::sleep(upstream.service_time.get().into()).await;
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -29,6 +29,8 @@
 const UPSTREAMS: usize = 16;
 const CRASH_INTERVAL: Millis = Millis(250);
 const RUN_TIME: Millis = Millis(12_000);
+/// Callers that leave before the upstream ends do so after this time.
+const CALLER_PATIENCE: Millis = Millis(50);
 /// Harmless requests are sent to each gateway at this interval.
 const HARMLESS_INTERVAL: Millis = Millis(85);
 /// Every other harmless request has one of this many paths.
@@ -71,13 +73,15 @@
 
 async fn try_get(gateway: SocketAddr, path: &str, id: &str) -> Option<Response<Bytes>> {
     let request = Request::get(path).body(Payload::default()).unwrap();
-    try_send(gateway, request, id).await
+    try_send(gateway, request, id, TIMEOUT).await
 }
 
+/// Sends a request; its caller disconnects after `patience`.
 async fn try_send(
     gateway: SocketAddr,
     mut request: Request<Payload>,
     id: &str,
+    patience: Millis,
 ) -> Option<Response<Bytes>> {
     let headers = [
         ("host", HOST),
@@ -87,7 +91,7 @@
     for (name, value) in headers {
         request.headers_mut().insert(name, value.parse().unwrap());
     }
-    let sent = transport::request(gateway, request, ANSWER_LIMIT_BYTES, TIMEOUT);
+    let sent = transport::request(gateway, request, ANSWER_LIMIT_BYTES, patience);
     sent.await.ok()
 }
 
@@ -132,7 +136,7 @@
             .header("authorization", "harmless")
             .body(Payload::default())
             .unwrap();
-        match try_send(gateway, request, id).await {
+        match try_send(gateway, request, id, TIMEOUT).await {
             Some(answer) if answer.status() == StatusCode::OK => {
                 self.answered.set(self.answered.get() + 1);
             }
@@ -274,3 +278,47 @@
     assert!(is_quarantined(&answer), "{answer:?}");
     assert_eq!(site.log.ends.borrow().len(), ends);
 }
+
+/// Guards against a request that ends upstreams being forgotten when its caller disconnects
+/// before the upstream ends.
+#[rstest]
+#[case::read(1, READ)]
+#[case::search(4, SEARCH)]
+#[compio::test]
+async fn a_crashing_request_is_quarantined_though_its_callers_have_left(
+    #[case] shards: usize,
+    #[case] prefix: &str,
+) {
+    let site = CrashSite::start(shards, UPSTREAMS / shards).await;
+    site.log.outlives_callers.set(true);
+    let gateways = start_gateways(&site, 3).await;
+    let harmless = Rc::new(Harmless::default());
+    let load: Vec<_> = gateways
+        .iter()
+        .enumerate()
+        .map(|(n, g)| harmless.start(g, n, prefix))
+        .collect();
+    let path = format!("{prefix}{CRASHING}");
+    let begin = Millis::now();
+    for n in 0.. {
+        if Millis::now().since(begin) > RUN_TIME {
+            break;
+        }
+        compio::time::sleep(CRASH_INTERVAL.into()).await;
+        let gateway = gateways[n % gateways.len()].endpoints.callers();
+        let request = Request::get(&path).body(Payload::default()).unwrap();
+        try_send(gateway, request, &format!("c-{n}"), CALLER_PATIENCE).await;
+    }
+    drop(load);
+    let late = site.log.late_arrivals(STABLE_WINDOW);
+    println!(
+        "{} ends, {} sends, {late} of them late",
+        site.log.ends.borrow().len(),
+        site.log.arrivals.borrow().len()
+    );
+    print_logs(&gateways);
+    assert!(site.log.ends.borrow().len() >= 3);
+    assert!(late <= LATE_SENDS, "{late} late sends");
+    let refused = harmless.quarantined.borrow();
+    assert!(refused.is_empty(), "harmless requests refused: {refused:?}");
+}
