Start no task when a cancelled attempt is dropped

Cause: started the watch of an upstream in the destructor of an attempt, which also runs when the runtime is dropped at the exit.

--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -8,7 +8,6 @@
 use clock::Millis;
 use telemetry::names;
 
-use crate::abandoned;
 use crate::attempt::record::{
     is_slow, record_lost_connection, record_outcome, record_refused, record_report, record_unusable,
 };
@@ -53,11 +52,13 @@
         if is_slow(self.pool, elapsed) {
             self.upstream.health.borrow_mut().record_slow(now);
         }
-        if let Some(request) = self.sent.request().filter(|_| now < self.call.deadline) {
+        // Only then are crashes of abandoned requests looked for.
+        let is_listed = self.pool.shared.config.confirms_crashes && now < self.call.deadline;
+        if let Some(request) = self.sent.request().filter(|_| is_listed) {
             let caller_left = self.call.caller_left.clone();
             let abandoned = &self.upstream.abandoned;
             abandoned.add(request, caller_left, self.call.deadline);
-            abandoned::watch(self.pool, self.upstream);
+            self.pool.shared.unwatched.add(self.pool, self.upstream);
         }
     }
 }
--- a/components/upstreams/src/attempt/record.rs
+++ b/components/upstreams/src/attempt/record.rs
@@ -44,8 +44,7 @@
         true => check_crash(pool, upstream).await,
         false => {
             upstream.close_idle();
-            let mut requests: Vec<SentRequest> = upstream.sent.borrow().values().cloned().collect();
-            requests.extend(upstream.abandoned.requests(now));
+            let requests: Vec<SentRequest> = upstream.sent.borrow().values().cloned().collect();
             record_crashes(pool, upstream, &requests, now);
         }
     }
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -9,6 +9,7 @@
 use telemetry::RequestLogLimiter;
 use transport::ResponseMemory;
 
+use crate::abandoned::Unwatched;
 use crate::backoffs::Backoffs;
 use crate::crashes::{CrashTable, DEFAULT_CRASH_LIMIT};
 use crate::drains::Drains;
@@ -59,6 +60,8 @@
     pub rate_limits: RateLimits,
     /// The upstreams of all pools.
     pub(crate) upstreams: KnownUpstreams,
+    /// Upstreams where requests were cancelled.
+    pub(crate) unwatched: Unwatched,
     /// The links of this daemon to all upstreams together.
     pub links: Links,
     /// Crashes of upstreams, by the requests that ran there.
@@ -92,6 +95,7 @@
             backoffs: Backoffs::default(),
             rate_limits: RateLimits::default(),
             upstreams: KnownUpstreams::default(),
+            unwatched: Unwatched::default(),
             links: Links::default(),
             crashes: CrashTable::new(config.crash_limit),
             peer_notifier: RefCell::default(),
