--- a/components/gateway/src/forward/search.rs
+++ b/components/gateway/src/forward/search.rs
@@ -55,12 +55,12 @@
         reasons.collect::<Vec<_>>().join(" ")
     }
 
-    /// Returns the failure of a search that was quarantined, with whether any shard
+    /// Returns the failure of a search that may not run on any shard, with whether one
     /// may have run it.
-    fn quarantine_failure(&self) -> Option<Failure> {
-        let is_quarantined = |f: &&Failure| f.reason == Reason::Quarantined;
+    fn denial(&self) -> Option<Failure> {
+        let is_denied = |f: &&Failure| matches!(f.reason, Reason::Quarantined | Reason::Revoked);
         let failures = self.failures.iter().map(|(_, failure)| failure);
-        let quarantined = failures.clone().find(is_quarantined)?;
+        let denied = failures.clone().find(is_denied)?;
         let is_running = self.answers.len() + self.failures.len() < self.covered.len();
         let ran = match is_running {
             true => Ran::Unknown,
@@ -68,7 +68,7 @@
         };
         Some(Failure {
             ran,
-            ..quarantined.clone()
+            ..denied.clone()
         })
     }
 
@@ -181,7 +181,7 @@
     pools: &[Option<Rc<Pool>>],
 ) -> Refusal {
     let progress = results.progress();
-    if let Some(failure) = results.quarantine_failure() {
+    if let Some(failure) = results.denial() {
         return Refusal::from_failure(&failure);
     }
     let detail = format!(
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -18,6 +18,7 @@
 use upstreams::{AttemptsMade, Ran};
 
 use crate::forward;
+use crate::identity::Identity;
 use crate::in_flight::InFlightRequest;
 use crate::peer_forward::{read_handover, unserved, with_version};
 use crate::refusal::{Cause, Refusal, Result};
@@ -129,17 +130,21 @@
 ) -> Result<ResolvedRoute> {
     let table = gateway.fleet.table().ok_or_else(not_loaded)?;
     let context = context.map_err(|detail| Refusal::not_run(Cause::BadRequest, detail))?;
-    let entry = find_route(&table, request).map_err(|refusal| {
-        match gateway.peer_forwarder.is_ahead_of(table.version) {
-            true => not_loaded(),
-            false => refusal,
-        }
-    })?;
+    // What this version refuses, a newer one may allow.
+    let unless_behind = |refusal| match gateway.peer_forwarder.is_ahead_of(table.version) {
+        true => not_loaded(),
+        false => refusal,
+    };
+    let entry = find_route(&table, request).map_err(unless_behind)?;
+    let (wire, headers) = (gateway.wire.as_ref(), request.headers());
+    let identity = Identity::resolve(wire, &table, &entry.route, origin, headers);
+    let identity = identity.map_err(unless_behind)?;
     Ok(ResolvedRoute {
         deadline: deadline(&entry.route, &context, arrived),
         table,
         entry,
         origin,
+        identity,
         context,
         arrived,
         may_have_run: Rc::default(),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod forward;
 mod gather;
 mod handler;
+mod identity;
 mod in_flight;
 mod link_watch;
 mod merge;
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -16,6 +16,10 @@
     BadRequest,
     /// No route matches.
     NoRoute,
+    /// No workspace holds the caller's key.
+    UnknownKey,
+    /// The workspace is beyond its quota.
+    OverQuota,
     /// The body is too large.
     BodyTooLarge,
     /// No configuration is in force on this daemon yet.
@@ -46,6 +50,8 @@
         match self {
             Cause::BadRequest => "bad_request",
             Cause::NoRoute => "no_route",
+            Cause::UnknownKey => "unknown_key",
+            Cause::OverQuota => "over_quota",
             Cause::BodyTooLarge => "body_too_large",
             Cause::NotLoaded => "not_loaded",
             Cause::Overloaded => "overloaded",
@@ -94,6 +100,7 @@
     pub fn from_failure(failure: &Failure) -> Self {
         let cause = match failure.reason {
             Reason::Quarantined => Cause::Quarantined,
+            Reason::Revoked if failure.ran == Ran::No => Cause::UnknownKey,
             Reason::NoReplica if failure.ran == Ran::No => Cause::NoUpstream,
             Reason::RateLimited if failure.ran == Ran::No => Cause::RateLimited,
             Reason::Timeout => Cause::Timeout,
@@ -115,6 +122,8 @@
         match (self.cause, self.ran) {
             (Cause::BadRequest, _) => StatusCode::BAD_REQUEST,
             (Cause::NoRoute, _) => StatusCode::NOT_FOUND,
+            (Cause::UnknownKey, _) => StatusCode::UNAUTHORIZED,
+            (Cause::OverQuota, _) => StatusCode::TOO_MANY_REQUESTS,
             (Cause::BodyTooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
             (_, Ran::No) => StatusCode::SERVICE_UNAVAILABLE,
             (Cause::Timeout | Cause::ShuttingDown, _) => StatusCode::GATEWAY_TIMEOUT,
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -15,6 +15,7 @@
 use upstreams::{Answer, AttemptsMade, Call, RetryPolicy};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::identity::Identity;
 use crate::refusal::{Cause, Refusal, Result};
 use crate::retry_after::retry_after;
 use crate::state::Gateway;
@@ -45,6 +46,7 @@
     pub(crate) table: Rc<Table>,
     pub(crate) entry: Rc<Entry>,
     pub(crate) origin: Origin,
+    pub(crate) identity: Identity,
     pub(crate) context: RequestContext,
     pub(crate) arrived: Millis,
     /// Time by which the answer must have arrived.
@@ -85,28 +87,36 @@
         table,
         entry,
         origin,
+        identity,
         context,
         arrived,
         deadline,
         may_have_run,
         attempts,
     } = resolved;
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    let workspace = identity.workspace().map(|w| w.name.clone());
+    if table.requires_keys() {
+        let name = workspace.as_deref();
+        gateway.wire.set_workspace(&mut head.headers, name);
+    }
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
     let route = &entry.route;
     let deadline = deadline_before_exit(gateway, route, deadline)?;
-    let fingerprint = fingerprint(&head, &body);
+    let fingerprint = fingerprint(&head, workspace.as_deref(), &body);
     let forwarded = Rc::new(forwarded_request(context.id, head, body, &route.target));
     let call = Call {
         message: gateway.wire.message(forwarded.clone()),
         version: None,
         fingerprint,
-        priority: route.priority,
+        priority: priority(&identity, route),
         deadline,
         rate_by: arrived + Millis(route.objective.0 / RATE_WAIT_DIVISOR),
         draw: rand::random(),
         caller_left: Rc::default(),
         may_have_run,
+        permission: identity.permission(&gateway.fleet, table.version),
+        workspace,
         attempts: Rc::new(RefCell::new(attempts)),
         policy: retry_policy(gateway, route),
     };
@@ -120,6 +130,12 @@
     })
 }
 
+/// Returns the rank of a request; a workspace's goes before its route's.
+fn priority(identity: &Identity, route: &Route) -> u8 {
+    let own = identity.workspace().and_then(|w| w.priority);
+    own.unwrap_or(route.priority)
+}
+
 fn forwarded_request(id: String, head: Parts, body: Bytes, target: &Target) -> ForwardedRequest {
     ForwardedRequest {
         id,
@@ -189,16 +205,20 @@
     }
 }
 
-/// Returns a digest of the method, the host, the credentials, the path with its
+/// Returns a digest of the method, the host, the caller, the path with its
 /// query and the body, which stay the same when a request that crashes upstreams
 /// is repeated.
-fn fingerprint(head: &Parts, body: &[u8]) -> u64 {
+fn fingerprint(head: &Parts, workspace: Option<&str>, body: &[u8]) -> u64 {
     let mut text = Vec::with_capacity(body.len() + 128);
     let path = head.uri.path_and_query().map_or("", |p| p.as_str());
     for part in [head.method.as_str(), path] {
         text.extend_from_slice(part.as_bytes());
         text.push(b'\n');
     }
+    if let Some(workspace) = workspace {
+        text.extend_from_slice(workspace.as_bytes());
+        text.push(b'\n');
+    }
     for name in [header::HOST, header::AUTHORIZATION] {
         text.extend_from_slice(head.headers.get(name).map_or(b"", |v| v.as_bytes()));
         text.push(b'\n');
--- a/components/gateway/src/wire.rs
+++ b/components/gateway/src/wire.rs
@@ -54,6 +54,15 @@
     /// The error names the missing or malformed header.
     fn request_context(&self, headers: &HeaderMap) -> Result<RequestContext, String>;
 
+    /// Returns the key that a caller sent; `None` if there is none, or more than one.
+    fn api_key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a [u8]>;
+
+    /// Returns the workspace that a request names; only daemons name one truthfully.
+    fn workspace<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
+
+    /// Removes the key and sets the workspace, or removes it if there is none.
+    fn set_workspace(&self, headers: &mut HeaderMap, workspace: Option<&str>);
+
     /// Returns the message for the upstreams.
     fn message(&self, forwarded: Rc<ForwardedRequest>) -> Rc<dyn Message>;
 
--- a/components/query/src/server.rs
+++ b/components/query/src/server.rs
@@ -120,6 +120,8 @@
             rate_by: deadline,
             draw: rand::random(),
             caller_left: Rc::default(),
+            permission: Rc::new(upstreams::Permanent),
+            workspace: None,
             may_have_run: Rc::default(),
             attempts: Rc::default(),
             policy: retry_policy(topology),
--- a/components/routes/src/configuration.rs
+++ b/components/routes/src/configuration.rs
@@ -1,9 +1,12 @@
 //! The configuration of routes, services and limits.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use clock::Millis;
 
+use crate::workspace::Workspace;
+
 /// A complete version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
@@ -15,14 +18,19 @@
     pub services: BTreeMap<String, ServiceLimits>,
     /// Limits on callers' requests and connections.
     pub limits: Limits,
+    /// The workspaces; `None` if callers need no keys.
+    pub workspaces: Option<Vec<Rc<Workspace>>>,
 }
 
 /// Limits of a service's upstreams.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServiceLimits {
     /// Maximum number of connections that one upstream accepts from all
     /// daemons together.
     pub connections: usize,
+    /// Requests a second that one upstream takes from all daemons together while it
+    /// is cold; `None` if there is no limit.
+    pub cold_rate: Option<f64>,
 }
 
 /// Limits on callers' requests and connections.
@@ -73,6 +81,8 @@
     pub attempts: usize,
     /// Services that serve the requests.
     pub target: Target,
+    /// Whether callers need no key.
+    pub is_public: bool,
 }
 
 /// Delivery guarantee: whether a request may be sent more than once.
--- a/components/routes/src/lib.rs
+++ b/components/routes/src/lib.rs
@@ -4,9 +4,11 @@
 mod configuration;
 mod split;
 mod table;
+mod workspace;
 
 pub use configuration::{
     Configuration, Delivery, Gather, Limits, Route, ServiceLimits, Target, WeightedService,
 };
 pub use split::Splitter;
 pub use table::{Entry, Table};
+pub use workspace::{KeyDigest, Quota, Workspace};
--- a/components/routes/src/table.rs
+++ b/components/routes/src/table.rs
@@ -5,6 +5,7 @@
 
 use crate::configuration::{Configuration, Limits, Route, ServiceLimits};
 use crate::split::Splitter;
+use crate::workspace::{KeyDigest, Workspace, Workspaces};
 
 /// A configuration, indexed by host and path prefix.
 #[derive(Debug, Default)]
@@ -15,6 +16,7 @@
     pub limits: Limits,
     services: HashMap<String, ServiceLimits>,
     hosts: HashMap<String, HashMap<String, Rc<Entry>>>,
+    workspaces: Option<Workspaces>,
 }
 
 /// A route with the state of its traffic split.
@@ -44,9 +46,25 @@
             limits: configuration.limits,
             services: services.map(|(name, s)| (name.clone(), *s)).collect(),
             hosts,
+            workspaces: configuration.workspaces.as_deref().map(Workspaces::new),
         }
     }
 
+    /// Whether callers identify themselves by keys, on routes that are not public.
+    pub fn requires_keys(&self) -> bool {
+        self.workspaces.is_some()
+    }
+
+    /// Returns the workspace that holds a key.
+    pub fn find_workspace(&self, key: &KeyDigest) -> Option<Rc<Workspace>> {
+        self.workspaces.as_ref()?.by_key(key).cloned()
+    }
+
+    /// Returns the workspace of a name.
+    pub fn workspace(&self, name: &str) -> Option<Rc<Workspace>> {
+        self.workspaces.as_ref()?.by_name(name).cloned()
+    }
+
     /// Returns the route of `host` with the longest prefix that matches `path`;
     /// a port in `host` is ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<Rc<Entry>> {
--- a/components/routes/tests/table.rs
+++ b/components/routes/tests/table.rs
@@ -1,11 +1,17 @@
 //! Tests of routing, traffic splits and the required coverage of searches.
 
+use std::rc::Rc;
+
 use clock::Millis;
-use routes::{Configuration, Delivery, Gather, Route, Splitter, Table, Target, WeightedService};
+use routes::{
+    Configuration, Delivery, Gather, KeyDigest, Route, Splitter, Table, Target, WeightedService,
+    Workspace,
+};
 use rstest::rstest;
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
     Route {
+        is_public: false,
         name: name.to_owned(),
         host: host.to_owned(),
         prefix: prefix.to_owned(),
@@ -101,3 +107,43 @@
     let share = count as f64 / SPLITTERS as f64;
     assert!((share - 0.25).abs() < TOLERANCE, "{share}");
 }
+
+fn workspace(name: &str, keys: &[&str]) -> Rc<Workspace> {
+    Rc::new(Workspace {
+        name: name.into(),
+        keys: keys.iter().map(|k| KeyDigest::of(k.as_bytes())).collect(),
+        priority: None,
+        quota: None,
+    })
+}
+
+#[rstest]
+#[case::first_key("k1", Some("one"))]
+#[case::second_key("k2", Some("one"))]
+#[case::other_workspace("k3", Some("two"))]
+#[case::unknown("k4", None)]
+#[case::part_of_a_key("k", None)]
+#[case::empty("", None)]
+fn a_key_belongs_to_the_workspace_that_lists_it(#[case] key: &str, #[case] expected: Option<&str>) {
+    let table = Table::new(&Configuration {
+        workspaces: Some(vec![
+            workspace("one", &["k1", "k2"]),
+            workspace("two", &["k3"]),
+        ]),
+        ..Configuration::default()
+    });
+    assert!(table.requires_keys());
+    let found = table.find_workspace(&KeyDigest::of(key.as_bytes()));
+    assert_eq!(found.as_ref().map(|w| &*w.name), expected);
+}
+
+// A list that becomes empty must not open the routes to everybody.
+#[test]
+fn an_empty_list_of_workspaces_still_requires_keys() {
+    let table = Table::new(&Configuration {
+        workspaces: Some(Vec::new()),
+        ..Configuration::default()
+    });
+    assert!(table.requires_keys());
+    assert!(!Table::new(&Configuration::default()).requires_keys());
+}
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -119,6 +119,9 @@
     if call.caller_left.get() {
         return Err(Failure::not_run(Reason::CallerLeft));
     }
+    if !call.permission.is_valid() {
+        return Err(Failure::not_run(Reason::Revoked));
+    }
     // It may have been quarantined while it waited for its slot and connection.
     let shared = &pool.shared;
     shared
--- a/components/upstreams/src/call.rs
+++ b/components/upstreams/src/call.rs
@@ -36,12 +36,32 @@
     pub caller_left: Rc<Cell<bool>>,
     /// Whether an upstream may have run the request.
     pub may_have_run: Rc<Cell<bool>>,
+    /// Whether the request may still be sent.
+    pub permission: Rc<dyn Permission>,
+    /// Workspace of the caller, if callers have one.
+    pub workspace: Option<Rc<str>>,
     /// The attempts so far, also those of daemons that handed the request over.
     pub attempts: Rc<RefCell<AttemptsMade>>,
     /// Limits for attempts, hedges and retries.
     pub policy: RetryPolicy,
 }
 
+/// Whether a request may still be sent: what allowed it can be withdrawn while it waits.
+pub trait Permission {
+    /// Whether it may be sent now.
+    fn is_valid(&self) -> bool;
+}
+
+/// A permission that is not withdrawn.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Permanent;
+
+impl Permission for Permanent {
+    fn is_valid(&self) -> bool {
+        true
+    }
+}
+
 /// How many attempts and how much extra load a request may cause.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryPolicy {
--- a/components/upstreams/src/failure.rs
+++ b/components/upstreams/src/failure.rs
@@ -67,6 +67,8 @@
     Misdirected,
     /// The caller disconnected before the request was sent.
     CallerLeft,
+    /// The caller's key was withdrawn before the request was sent.
+    Revoked,
     /// The request is refused because upstreams crashed while it ran.
     Quarantined,
     /// The daemon that owns the shard did not answer.
@@ -89,6 +91,7 @@
             Reason::UpstreamError => "upstream_error",
             Reason::Misdirected => "misdirected",
             Reason::CallerLeft => "caller_left",
+            Reason::Revoked => "revoked",
             Reason::Quarantined => "quarantined",
             Reason::OwnerUnreachable => "owner_unreachable",
         }
--- a/components/upstreams/src/lib.rs
+++ b/components/upstreams/src/lib.rs
@@ -41,7 +41,7 @@
 pub use backoffs::Backoffs;
 pub use batch::jittered_wait;
 pub use budget::Budget;
-pub use call::{Call, RetryPolicy, Shard};
+pub use call::{Call, Permanent, Permission, RetryPolicy, Shard};
 pub use crashes::{CRASH_TTL, Crash, CrashStatus, CrashTable, SharedCrash};
 pub use drains::Drains;
 pub use endpoint::Endpoint;
--- a/components/upstreams/tests/support/test_pool.rs
+++ b/components/upstreams/tests/support/test_pool.rs
@@ -38,6 +38,8 @@
         rate_by: Millis::now() + within,
         draw: 0.0,
         caller_left: Rc::default(),
+        permission: Rc::new(upstreams::Permanent),
+        workspace: None,
         may_have_run: Rc::default(),
         attempts: Rc::default(),
         policy,
