Take a response without a defined final status for no answer

Cause: the HTTP client reads statuses from 100 to 999, and takes 101 for a final response; 101 and 600 to 999 from an upstream or another gateway passed to the caller as an answer. 000, 099, letters and two status lines were rejected before. Change: a connection rejects statuses other than 200 to 599 as unusable.

--- a/components/transport/src/client.rs
+++ b/components/transport/src/client.rs
@@ -18,6 +18,7 @@
     address: SocketAddr,
     idle: RefCell<Vec<Connection>>,
     idle_limit: usize,
+    connect_timeout: Option<Millis>,
 }
 
 impl Client {
@@ -32,6 +33,15 @@
             address,
             idle: RefCell::default(),
             idle_limit,
+            connect_timeout: None,
+        }
+    }
+
+    /// Bounds the time for opening a connection; what takes longer was not sent.
+    pub fn with_connect_timeout(self, timeout: Millis) -> Self {
+        Self {
+            connect_timeout: Some(timeout),
+            ..self
         }
     }
 
@@ -94,11 +104,21 @@
         request: Request<Payload>,
         limit: usize,
     ) -> Result<Response<Bytes>> {
-        let mut conn = Connection::open(self.address).await?;
+        let mut conn = self.open().await?;
         let response = conn.send(request, limit).await?;
         Ok(self.keep_idle(conn, response))
     }
 
+    async fn open(&self) -> Result<Connection> {
+        let address = self.address;
+        let opening = Connection::open(address);
+        let Some(waited) = self.connect_timeout else {
+            return opening.await;
+        };
+        let opened = compio::time::timeout(waited.into(), opening).await;
+        opened.unwrap_or(Err(Error::ConnectTimeout { address, waited }))
+    }
+
     fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         idle.retain(Connection::is_open);
--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -20,6 +20,10 @@
 /// Largest head of a response, and largest part of a body that is read ahead.
 const BUFFER_BYTES: usize = 128 * 1024;
 
+/// Statuses of final responses. The HTTP library reads all numbers from 100 to 999, and
+/// takes 101 for a final response, which this client never asks for.
+const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
+
 /// A request body held in memory.
 pub type Payload = Full<Bytes>;
 
@@ -120,6 +124,10 @@
                 None => return Err(Error::from_exchange(address, e.into_error())),
             },
         };
+        let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            return Err(Error::InvalidStatus { address, status });
+        }
         let (head, body) = response.into_parts();
         let body = read_body(address, body, limit, memory).await?;
         Ok(Response::from_parts(head, body))
--- a/components/transport/src/error.rs
+++ b/components/transport/src/error.rs
@@ -21,6 +21,14 @@
         /// Error of the operating system.
         source: io::Error,
     },
+    /// No connection was open within the timeout, so the request was not sent.
+    #[snafu(display("not connected to {address} within {waited}"))]
+    ConnectTimeout {
+        /// The address that was tried.
+        address: SocketAddr,
+        /// The timeout.
+        waited: Millis,
+    },
     /// The connection was closed before the request was written.
     #[snafu(display("connection to {address} closed before the request was sent"))]
     NotSent {
@@ -59,6 +67,14 @@
         /// Error of the HTTP library.
         source: hyper::Error,
     },
+    /// The status is none of a final response.
+    #[snafu(display("response from {address} with status {status}"))]
+    InvalidStatus {
+        /// The peer's address.
+        address: SocketAddr,
+        /// The status.
+        status: u16,
+    },
     /// No response came within the timeout.
     #[snafu(display("no response from {address} within {waited}"))]
     Timeout {
@@ -99,7 +115,10 @@
     pub fn is_unusable(&self) -> bool {
         matches!(
             self,
-            Error::TooLarge { .. } | Error::TooManyInterim { .. } | Error::Malformed { .. }
+            Error::TooLarge { .. }
+                | Error::TooManyInterim { .. }
+                | Error::Malformed { .. }
+                | Error::InvalidStatus { .. }
         )
     }
 
@@ -107,7 +126,10 @@
     pub fn is_unsent(&self) -> bool {
         matches!(
             self,
-            Error::Connect { .. } | Error::NotSent { .. } | Error::Handshake { .. }
+            Error::Connect { .. }
+                | Error::ConnectTimeout { .. }
+                | Error::NotSent { .. }
+                | Error::Handshake { .. }
         )
     }
 }
