--- a/standins/src/platform/gateway.rs
+++ b/standins/src/platform/gateway.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use clock::Millis;
 use http::{Method, Request, Response, StatusCode};
+use serde_json::Value;
 use transport::Payload;
 use uuid::Uuid;
 
@@ -51,12 +52,26 @@
 
 /// Starts a gateway in a failure domain.
 pub async fn start_gateway_in(domain: &str, store: SocketAddr, seeds: &[Endpoints]) -> Gateway {
+    start_gateway_with(domain, store, seeds, Value::Null).await
+}
+
+/// Starts a gateway in a failure domain with the limits of its process, as in the settings
+/// file.
+pub async fn start_gateway_with(
+    domain: &str,
+    store: SocketAddr,
+    seeds: &[Endpoints],
+    limits: Value,
+) -> Gateway {
     let endpoints = unused_endpoints();
     let dir = std::env::temp_dir().join(format!("coltsfootgw-{}", Uuid::new_v4()));
     std::fs::create_dir_all(&dir).unwrap();
     let seeds: Vec<_> = seeds.iter().map(|s| s.peers()).collect();
     let name = format!("gateway-{}", endpoints.ip);
-    let settings = site::settings(&name, endpoints, domain, store, &seeds);
+    let mut settings = site::settings(&name, endpoints, domain, store, &seeds);
+    if !limits.is_null() {
+        settings["limits"] = limits;
+    }
     let path = dir.join("settings.yaml");
     std::fs::write(&path, settings.to_string()).unwrap();
     let process = start_process(&dir, 0).await;
