Queue sub-requests by rank, then fairly by workspace, then by deadline

Cause: a workspace that sends several times its usual rate took the slots and the queue from the others, and a lower rank got nothing under a flood of a higher one. A caller of a workspace that gives up frees its place at once. Without workspaces the order is as before.

--- a/components/telemetry/src/metric.rs
+++ b/components/telemetry/src/metric.rs
@@ -52,6 +52,10 @@
     pub const SLOTS_USED: &str = "coltsfootgw_slots_used";
     /// Sub-requests that wait for a slot.
     pub const QUEUE_LENGTH: &str = "coltsfootgw_queue_length";
+    /// Slots that waiting sub-requests got, by rank.
+    pub const QUEUE_GRANTS_TOTAL: &str = "coltsfootgw_queue_grants_total";
+    /// Waiting sub-requests that lost their place in a full queue to another workspace.
+    pub const QUEUE_DISPLACED_TOTAL: &str = "coltsfootgw_queue_displaced_total";
     /// Requests in quarantine because they crash upstreams.
     pub const QUARANTINED: &str = "coltsfootgw_quarantined";
     /// Connections to upstreams that were lost while a request ran.
--- a/components/upstreams/src/dispatch.rs
+++ b/components/upstreams/src/dispatch.rs
@@ -13,7 +13,6 @@
 use crate::pool::Pool;
 use crate::queue::SlotRequest;
 use crate::search::ShardSearch;
-use crate::upstream::UpstreamKey;
 
 impl Pool {
     /// Runs one sub-request, with hedges and retries, on the replicas of a shard.
@@ -44,16 +43,19 @@
                 .shared
                 .check_quarantine(call.fingerprint, call.deadline);
             checked.await?;
-            let slot = match self.acquire(booking_request(&candidates, call)).await {
-                Ok(slot) => slot,
-                Err(AcquireError::NoReplica) => return Err(last),
-                Err(AcquireError::RateLimited) => {
-                    return Err(Failure::not_run(Reason::RateLimited));
+            let request = SlotRequest::new(call, candidates.clone());
+            let acquired = self.acquire(request).await;
+            let slot = acquired.map_err(|error| {
+                self.log_unqueued(call, error);
+                match error {
+                    AcquireError::NoReplica => last.clone(),
+                    AcquireError::RateLimited => Failure::not_run(Reason::RateLimited),
+                    AcquireError::Displaced => Failure::not_run(Reason::Displaced),
+                    AcquireError::QueueFull | AcquireError::Timeout => {
+                        Failure::not_run(Reason::Overloaded)
+                    }
                 }
-                Err(AcquireError::QueueFull | AcquireError::Timeout) => {
-                    return Err(Failure::not_run(Reason::Overloaded));
-                }
-            };
+            })?;
             let left = call.deadline.since(Millis::now());
             let running = attempt::run(&slot, self, call, shard.name());
             match compio::time::timeout(left.into(), running).await {
@@ -70,14 +72,3 @@
         Err(last)
     }
 }
-
-fn booking_request(candidates: &[UpstreamKey], call: &Call) -> SlotRequest {
-    SlotRequest {
-        candidates: candidates.to_vec(),
-        deadline: call.deadline,
-        fingerprint: call.fingerprint,
-        priority: call.priority,
-        draw: call.draw,
-        rate_by: call.rate_by,
-    }
-}
--- a/components/upstreams/src/failure.rs
+++ b/components/upstreams/src/failure.rs
@@ -45,6 +45,8 @@
 pub enum Reason {
     /// No slot would become free in time.
     Overloaded,
+    /// A request of another workspace got its place in the full queue.
+    Displaced,
     /// All replicas are at the rates of requests that they take.
     RateLimited,
     /// No replica is available: all are leaving or unreachable.
@@ -80,6 +82,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Reason::Overloaded => "overloaded",
+            Reason::Displaced => "displaced",
             Reason::RateLimited => "rate_limited",
             Reason::NoReplica => "no_replica",
             Reason::SnapshotNotHeld => "snapshot_not_held",
--- a/components/upstreams/src/placement.rs
+++ b/components/upstreams/src/placement.rs
@@ -1,17 +1,17 @@
 //! Placement: assigns slots of upstreams to requests, in the order of the
 //! queue.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use clock::Millis;
-use futures_channel::oneshot;
 use rand::RngExt;
 
 use crate::crashes::CrashStatus;
 use crate::endpoint::Endpoint;
 use crate::health::Tier;
 use crate::pool::Pool;
-use crate::queue::SlotRequest;
+use crate::queue::{Place, SlotRequest};
 use crate::slot::{Slot, SlotOwner};
 use crate::upstream::{Running, Upstream, UpstreamKey};
 
@@ -20,6 +20,8 @@
 pub enum AcquireError {
     /// The queue is full.
     QueueFull,
+    /// A request of another workspace got its place in the full queue.
+    Displaced,
     /// The deadline passed in the queue, or could not be met any more.
     Timeout,
     /// No candidate is available.
@@ -69,34 +71,42 @@
         if !request.candidates.iter().any(|&k| self.is_available(k)) {
             return Err(AcquireError::NoReplica);
         }
+        if request.workspace.is_some() {
+            // A rate limit may allow one that waits by now.
+            self.grant_slots();
+        }
         let slot = self.try_acquire(&request, now);
         let ahead = self.rate_queue_time(&request.candidates);
         let is_limited = slot.is_none() && self.exceeds_rates(&request, ahead, now);
         self.record_rate_misses(&request.candidates, request.draw, now);
         match slot {
-            Some(slot) => return Ok(slot),
+            Some(slot) => {
+                self.queue.charge(&request);
+                return Ok(slot);
+            }
             None if is_limited => return Err(AcquireError::RateLimited),
             None => {}
         }
-        if self.queue.len() >= self.queue_limit.get() {
+        let is_full = self.queue.len() >= self.queue_limit.get();
+        if is_full && !self.queue.displace_for(&request) {
             return Err(AcquireError::QueueFull);
         }
-        let receiver = self.queue.push(request.clone());
-        self.wait_for_slot(&request, receiver).await
+        let place = self.queue.push(request.clone(), now);
+        self.wait_for_slot(&request, place).await
     }
 
     /// Waits in the queue; grants slots itself when a rate limit allows its request.
     async fn wait_for_slot(
         self: &Rc<Self>,
         request: &SlotRequest,
-        mut receiver: oneshot::Receiver<Slot>,
+        mut place: Place<'_>,
     ) -> Result<Slot, AcquireError> {
         loop {
             let until = self.next_check(request, Millis::now());
-            let granted = compio::time::timeout(until.into(), &mut receiver).await;
+            let granted = compio::time::timeout(until.into(), &mut place.receiver).await;
             let now = Millis::now();
             match granted {
-                Ok(Ok(slot)) => return Ok(slot),
+                Ok(Ok(granted)) => return granted,
                 Ok(Err(_)) if !request.candidates.iter().any(|&k| self.is_available(k)) => {
                     return Err(AcquireError::NoReplica);
                 }
@@ -229,23 +239,22 @@
         let now = Millis::now();
         let end = now + Millis(self.latency.borrow().mean_ms() as u64);
         let mut free = self.free_upstreams();
-        let mut at = 0;
-        while let Some(next) = self.queue.next(at, &free, end) {
-            at = next.at;
+        let mut skipped = HashSet::new();
+        while let Some(next) = self.queue.next(&skipped, &free, end) {
             let Some(request) = next.request else {
-                drop(self.queue.remove(at));
+                drop(self.queue.remove(next.ticket));
                 continue;
             };
-            match self.try_acquire(&request, now) {
-                Some(slot) => {
-                    let waiter = self.queue.remove(at);
-                    // If the receiver is gone, dropping the slot frees it and
-                    // grants slots again.
-                    let _ = waiter.grant.send(slot);
-                    free = self.free_upstreams();
-                }
-                None => at += 1,
+            let Some(slot) = self.try_acquire(&request, now) else {
+                skipped.insert(next.ticket);
+                continue;
+            };
+            if let Some(waiter) = self.queue.grant(next.ticket, now) {
+                // If the receiver is gone, dropping the slot frees it and
+                // grants slots again.
+                let _ = waiter.grant.send(Ok(slot));
             }
+            free = self.free_upstreams();
         }
     }
 
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -124,14 +124,7 @@
     }
 
     fn slot_request(&self) -> SlotRequest {
-        SlotRequest {
-            candidates: self.candidates(),
-            deadline: self.call.deadline,
-            fingerprint: self.call.fingerprint,
-            priority: self.call.priority,
-            draw: self.call.draw,
-            rate_by: self.call.rate_by,
-        }
+        SlotRequest::new(self.call, self.candidates())
     }
 
     async fn first_slot(&self) -> Result<Slot> {
@@ -139,15 +132,16 @@
         if request.candidates.is_empty() {
             return Err(Failure::not_run(self.no_candidate_reason()));
         }
-        self.pool
-            .acquire(request)
-            .await
-            .map_err(|error| match error {
-                AcquireError::QueueFull => Failure::not_run(Reason::Overloaded),
-                AcquireError::Timeout => Failure::not_run(Reason::Timeout),
-                AcquireError::NoReplica => Failure::not_run(Reason::NoReplica),
-                AcquireError::RateLimited => Failure::not_run(Reason::RateLimited),
+        self.pool.acquire(request).await.map_err(|error| {
+            self.pool.log_unqueued(self.call, error);
+            Failure::not_run(match error {
+                AcquireError::QueueFull => Reason::Overloaded,
+                AcquireError::Displaced => Reason::Displaced,
+                AcquireError::Timeout => Reason::Timeout,
+                AcquireError::NoReplica => Reason::NoReplica,
+                AcquireError::RateLimited => Reason::RateLimited,
             })
+        })
     }
 
     /// Returns why there is no candidate.
@@ -271,7 +265,10 @@
         let limit = self.call.policy.attempts;
         let has_time = Millis::now() + RETRY_DELAY < self.call.deadline;
         let is_final = match failure.reason {
-            Reason::Quarantined | Reason::RateLimited | Reason::Revoked => true,
+            Reason::Quarantined
+            | Reason::RateLimited
+            | Reason::Revoked
+            | Reason::Displaced => true,
             Reason::SnapshotNotHeld => self.candidates().is_empty(),
             _ => false,
         };
--- a/components/upstreams/src/view.rs
+++ b/components/upstreams/src/view.rs
@@ -1,5 +1,6 @@
 //! The state of pools and upstreams for the state dump.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use clock::Millis;
@@ -118,6 +119,11 @@
         self.queue.len()
     }
 
+    /// Returns the number of sub-requests of each rank that wait for a slot.
+    pub fn queued_by_rank(&self) -> BTreeMap<u8, usize> {
+        self.queue.count_by_rank()
+    }
+
     /// Returns the hedges that may be sent now; with a shared budget also the
     /// retries.
     pub fn extra_tokens(&self) -> f64 {
