Share routes and services among workspaces under overload

Cause: at the limit of a route and in a full queue, the workspace with the most requests kept the others out, and a request that could not be served in time waited to its deadline. Callers whose Retry-After was cut to a third of their time all came back together. Change: workspaces below their share are admitted up to a quarter above a route's limit; a request that can't meet its deadline is refused before it is sent, without lowering the limit; callers of workspaces are spread over the time in which room is expected.

--- a/components/gateway/src/concurrency.rs
+++ b/components/gateway/src/concurrency.rs
@@ -45,7 +45,14 @@
 impl ConcurrencyLimiter {
     /// Admits a request; `false` refuses it.
     pub fn admit(&mut self) -> bool {
-        let is_admitted = (self.running as f64) < self.limit.max(MIN_LIMIT);
+        self.admit_above(0.0)
+    }
+
+    /// Admits a request up to the limit and the given part of it above; `false` refuses
+    /// it.
+    pub fn admit_above(&mut self, part: f64) -> bool {
+        let limit = self.limit.max(MIN_LIMIT) * (1.0 + part);
+        let is_admitted = (self.running as f64) < limit;
         if is_admitted {
             self.running += 1;
         }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! Forwards a request to its upstreams and builds the caller's response.
 
+mod lateness;
 mod rates;
 mod search;
 
@@ -10,10 +11,13 @@
 use futures_util::future::{Either, select};
 use http::Response;
 use routes::{Delivery, Target};
-use upstreams::{Failure, Pool, Ran, Shard, UpstreamKey};
+use upstreams::{Call, Failure, Pool, Ran, Shard, UpstreamKey};
 
+pub use self::lateness::late_wait;
+use self::lateness::refuse_late;
 use self::rates::rate_wait;
 use self::search::gather_shards;
+use crate::call_retry::with_call_retry;
 use crate::refusal::{Cause, Refusal, Result};
 use crate::routed_request::{Origin, RoutedRequest, caller_response, with_retry_after};
 use crate::state::Gateway;
@@ -75,9 +79,10 @@
 /// limit.
 async fn run_here(gateway: &Gateway, request: &RoutedRequest) -> Result<Response<Bytes>> {
     let route = &request.entry.route;
-    let permit = gateway.limiters.admit(route).map_err(|wait| {
+    let workspace = request.call.workspace.as_ref();
+    let permit = gateway.limiters.admit(route, workspace).map_err(|wait| {
         let refusal = Refusal::not_run(Cause::Overloaded, "the limit of the route is reached");
-        with_retry_after(refusal, wait, request.call.deadline)
+        with_call_retry(refusal, wait, &request.call)
     })?;
     let result = serve(gateway, request).await;
     let now = Millis::now();
@@ -113,6 +118,7 @@
         with_retry_after(refusal, UPSTREAM_START_TIME, request.call.deadline)
     };
     let pool = gateway.fleet.pool(service).ok_or_else(no_upstream)?;
+    refuse_late(&request.call, &[Some(pool.clone())], 1)?;
     let shard = ServiceShard(&pool);
     let result = match request.entry.route.delivery {
         Delivery::Idempotent => pool.fetch(&shard, &request.call).await,
@@ -131,7 +137,7 @@
     let refusal = Refusal::from_failure(failure);
     match failure.ran {
         Ran::No if refusal.cause == Cause::Quarantined => refusal,
-        Ran::No => with_expected_wait(refusal, &[Some(pool)], request.call.deadline),
+        Ran::No => with_expected_wait(refusal, &[Some(pool)], &request.call),
         Ran::Yes | Ran::Unknown => refusal,
     }
 }
@@ -140,12 +146,12 @@
 /// free in all services, when an upstream may have started where none is left, or when
 /// a backoff ends where all upstreams asked for one. Only the last is known, so that it
 /// is set even if the caller has less time left.
-fn with_expected_wait(refusal: Refusal, pools: &[Option<&Pool>], deadline: Millis) -> Refusal {
+fn with_expected_wait(refusal: Refusal, pools: &[Option<&Pool>], call: &Call) -> Refusal {
     let now = Millis::now();
     let known = pools.iter().flatten();
     let backoff = known.clone().filter_map(|p| p.shortest_backoff(now)).max();
-    let wait = known.map(|p| expected_wait(p, now)).max();
-    let refusal = with_retry_after(refusal, wait.unwrap_or(UPSTREAM_START_TIME), deadline);
+    let wait = known.map(|p| expected_wait(p, call, now)).max();
+    let refusal = with_call_retry(refusal, wait.unwrap_or(UPSTREAM_START_TIME), call);
     match backoff {
         Some(left) if left > Millis::ZERO => Refusal {
             retry_after: Some(left + Millis(rand::random_range(0..BACKOFF_SPREAD_MS))),
@@ -155,8 +161,11 @@
     }
 }
 
-fn expected_wait(pool: &Pool, now: Millis) -> Millis {
-    let slot_wait = Millis(pool.expected_wait(&pool.keys(), 1) as u64);
+fn expected_wait(pool: &Pool, call: &Call, now: Millis) -> Millis {
+    let slot_wait = match call.workspace {
+        Some(_) => pool.fair_wait(call, now).wait,
+        None => Millis(pool.expected_wait(&pool.keys(), 1) as u64),
+    };
     match pool.shortest_backoff(now) {
         Some(_) => slot_wait.max(rate_wait(pool, now)),
         None => UPSTREAM_START_TIME,
--- a/components/gateway/src/forward/search.rs
+++ b/components/gateway/src/forward/search.rs
@@ -11,6 +11,7 @@
 use slog::info;
 use upstreams::{Answer, Call, Failure, Pool, Ran, Reason};
 
+use super::lateness::refuse_late;
 use super::rates::{find_delayed, refuse_beyond_rates};
 use super::{ServiceShard, with_expected_wait};
 use crate::gather::{Progress, Step, partial_answer_after};
@@ -101,6 +102,7 @@
         .collect();
     let delayed = find_delayed(&request.call, &pools);
     refuse_beyond_rates(request, gather, &pools, &delayed)?;
+    refuse_late(&request.call, &pools, gather.required_shards())?;
     // Others run the search already when a shard turns out to wait for a rate limit.
     let patient = Call {
         rate_by: request.call.deadline,
@@ -207,7 +209,7 @@
         ..Refusal::not_run(cause, detail)
     };
     let needed = needed_pools(results, pools, Millis::now());
-    with_expected_wait(refusal, &needed, request.call.deadline)
+    with_expected_wait(refusal, &needed, &request.call)
 }
 
 /// Returns the pools of as many missing shards as the required coverage needs, those
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! store, and merges the responses of searches over many shards.
 
 mod admin;
+mod call_retry;
 mod concurrency;
 mod crash_sharing;
 mod fleet;
@@ -25,16 +26,19 @@
 mod state;
 mod view;
 mod wire;
+mod workspace_shares;
 
 pub use concurrency::ConcurrencyLimiter;
 pub use crash_sharing::{MissingCrash, WriteSchedule, crash_write_delay};
 pub use fleet::{connection_share, token_limit};
+pub use forward::late_wait;
 pub use gather::{Progress, Step, partial_answer_after};
 pub use merge::top_records;
 pub use refusal::{Cause, Refusal, Result};
 pub use reload::ReadSettings;
-pub use retry_after::retry_after;
+pub use retry_after::{retry_after, spread_retry_after};
 pub use run::{Error, PlatformAdapters, run};
 pub use settings::{RetryBudget, Settings};
 pub use shutdown_schedule::ShutdownSchedule;
 pub use wire::{ForwardedRequest, Purpose, RequestContext, WireFormat};
+pub use workspace_shares::WorkspaceShares;
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -65,6 +65,10 @@
             Cause::ShuttingDown => "shutting_down",
         }
     }
+
+    fn is_load(self) -> bool {
+        matches!(self, Cause::Overloaded | Cause::Timeout)
+    }
 }
 
 /// A request that was not served.
@@ -92,7 +96,7 @@
             ran: Ran::No,
             detail: detail.into(),
             retry_after: None,
-            is_overload: matches!(cause, Cause::Overloaded | Cause::Timeout),
+            is_overload: cause.is_load(),
         }
     }
 
@@ -112,6 +116,8 @@
         Self {
             ran: failure.ran,
             retry_after: is_quarantined.then_some(failure.retry_after),
+            // Only the excess of a workspace is displaced.
+            is_overload: cause.is_load() && failure.reason != Reason::Displaced,
             ..Self::not_run(cause, failure.reason.name())
         }
     }
--- a/components/gateway/src/retry_after.rs
+++ b/components/gateway/src/retry_after.rs
@@ -17,3 +17,14 @@
     let latest = (left.0 / REMAINING_TIME_DIVISOR).max(MIN_RETRY_AFTER.0);
     Millis(after_ms.min(latest))
 }
+
+/// Returns the delay after which a refused caller of a workspace should retry: between
+/// the expected wait and twice that, by `spread` (0 to 1). Where the remaining time `left`
+/// does not allow so much, it is between half of what the time allows and all of it: a
+/// workspace far beyond its share has many callers with the same time left, and a single
+/// latest delay would bring them back together.
+pub fn spread_retry_after(wait: Millis, left: Millis, spread: f64) -> Millis {
+    let latest = (left.0 / REMAINING_TIME_DIVISOR).max(2 * MIN_RETRY_AFTER.0);
+    let base_ms = wait.max(MIN_RETRY_AFTER).0.min(latest / 2);
+    Millis((base_ms as f64 * (1.0 + spread)).ceil() as u64)
+}
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -1,5 +1,7 @@
 //! The state dump of a gateway.
 
+use std::collections::BTreeMap;
+
 use clock::Millis;
 use serde::Serialize;
 use upstreams::UpstreamView;
@@ -26,6 +28,7 @@
 struct ServiceView {
     service: String,
     queued: usize,
+    queued_by_rank: BTreeMap<u8, usize>,
     extra_tokens: f64,
     upstreams: Vec<UpstreamView>,
 }
@@ -37,6 +40,7 @@
         let service = |pool: &std::rc::Rc<upstreams::Pool>| ServiceView {
             service: pool.name.clone(),
             queued: pool.queued(),
+            queued_by_rank: pool.queued_by_rank(),
             extra_tokens: pool.extra_tokens(),
             upstreams: pool.upstream_views(),
         };
--- a/components/upstreams/src/fair_queue.rs
+++ b/components/upstreams/src/fair_queue.rs
@@ -156,7 +156,7 @@
         let gap_ms = self.flows.gap_ms(flow);
         Outlook {
             ahead: self.with_turns_of_lower_ranks(flow.rank, before),
-            paced: gap_ms.map(|gap_ms| Millis((gap_ms * (own + 1) as f64) as u64)),
+            paced: gap_ms.map(|gap_ms| Outlook::pace(gap_ms, own)),
         }
     }
 
--- a/components/upstreams/src/fair_wait.rs
+++ b/components/upstreams/src/fair_wait.rs
@@ -2,6 +2,10 @@
 
 use clock::Millis;
 
+/// Factor of the wait at the rate of a flow's last grants. The rate varies: without a
+/// margin, one in eight of the requests that were not served had waited for nothing.
+const PACE_MARGIN: f64 = 1.2;
+
 /// What a new request has to wait for in the queue.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Outlook {
@@ -23,6 +27,14 @@
     pub mean_ms: f64,
 }
 
+impl Outlook {
+    /// Returns the wait of the request after `before` others of a flow whose grants are
+    /// `gap_ms` apart.
+    pub(crate) fn pace(gap_ms: f64, before: usize) -> Millis {
+        Millis((gap_ms * PACE_MARGIN * (before + 1) as f64) as u64)
+    }
+}
+
 impl SlotSupply {
     /// Returns the expected wait; zero if there are no slots to wait for.
     pub fn wait(&self, outlook: &Outlook) -> Millis {
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -265,10 +265,7 @@
         let limit = self.call.policy.attempts;
         let has_time = Millis::now() + RETRY_DELAY < self.call.deadline;
         let is_final = match failure.reason {
-            Reason::Quarantined
-            | Reason::RateLimited
-            | Reason::Revoked
-            | Reason::Displaced => true,
+            Reason::Quarantined | Reason::RateLimited | Reason::Revoked | Reason::Displaced => true,
             Reason::SnapshotNotHeld => self.candidates().is_empty(),
             _ => false,
         };
