--- a/components/quota/src/account.rs
+++ b/components/quota/src/account.rs
@@ -169,7 +169,9 @@
         self.answered = Some(sent);
         self.tokens += grant.granted;
         self.received += grant.granted;
-        self.has_news |= grant.granted > 0;
+        // The allocator withholds a share until its end is confirmed.
+        let is_ended = request.share > 0.0 && grant.share <= 0.0;
+        self.has_news |= grant.granted > 0 || is_ended;
         self.share = Share::new(grant.share / MS_PER_S, sent);
         let wait = grant.wait_ms.max(MIN_WAIT);
         match grant.granted {
--- a/components/quota/src/allocator.rs
+++ b/components/quota/src/allocator.rs
@@ -24,6 +24,9 @@
 const MAX_WAIT: Millis = Millis(1_000);
 const MS_PER_S: f64 = 1_000.0;
 
+/// The store is read by each daemon, directly or through another one, in less than this time.
+const STALE_TIME: Millis = Millis(2_500);
+
 /// How current the list of daemons is by which an allocator was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -36,6 +39,21 @@
     Replaced,
 }
 
+impl Standing {
+    /// Returns the standing of a daemon by the time since the store has answered it.
+    ///
+    /// After a silence as long as the life of a share, the registration of this daemon can
+    /// have expired. If all other daemons are reachable, the store answers nobody, and
+    /// everybody keeps the list.
+    pub fn new(store_age: Millis, reaches_peers: bool) -> Self {
+        match () {
+            () if store_age < STALE_TIME || reaches_peers => Self::Current,
+            () if store_age < SHARE_LIFETIME => Self::Stale,
+            () => Self::Replaced,
+        }
+    }
+}
+
 /// The bucket of an allocator, for the state dump.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct BucketView {
@@ -58,6 +76,8 @@
     /// Requests that the quota allows now; negative if tokens that were held were used.
     level: f64,
     filled: Millis,
+    /// What the full bucket could not take while tokens were reserved for silent daemons.
+    spilled: f64,
     /// When it became the allocator.
     since: Millis,
     grantees: HashMap<String, Grantee>,
@@ -71,6 +91,7 @@
             limit,
             level: limit.initial() - limit.held(),
             filled: now,
+            spilled: 0.0,
             since: now,
             grantees: HashMap::new(),
         }
@@ -151,7 +172,10 @@
             return false;
         }
         let change = known.take_report(message.sequence, request, now);
-        self.level = (self.level + change).min(self.limit.burst);
+        // What has spilled would have done so without the reservation, too.
+        let back = (change.reserved - self.spilled).max(0.0);
+        self.spilled = (self.spilled - change.reserved).max(0.0);
+        self.level = (self.level + back).min(self.limit.burst) - change.spent;
         true
     }
 
@@ -167,12 +191,22 @@
         for grantee in self.grantees.values_mut() {
             change -= grantee.withhold(now) + grantee.write_off(now);
         }
-        self.level = (self.level + change).min(self.limit.burst);
+        self.fill(change);
         self.filled = now;
         self.grantees
             .retain(|_, grantee| grantee.silence(now) < FORGET_TIME);
     }
 
+    fn fill(&mut self, change: f64) {
+        let level = self.level + change;
+        self.level = level.min(self.limit.burst);
+        let is_reserving = self.grantees.values().any(|g| g.reserved() > 0.0);
+        self.spilled = match is_reserving {
+            true => self.spilled + (level - self.level),
+            false => 0.0,
+        };
+    }
+
     /// Returns the time from which on the bucket is refilled at the whole rate.
     fn own_from(&self, standing: Standing) -> Millis {
         match standing {
@@ -194,11 +228,10 @@
     fn tokens_for(&self, request: &Request) -> u64 {
         let available = self.available().max(0.0) as u64;
         let waiting = request.waiting.min(request.wanted).min(available);
-        let ahead_left = self.limit.ahead() - self.held() - waiting as f64;
-        let ahead = (request.wanted - waiting)
-            .min(available - waiting)
-            .min(ahead_left.max(0.0) as u64);
-        waiting + ahead
+        let kept = self.limit.held() - self.limit.ahead();
+        let ahead = (self.available() - kept).min(self.limit.ahead() - self.held());
+        let ahead = (ahead - waiting as f64).max(0.0) as u64;
+        waiting + ahead.min(request.wanted - waiting)
     }
 
     /// Returns the share of a daemon by its part of the demand, in requests a second. Other
--- a/components/quota/src/allocator/grantee.rs
+++ b/components/quota/src/allocator/grantee.rs
@@ -28,6 +28,14 @@
     heard: Millis,
 }
 
+/// What a report changes in the bucket.
+pub(super) struct Change {
+    /// Tokens that were used or lost.
+    pub(super) spent: f64,
+    /// Tokens that were taken before because they might have been used.
+    pub(super) reserved: f64,
+}
+
 impl Grantee {
     /// Returns a daemon that the allocator has not heard from before. What it holds was
     /// granted by another allocator.
@@ -42,8 +50,8 @@
         }
     }
 
-    /// Takes a new report; returns by how much the bucket changes.
-    pub(super) fn take_report(&mut self, sequence: u64, report: &Request, now: Millis) -> f64 {
+    /// Takes a new report.
+    pub(super) fn take_report(&mut self, sequence: u64, report: &Request, now: Millis) -> Change {
         let last = &self.last;
         let received = rise(report.received_total, last.received_total);
         // An answer that was lost is not repeated; its tokens count as used.
@@ -51,8 +59,10 @@
         let used = rise(report.used_total, last.used_total);
         let refunded = rise(report.refunded_total, last.refunded_total);
         let shared = rise(report.shared_total, last.shared_total);
-        let gone = (lost + used + shared) as f64;
-        let back = (refunded + self.written_off) as f64 + self.withheld;
+        let change = Change {
+            spent: (lost + used + shared) as f64 - refunded as f64,
+            reserved: self.reserved(),
+        };
         *self = Self {
             sequence,
             last: report.clone(),
@@ -63,7 +73,12 @@
             heard: now,
             ..*self
         };
-        back - gone
+        change
+    }
+
+    /// Returns the tokens that were taken from the bucket because it may have used them.
+    pub(super) fn reserved(&self) -> f64 {
+        self.written_off as f64 + self.withheld
     }
 
     /// Records what an answer gives to the daemon.
--- a/components/quota/src/limit.rs
+++ b/components/quota/src/limit.rs
@@ -69,7 +69,7 @@
 
     /// Returns the tokens that a new allocator may grant at once.
     pub(crate) fn initial(&self) -> f64 {
-        (INITIAL_PART * self.slack).min(self.burst)
+        INITIAL_PART * self.slack
     }
 
     /// Returns the sum of all shares, in requests per millisecond. A daemon that uses its
