Admit requests by the quotas of their workspaces

A request that a caller sent is admitted after the check of the quarantine; one beyond the quota is answered with 429. The bounds of a quota come from the settings file.

--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -5,6 +5,7 @@
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A point in time or a span, in milliseconds.
@@ -24,6 +25,13 @@
         START.get_or_init(Instant::now).elapsed().into()
     }
 
+    /// The monotonic time since the start of the machine, which includes the time for which
+    /// it was suspended.
+    pub fn since_boot() -> Self {
+        let elapsed = clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from);
+        elapsed.map_or_else(|_| Self::now(), Millis::from)
+    }
+
     /// The wall-clock time since the Unix epoch.
     pub fn wall() -> Self {
         let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/components/discovery/src/follow.rs
+++ b/components/discovery/src/follow.rs
@@ -22,8 +22,10 @@
 
 mod outage;
 mod peers;
+mod reach;
 
 use outage::Outage;
+use reach::Reach;
 
 /// Longest wait of one watch; a watch that does not respond soon after has
 /// failed.
@@ -47,6 +49,9 @@
 /// For how long a daemon watches the store itself when its watcher fails.
 const DIRECT_PERIOD_MS: std::ops::Range<u64> = 3_000..6_000;
 
+/// After a silence of the store this long, the registration of this daemon may have expired.
+const LONG_SILENCE: Millis = Millis(6_000);
+
 /// Functions that are called with the directory after it has changed.
 pub type Listeners = RefCell<Vec<Box<dyn Fn(&Directory)>>>;
 
@@ -63,6 +68,9 @@
     is_loaded: Cell<bool>,
     outage: RefCell<Outage>,
     last_contact: Cell<Millis>,
+    /// When the last [`LONG_SILENCE`] ended.
+    silence_ended: Cell<Millis>,
+    reach: RefCell<Reach>,
     watcher: RefCell<Option<Rc<RelayClient>>>,
     /// When the [`DIRECT_PERIOD_MS`] ends.
     direct_until: Cell<Millis>,
@@ -93,6 +101,8 @@
             is_loaded: Cell::new(false),
             outage: RefCell::new(Outage::new(heartbeat)),
             last_contact: Cell::new(Millis::ZERO),
+            silence_ended: Cell::new(Millis::ZERO),
+            reach: RefCell::default(),
             watcher: RefCell::default(),
             direct_until: Cell::new(Millis::ZERO),
             waiting_peers: RefCell::default(),
@@ -123,6 +133,17 @@
         now.since(self.last_contact.get())
     }
 
+    /// Returns when the store last answered after so long a silence that other daemons may
+    /// have dropped this one meanwhile.
+    pub fn silence_ended(&self) -> Millis {
+        self.silence_ended.get()
+    }
+
+    /// Whether the store is silent and the polls of peers show that they can be reached.
+    pub fn reaches_peers(&self, now: Millis) -> bool {
+        self.reach.borrow().is_whole(now)
+    }
+
     /// Follows the store, or a daemon that watches it for others, until the
     /// task is dropped.
     pub async fn follow_store(self: Rc<Self>) {
@@ -281,6 +302,9 @@
     fn record_contact(&self, age: Millis) {
         let now = Millis::now();
         let at = now.since(age);
+        if at.since(self.last_contact.get()) >= LONG_SILENCE {
+            self.silence_ended.set(now);
+        }
         self.last_contact.set(self.last_contact.get().max(at));
         if let Some(end) = self.outage.borrow_mut().record_contact(at) {
             let revision = self.directory.borrow().position().revision;
--- a/components/discovery/src/follow/peers.rs
+++ b/components/discovery/src/follow/peers.rs
@@ -74,7 +74,10 @@
             return;
         };
         let after = self.directory.borrow().position();
-        match RelayClient::new(address).poll(after, Millis::ZERO).await {
+        let result = RelayClient::new(address).poll(after, Millis::ZERO).await;
+        let is_reached = result.is_ok();
+        self.reach.borrow_mut().record(is_reached, Millis::now());
+        match result {
             Ok(update) if self.is_outdated(&update) => {
                 debug!(self.log, "peer is in an older epoch"; "peer" => %address,
                     "epoch" => update.position().epoch);
--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -12,16 +12,19 @@
 use clock::Millis;
 use discovery::{CRASHES_PATH, CrashEntry, CrashExchange, Position};
 use http::StatusCode;
+use quota::Message;
 use telemetry::names;
 use transport::{Local, local};
 use upstreams::{UpstreamState, UpstreamView};
 
 use crate::handler;
+use crate::quotas::{QUOTA_LIMIT_BYTES, QUOTA_PATH};
 use crate::state::Gateway;
 use crate::view::StateView;
 
 const CRASHES_LIMIT_BYTES: usize = 1024 * 1024;
 const CRASHES_TIMEOUT: Millis = Millis(2_000);
+const QUOTA_TIMEOUT: Millis = Millis(1_000);
 
 #[derive(Clone)]
 struct App(Local<Rc<Gateway>>);
@@ -38,6 +41,7 @@
     Router::new()
         .route("/v1/directory", get(directory))
         .route(CRASHES_PATH, post(crashes))
+        .route(QUOTA_PATH, post(quota))
         .fallback(handed_over)
         .with_state(App(Local::new(gateway.clone())))
 }
@@ -92,6 +96,28 @@
     .await
 }
 
+/// Answers a daemon that asks for tokens; 409 if this daemon is the allocator of none of its
+/// workspaces.
+async fn quota(State(app): State<App>, request: Request) -> Response {
+    local(async move {
+        let body = to_bytes(request.into_body(), QUOTA_LIMIT_BYTES);
+        let body = match compio::time::timeout(QUOTA_TIMEOUT.into(), body).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(_)) => return StatusCode::PAYLOAD_TOO_LARGE.into_response(),
+            Err(_) => return StatusCode::REQUEST_TIMEOUT.into_response(),
+        };
+        let Ok(message) = serde_json::from_slice::<Message>(&body) else {
+            return StatusCode::BAD_REQUEST.into_response();
+        };
+        let answer = app.0.quotas.answer(&message);
+        match answer.grants.is_empty() && !message.requests.is_empty() {
+            true => StatusCode::CONFLICT.into_response(),
+            false => Json(answer).into_response(),
+        }
+    })
+    .await
+}
+
 /// Serves a request of a daemon that reaches no upstream.
 async fn handed_over(State(app): State<App>, request: Request) -> Response {
     local(async move {
@@ -125,6 +151,7 @@
     metrics::gauge!(names::LINKS_LOST).set(f64::from(u8::from(are_cut)));
     let limited = gateway.fleet.shared().rate_limits.len();
     metrics::gauge!(names::RATE_LIMITED_UPSTREAMS).set(limited as f64);
+    metrics::gauge!(names::QUOTA_TOKENS).set(gateway.quotas.tokens() as f64);
     let pools = gateway.fleet.pools();
     let upstreams: Vec<UpstreamView> = pools.iter().flat_map(|p| p.upstream_views()).collect();
     let queued: usize = pools.iter().map(|p| p.queued()).sum();
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -3,7 +3,9 @@
 mod rates;
 mod search;
 
+use std::cell::Cell;
 use std::pin::pin;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use clock::Millis;
@@ -14,6 +16,8 @@
 
 use self::rates::rate_wait;
 use self::search::gather_shards;
+use crate::identity::Identity;
+use crate::quotas::Admission;
 use crate::refusal::{Cause, Refusal, Result};
 use crate::routed_request::{Origin, RoutedRequest, caller_response, with_retry_after};
 use crate::state::Gateway;
@@ -37,16 +41,60 @@
     }
 }
 
-/// Serves a routed request, subject to quarantine.
+/// The admission of a request by its workspace's quota. If the request is dropped, its token
+/// counts as used if an upstream may have run it.
+struct Running {
+    admission: Option<Admission>,
+    may_have_run: Rc<Cell<bool>>,
+}
+
+impl Running {
+    /// Returns the token of a request that did not run.
+    fn finish(mut self, result: &Result<Response<Bytes>>) {
+        let is_unrun = matches!(result, Err(refusal) if refusal.ran == Ran::No);
+        match self.admission.take() {
+            Some(admission) if !is_unrun => admission.spend(),
+            _ => {}
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        match self.admission.take() {
+            Some(admission) if self.may_have_run.get() => admission.spend(),
+            _ => {}
+        }
+    }
+}
+
+/// Admits a request by the quota of its workspace. What another daemon vouches for was
+/// admitted there.
+async fn admit(gateway: &Gateway, request: &RoutedRequest) -> Result<Running> {
+    let objective = request.entry.route.objective;
+    let admission = match &request.identity {
+        Identity::Key(_, workspace) => Some(gateway.quotas.admit(workspace, objective).await?),
+        Identity::Anonymous | Identity::Vouched(_) => None,
+    };
+    Ok(Running {
+        admission,
+        may_have_run: request.call.may_have_run.clone(),
+    })
+}
+
+/// Serves a routed request, subject to quarantine and to the quota of its workspace.
 pub(crate) async fn run(gateway: &Gateway, request: &RoutedRequest) -> Result<Response<Bytes>> {
     let (fingerprint, deadline) = (request.call.fingerprint, request.call.deadline);
     let shared = gateway.fleet.shared();
     let checked = shared.check_quarantine(fingerprint, deadline).await;
     checked.map_err(|failure| Refusal::from_failure(&failure))?;
-    match request.origin {
+    let running = admit(gateway, request).await?;
+    let result = match request.origin {
         Origin::Caller => run_with_links(gateway, request).await,
         Origin::Peer => run_here(gateway, request).await,
-    }
+    };
+    running.finish(&result);
+    result
 }
 
 /// Serves a caller's request by this daemon's own links, or by another daemon's if they
--- a/components/gateway/src/reload.rs
+++ b/components/gateway/src/reload.rs
@@ -70,6 +70,7 @@
     }
     if is_changed {
         gateway.fleet.set_retry_budget(settings.retry_budget);
+        gateway.quotas.set_margin(settings.quota_margin);
         gateway.follower.set_seeds(settings.seeds.clone());
         gateway.fleet.update(&gateway.directory.borrow());
         *gateway.settings.borrow_mut() = settings;
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -23,6 +23,7 @@
 use crate::handler;
 use crate::link_watch;
 use crate::peer_forward::PeerForwarder;
+use crate::quotas::Quotas;
 use crate::reload::{self, HangupFlag, ReadSettings};
 use crate::route_limiters::RouteLimiters;
 use crate::settings::Settings;
@@ -170,8 +171,11 @@
         log,
     );
     let peer_forwarder = PeerForwarder::new(directory.clone(), settings.peer_address);
+    let quotas = Quotas::new(&settings, &fleet, &follower, log);
+    let assigned = quotas.clone();
     follower.add_listener(move |directory| {
         updated.update(directory);
+        assigned.update(directory);
         if let Some(table) = updated.table() {
             limits.set(server_limits(&table.limits));
         }
@@ -183,6 +187,7 @@
         directory,
         crash_sharing,
         peer_forwarder,
+        quotas,
         limiters: RouteLimiters::default(),
         wire: adapters.wire.clone(),
         recorder,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use crate::fleet::Fleet;
 use crate::in_flight::InFlight;
 use crate::peer_forward::PeerForwarder;
+use crate::quotas::Quotas;
 use crate::route_limiters::RouteLimiters;
 use crate::settings::Settings;
 use crate::shutdown_schedule::ShutdownSchedule;
@@ -25,6 +26,7 @@
     pub(crate) directory: discovery::SharedDirectory,
     pub(crate) crash_sharing: Rc<CrashSharing>,
     pub(crate) peer_forwarder: PeerForwarder,
+    pub(crate) quotas: Rc<Quotas>,
     pub(crate) limiters: RouteLimiters,
     pub(crate) wire: Rc<dyn WireFormat>,
     pub(crate) recorder: Recorder,
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -1,6 +1,7 @@
 //! The state dump of a gateway.
 
 use clock::Millis;
+use quota::BucketView;
 use serde::Serialize;
 use upstreams::UpstreamView;
 
@@ -20,6 +21,20 @@
     in_flight: usize,
     limits: Vec<LimitView>,
     services: Vec<ServiceView>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    quotas: Vec<QuotaView>,
+}
+
+/// A workspace with a quota and recent traffic.
+#[derive(Serialize)]
+pub(crate) struct QuotaView {
+    pub(crate) workspace: String,
+    pub(crate) tokens: u64,
+    pub(crate) share_per_s: f64,
+    pub(crate) allocator: Option<String>,
+    /// Present if this daemon is the allocator.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) bucket: Option<BucketView>,
 }
 
 #[derive(Serialize)]
@@ -51,6 +66,7 @@
             in_flight: gateway.in_flight.count(),
             limits: gateway.limiters.limits(),
             services: pools.iter().map(service).collect(),
+            quotas: gateway.quotas.views(),
         }
     }
 }
--- a/components/quota/src/accounts.rs
+++ b/components/quota/src/accounts.rs
@@ -1,6 +1,6 @@
 //! The workspaces with quotas at one daemon, and its messages to their allocators.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 use clock::Millis;
@@ -13,6 +13,8 @@
 /// A daemon that is not the allocator by its own list is asked again after this time, in
 /// which it may have got the newer list.
 const LIST_PAUSE: Millis = Millis(250);
+/// An allocator that has not answered a message within this time is slow.
+const SLOW_TIME: Millis = Millis(10);
 /// Reports that are due within this time are sent with those that are due now.
 const COLLECT_TIME: Millis = Millis(100);
 
@@ -169,7 +171,7 @@
         let allocator = entry.allocator.as_ref();
         let channel = allocator.and_then(|name| self.channels.get_mut(name));
         match channel {
-            Some(channel) if channel.sent.is_some() || channel.is_silent => {
+            Some(channel) if channel.is_overdue(now) => {
                 channel.is_slow = true;
                 entry.use_share(Failure::Silent, now)
             }
@@ -178,13 +180,37 @@
         }
     }
 
-    /// Takes back the token of a request that did not run.
-    pub fn refund(&mut self, workspace: &str, now: Millis) {
-        if let Some(entry) = self.entries.get_mut(workspace) {
-            entry.account.refund(now);
+    /// Takes back the token of a request that did not run. What a share has admitted is not
+    /// given back.
+    pub fn refund(&mut self, workspace: &str, by: Admitted, now: Millis) {
+        match (by, self.entries.get_mut(workspace)) {
+            (Admitted::Held | Admitted::Granted, Some(entry)) => entry.account.refund(now),
+            (Admitted::Share, _) | (_, None) => {}
         }
     }
 
+    /// Returns the time until a token is expected, as the allocator said.
+    pub fn token_wait(&self, workspace: &str, now: Millis) -> Millis {
+        let entry = self.entries.get(workspace);
+        entry.map_or(Millis::ZERO, |e| e.account.token_wait(now))
+    }
+
+    /// Whether a workspace has a quota.
+    pub fn has_quota(&self, workspace: &str) -> bool {
+        self.entries.contains_key(workspace)
+    }
+
+    /// Returns the allocator of a workspace.
+    pub fn allocator(&self, workspace: &str) -> Option<Rc<str>> {
+        self.entries.get(workspace)?.allocator.clone()
+    }
+
+    /// Returns all allocators, each once.
+    pub fn allocators(&self) -> HashSet<Rc<str>> {
+        let allocators = self.entries.values();
+        allocators.filter_map(|e| e.allocator.clone()).collect()
+    }
+
     /// Returns when the next message to an allocator is due, `None` if none is.
     pub fn next_due(&self, allocator: &str, now: Millis) -> Option<Millis> {
         let accounts = self.accounts_of(allocator);
@@ -271,6 +297,14 @@
     }
 }
 
+impl Channel {
+    /// Whether the allocator should have answered by now.
+    fn is_overdue(&self, now: Millis) -> bool {
+        let sent = self.sent.as_ref();
+        self.is_silent || sent.is_some_and(|(at, _)| now.since(*at) >= SLOW_TIME)
+    }
+}
+
 impl Entry {
     /// Decides about a request without the allocator.
     fn use_share(&mut self, failure: Failure, now: Millis) -> Decision {
--- a/components/telemetry/src/metric.rs
+++ b/components/telemetry/src/metric.rs
@@ -74,6 +74,12 @@
     pub const LINK_CHECKS_TOTAL: &str = "coltsfootgw_link_checks_total";
     /// Requests handed to other daemons, by outcome.
     pub const PEER_FORWARDS_TOTAL: &str = "coltsfootgw_peer_forwards_total";
+    /// Tokens of all quotas that this daemon holds.
+    pub const QUOTA_TOKENS: &str = "coltsfootgw_quota_tokens";
+    /// Messages to the allocators of quotas, by outcome.
+    pub const QUOTA_GRANTS_TOTAL: &str = "coltsfootgw_quota_grants_total";
+    /// Requests of workspaces with quotas, by what admitted them.
+    pub const QUOTA_ADMISSIONS_TOTAL: &str = "coltsfootgw_quota_admissions_total";
     /// Tasks that panicked.
     pub const PANICS_TOTAL: &str = "coltsfootgw_panics_total";
     /// Bytes of control messages sent to peers.
