--- a/components/gateway/src/identity.rs
+++ b/components/gateway/src/identity.rs
@@ -16,8 +16,10 @@
 pub(crate) enum Identity {
     /// Nothing is asked of callers.
     Anonymous,
-    /// The caller has a key of the workspace.
+    /// The caller sent a key of the workspace.
     Key(KeyDigest, Rc<Workspace>),
+    /// The caller sent it to another daemon, which handed the request over.
+    Checked(KeyDigest, Rc<Workspace>),
 }
 
 impl Identity {
@@ -38,8 +40,11 @@
         if !table.requires_keys() || route.is_public {
             return Ok(Self::Anonymous);
         }
-        let key = checked.or_else(|| wire.api_key(headers).map(KeyDigest::of));
-        let found = key.and_then(|key| Some(Self::Key(key, table.find_workspace(&key)?)));
+        let found = match (checked, wire.api_key(headers).map(KeyDigest::of)) {
+            (Some(key), _) => table.find_workspace(&key).map(|w| Self::Checked(key, w)),
+            (None, Some(key)) => table.find_workspace(&key).map(|w| Self::Key(key, w)),
+            (None, None) => None,
+        };
         found.ok_or_else(|| {
             let detail = format!("no workspace of version {} holds the key", table.version);
             Refusal::not_run(Cause::UnknownKey, detail)
@@ -50,7 +55,7 @@
     pub(crate) fn key(&self) -> Option<KeyDigest> {
         match self {
             Self::Anonymous => None,
-            Self::Key(key, _) => Some(*key),
+            Self::Key(key, _) | Self::Checked(key, _) => Some(*key),
         }
     }
 
@@ -58,7 +63,7 @@
     pub(crate) fn workspace(&self) -> Option<&Rc<Workspace>> {
         match self {
             Self::Anonymous => None,
-            Self::Key(_, workspace) => Some(workspace),
+            Self::Key(_, workspace) | Self::Checked(_, workspace) => Some(workspace),
         }
     }
 
@@ -67,7 +72,7 @@
     pub(crate) fn permission(&self, fleet: &Rc<Fleet>, version: u64) -> Rc<dyn Permission> {
         match self {
             Self::Anonymous => Rc::new(Permanent),
-            Self::Key(key, workspace) => Rc::new(Revocable {
+            Self::Key(key, workspace) | Self::Checked(key, workspace) => Rc::new(Revocable {
                 key: *key,
                 workspace: workspace.name.clone(),
                 fleet: fleet.clone(),
