--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -4,6 +4,7 @@
 pub mod crash_site;
 pub mod endpoints;
 pub mod gateway;
+pub mod keys;
 pub mod link;
 pub mod paced_load;
 pub mod peer;
--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -8,6 +8,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use clock::Millis;
+use http::HeaderMap;
 use serde_json::{Value, json};
 use transport::{Event, Listener, ServerLimits, serve};
 
@@ -100,6 +101,19 @@
         all.map(runs).sum()
     }
 
+    /// Returns the headers with which a request reached upstreams, once for each time.
+    pub fn received(&self, request_id: &str) -> Vec<HeaderMap> {
+        let all = self.shards.iter().flatten();
+        let received = |u: &Rc<PlatformUpstream>| {
+            let received = u.received.borrow();
+            let matching = received
+                .iter()
+                .filter(|h| h.get("request-id").is_some_and(|id| id == request_id));
+            matching.cloned().collect::<Vec<_>>()
+        };
+        all.flat_map(received).collect()
+    }
+
     /// Starts a site on free ports of loopback.
     ///
     /// # Errors
--- a/standins/src/platform/upstream.rs
+++ b/standins/src/platform/upstream.rs
@@ -2,6 +2,7 @@
 //! another upstream, and takes a service time for each request.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 use axum::Router;
@@ -21,6 +22,8 @@
 const RECORD_BYTES: usize = 16;
 /// Size of a large answer in bytes.
 pub const LARGE_BYTES: usize = 1024 * 1024;
+/// Requests whose headers are kept.
+const HEADERS_KEPT: usize = 256;
 /// Records in each answer of an upstream that requests can end.
 const CRASHING_RECORDS: usize = 25;
 
@@ -82,6 +85,8 @@
     pub rate_limit: Cell<Option<f64>>,
     /// Times at which requests reached it, refused ones included.
     pub arrivals: RefCell<Vec<Millis>>,
+    /// Headers of the last requests that reached it, refused ones included.
+    pub received: RefCell<VecDeque<HeaderMap>>,
     /// Number of records in each answer.
     pub records: usize,
     /// Identifiers of the requests that it ran.
@@ -128,6 +133,7 @@
             is_leaving: Cell::new(false),
             rate_limit: Cell::new(None),
             arrivals: RefCell::default(),
+            received: RefCell::default(),
             records,
             ran: RefCell::default(),
             deadlines: RefCell::default(),
@@ -150,6 +156,12 @@
         starts.map(count).max().unwrap_or(0)
     }
 
+    fn record_headers(&self, headers: &HeaderMap) {
+        let mut received = self.received.borrow_mut();
+        received.truncate(HEADERS_KEPT - 1);
+        received.push_front(headers.clone());
+    }
+
     fn body(&self, request_id: &str) -> Bytes {
         let record = |i: usize| {
             let mut record = [0_u8; RECORD_BYTES];
@@ -196,6 +208,7 @@
 async fn answer(State(app): State<App>, request: Request) -> Response {
     local(async move {
         app.0.arrivals.borrow_mut().push(Millis::now());
+        app.0.record_headers(request.headers());
         let mut response = run(&app.0, request).await;
         if let Some(limit) = app.0.rate_limit.get() {
             let value = HeaderValue::from_str(&limit.to_string()).unwrap();
