Name the workspace to upstreams after removing hop-by-hop headers

Cause: a caller that listed Tenant in Connection had the workspace removed again, so that upstreams served it without one. Change: the workspace is set after the listed headers are removed. Measured: upstreams_are_told_the_workspace_of_the_key failed in both cases with Connection (no Tenant at the upstream) and passes.

--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -94,17 +94,19 @@
         may_have_run,
         attempts,
     } = resolved;
-    let (mut head, body) = request.into_parts();
+    let (head, body) = request.into_parts();
     let workspace = identity.workspace().map(|w| w.name.clone());
-    if table.requires_keys() {
-        let name = workspace.as_deref();
-        gateway.wire.set_workspace(&mut head.headers, name);
-    }
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
     let route = &entry.route;
     let deadline = deadline_before_exit(gateway, route, deadline)?;
     let fingerprint = fingerprint(&head, workspace.as_deref(), &body);
-    let forwarded = Rc::new(forwarded_request(context.id, head, body, &route.target));
+    let mut forwarded = forwarded_request(context.id, head, body, &route.target);
+    if table.requires_keys() {
+        // After the headers that the caller lists in `Connection` were removed.
+        let name = workspace.as_deref();
+        gateway.wire.set_workspace(&mut forwarded.headers, name);
+    }
+    let forwarded = Rc::new(forwarded);
     let call = Call {
         message: gateway.wire.message(forwarded.clone()),
         version: None,
--- a/tests/gateway_keys.rs
+++ b/tests/gateway_keys.rs
@@ -106,6 +106,8 @@
 #[case::another(&[("tenant", "two")])]
 #[case::capitals(&[("TENANT", "two"), ("X-API-KEY-2", "x")])]
 #[case::twice(&[("tenant", "one"), ("tenant", "two")])]
+#[case::hop_by_hop(&[("tenant", "two"), ("connection", "Tenant")])]
+#[case::hop_by_hop_key(&[("connection", "keep-alive, x-api-key, tenant")])]
 #[compio::test]
 async fn upstreams_are_told_the_workspace_of_the_key(#[case] headers: &[(&str, &str)]) {
     let (site, gateway) = start().await;
