Check a waiting request's key also when a version is written again

Cause: the permission to send compared versions, but a configuration of the same version and a higher revision comes into force too. A request whose key it took away while it waited was sent. Change: the permission compares the tables. Measured: the case same_version of a_request_that_waits_is_sent_only_while_its_key_is_held got 200 and gets 401.

--- a/components/gateway/src/identity.rs
+++ b/components/gateway/src/identity.rs
@@ -1,6 +1,6 @@
 //! Which workspace a request belongs to.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use http::HeaderMap;
@@ -63,13 +63,13 @@
 
     /// Returns the permission to send the request for as long as a configuration in force
     /// allows it.
-    pub(crate) fn permission(&self, fleet: &Rc<Fleet>, version: u64) -> Rc<dyn Permission> {
+    pub(crate) fn permission(&self, fleet: &Rc<Fleet>, table: &Rc<Table>) -> Rc<dyn Permission> {
         match self {
             Self::Anonymous => Rc::new(Permanent),
             identity => Rc::new(Revocable {
                 identity: identity.clone(),
                 fleet: fleet.clone(),
-                checked: Cell::new(version),
+                checked: RefCell::new(table.clone()),
             }),
         }
     }
@@ -79,8 +79,8 @@
 struct Revocable {
     identity: Identity,
     fleet: Rc<Fleet>,
-    /// Newest version that holds it.
-    checked: Cell<u64>,
+    /// Newest table that holds it: a version can be written again with other keys.
+    checked: RefCell<Rc<Table>>,
 }
 
 impl Permission for Revocable {
@@ -88,7 +88,7 @@
         let Some(table) = self.fleet.table() else {
             return true;
         };
-        if table.version == self.checked.get() {
+        if Rc::ptr_eq(&table, &self.checked.borrow()) {
             return true;
         }
         let is_held = match &self.identity {
@@ -101,7 +101,7 @@
         };
         let is_valid = is_held || !table.requires_keys();
         if is_valid {
-            self.checked.set(table.version);
+            self.checked.replace(table);
         }
         is_valid
     }
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -117,7 +117,7 @@
         draw: rand::random(),
         caller_left: Rc::default(),
         may_have_run,
-        permission: identity.permission(&gateway.fleet, table.version),
+        permission: identity.permission(&gateway.fleet, &table),
         workspace,
         attempts: Rc::new(RefCell::new(attempts)),
         policy: retry_policy(gateway, route),
--- a/tests/gateway_key_changes.rs
+++ b/tests/gateway_key_changes.rs
@@ -143,6 +143,8 @@
 enum Change {
     Kept,
     TakenAway,
+    /// The operators write the same version again.
+    TakenAwayInSameVersion,
     WorkspaceTakenAway,
     /// Callers need no keys any more.
     KeysNotRequired,
@@ -154,6 +156,7 @@
         match self {
             Change::Kept => patient_configuration(site, version, &[OLD_KEY, NEW_KEY]),
             Change::TakenAway => patient_configuration(site, version, &[NEW_KEY]),
+            Change::TakenAwayInSameVersion => patient_configuration(site, KEYED_VERSION, &[]),
             Change::WorkspaceTakenAway => {
                 let mut changed = patient_configuration(site, version, &[]);
                 changed["tenants"] = json!([workspace("busy", &[BUSY_KEY])]);
@@ -173,6 +176,7 @@
 #[rstest]
 #[case::read(READ, Change::TakenAway, StatusCode::UNAUTHORIZED)]
 #[case::write(WRITE, Change::TakenAway, StatusCode::UNAUTHORIZED)]
+#[case::same_version(READ, Change::TakenAwayInSameVersion, StatusCode::UNAUTHORIZED)]
 #[case::workspace(WRITE, Change::WorkspaceTakenAway, StatusCode::UNAUTHORIZED)]
 #[case::kept(SEARCH, Change::Kept, StatusCode::OK)]
 #[case::not_required(READ, Change::KeysNotRequired, StatusCode::OK)]
