Identify handed-over requests by the digest of their key

Cause: a gateway trusted the workspace's name in a request that another one handed over. Older builds, and gateways whose configuration has no workspaces yet, pass on the name that the caller sent, so that a forged one was served. A key that the serving gateway knew to be taken away was served too, as long as its workspace existed. Change: the digest of the key goes along, listed in Connection so that older builds do not send it to upstreams. The serving gateway looks it up in its configuration, also before each send, and ignores the name.

--- a/components/gateway/src/peer_forward.rs
+++ b/components/gateway/src/peer_forward.rs
@@ -266,6 +266,7 @@
     }
     *message.headers_mut() = forwarded.headers.clone();
     let headers = message.headers_mut();
+    request.identity.write_key_digest(headers);
     headers.insert(TIME_LEFT_HEADER, left.0.into());
     headers.insert(VERSION_HEADER, version.into());
     // The caller's own header of this name says nothing.
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -70,6 +70,7 @@
 pub(crate) struct RoutedRequest {
     pub(crate) entry: Rc<Entry>,
     pub(crate) origin: Origin,
+    pub(crate) identity: Identity,
     /// Version of the configuration with which the request is served.
     pub(crate) version: u64,
     pub(crate) arrived: Millis,
@@ -125,6 +126,7 @@
     Ok(RoutedRequest {
         entry,
         origin,
+        identity,
         version: table.version,
         arrived,
         call,
--- a/components/gateway/src/wire.rs
+++ b/components/gateway/src/wire.rs
@@ -57,9 +57,6 @@
     /// Returns the key that a caller sent; `None` if there is none, or more than one.
     fn api_key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a [u8]>;
 
-    /// Returns the workspace that a request names; only daemons name one truthfully.
-    fn workspace<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
-
     /// Removes the key and sets the workspace, or removes it if there is none.
     fn set_workspace(&self, headers: &mut HeaderMap, workspace: Option<&str>);
 
--- a/components/routes/src/workspace.rs
+++ b/components/routes/src/workspace.rs
@@ -38,6 +38,17 @@
     pub fn of(key: &[u8]) -> Self {
         Self(Sha256::digest(key).into())
     }
+
+    /// Returns the bytes of the digest.
+    pub fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl From<[u8; 32]> for KeyDigest {
+    fn from(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
 }
 
 // Digests of short keys could be reversed by trial.
