Hand no request over after its key was taken away

Cause: a request that waited or ran when its key was taken away was handed over when the links were lost, and another gateway that did not know of it yet served it. Change: the permission is asked for before each handover: 401 if nothing ran, else 502.

--- a/components/gateway/src/peer_forward.rs
+++ b/components/gateway/src/peer_forward.rs
@@ -15,7 +15,7 @@
 use routes::Delivery;
 use telemetry::names;
 use transport::{Client, Payload};
-use upstreams::{AttemptsMade, Ran};
+use upstreams::{AttemptsMade, Failure, Ran, Reason};
 
 use crate::refusal::{Cause, Refusal, Result};
 use crate::routed_request::{RoutedRequest, caller_response, with_retry_after};
@@ -107,6 +107,9 @@
             if attempts_left(request) == 0 {
                 break;
             }
+            if !request.call.permission.is_valid() {
+                return Err(revoked(may_have_run.get()));
+            }
             tried.push(peer);
             if let Some(result) = self.hand_over(peer, request).await {
                 return result;
@@ -214,6 +217,15 @@
     metrics::counter!(names::PEER_FORWARDS_TOTAL, "outcome" => outcome).increment(1);
 }
 
+/// Returns the refusal of a request whose key was withdrawn before it was handed over.
+fn revoked(may_have_run: bool) -> Refusal {
+    let failure = match may_have_run {
+        true => Failure::unknown(Reason::Revoked),
+        false => Failure::not_run(Reason::Revoked),
+    };
+    Refusal::from_failure(&failure)
+}
+
 fn no_links(request: &RoutedRequest, ran: Ran, tried: usize) -> Refusal {
     let detail = format!("this daemon reaches no upstream, and none of {tried} others took it");
     let refusal = Refusal {
--- a/tests/gateway_key_handovers.rs
+++ b/tests/gateway_key_handovers.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clock::Millis;
+use futures_util::future::{join, join_all};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use rstest::rstest;
-use serde_json::Value;
+use serde_json::{Value, json};
 use standins::fleet::wait_until;
 use standins::platform::gateway::{
     ANSWER_LIMIT_BYTES, Gateway, PROPAGATION, TIMEOUT, ready, start_gateway_at,
@@ -15,7 +17,8 @@
     KEYED_VERSION, PUBLIC, keyed_configuration, keyed_request, request, start_site_with, workspace,
 };
 use standins::platform::link::{LinkState, Links};
-use standins::platform::site::{READ, SEARCH, SHARDS, WRITE, put};
+use standins::platform::peer::start_peer;
+use standins::platform::site::{READ, SEARCH, SHARDS, Site, WRITE, put};
 use transport::Payload;
 
 const KEY: &str = "key-of-one";
@@ -24,6 +27,8 @@
 const DIGEST: &str = "tSW+E0eHpCfMCbPAB8RTsBLWUjSnMU5Th8iovwcGuMk=";
 /// Time within which lost links are noticed.
 const LOSS_TIME: Duration = Duration::from_secs(3);
+/// Slots of all upstreams of a shard.
+const SLOTS: usize = 4;
 
 fn workspaces() -> Vec<Value> {
     vec![workspace("one", &[KEY]), workspace("two", &["key-of-two"])]
@@ -151,3 +156,67 @@
     assert_eq!(answer.status(), StatusCode::UNAUTHORIZED, "{answer:?}");
     assert!(site.received("r").is_empty());
 }
+
+/// Returns a configuration whose requests may wait for the loss of links.
+fn patient_configuration(site: &Site, version: u64, workspaces: &[Value]) -> Value {
+    let mut configuration = keyed_configuration(site, version, workspaces);
+    for route in configuration["routes"].as_array_mut().unwrap() {
+        route["timeout-ms"] = json!(8_000);
+        route["target-latency-ms"] = json!(8_000);
+    }
+    configuration
+}
+
+/// Sends requests without which lost links would not be noticed.
+async fn notice_loss(gateway: &Gateway) {
+    let send = async |n: usize| {
+        let (path, id) = (format!("{READ}{n}"), format!("notices-{n}"));
+        let sent = keyed_request(&path, &id, "key-of-two");
+        gateway.exchange(sent).await
+    };
+    join_all((0..SLOTS).map(send)).await;
+}
+
+/// Guards against a request whose key was taken away while it waited or ran, and that is
+/// handed over after that to a gateway that does not know it yet.
+#[rstest]
+#[case::waits(SLOTS, StatusCode::UNAUTHORIZED)]
+#[case::runs(0, StatusCode::BAD_GATEWAY)]
+#[compio::test]
+async fn a_request_is_not_handed_over_after_its_key_was_taken_away(
+    #[case] busy: usize,
+    #[case] expected: StatusCode,
+) {
+    let site = start_site_with(&[]).await;
+    let configuration = patient_configuration(&site, KEYED_VERSION, &workspaces());
+    put(&site.store, "op/config", &configuration);
+    let links = Links::start(&site).await;
+    let peer = start_peer(&site, KEYED_VERSION).await;
+    let gateway = start_gateway_at(links.store_address, &[]).await;
+    wait_until_ready(&gateway).await;
+    for upstream in &site.shards[0] {
+        upstream.service_time.set(Millis(8_000));
+    }
+    let path = format!("{READ}1");
+    let send = async |id: String, key: &str| gateway.exchange(keyed_request(&path, &id, key)).await;
+    let busy = join_all((0..busy).map(|n| send(format!("busy-{n}"), "key-of-two")));
+    let waiting = async {
+        compio::time::sleep(Duration::from_millis(200)).await;
+        send("waits".to_owned(), KEY).await
+    };
+    let change = async {
+        compio::time::sleep(Duration::from_millis(400)).await;
+        let changed = [workspace("one", &[]), workspace("two", &["key-of-two"])];
+        let changed = patient_configuration(&site, KEYED_VERSION + 1, &changed);
+        put(&site.store, "op/config", &changed);
+        gateway.process.wait_for_line("\"version\":3").await;
+        links.set(LinkState::Hanging).await;
+        // Of a newer version, so that the peer does not take them.
+        notice_loss(&gateway).await;
+    };
+    let ((others, answer), ()) = join(join(busy, waiting), change).await;
+    assert_eq!(answer.status(), expected, "{answer:?}");
+    let is_served = |a: &Response<Bytes>| a.status() == StatusCode::OK;
+    assert!(others.iter().all(is_served), "{others:?}");
+    assert_eq!(peer.get(), others.len(), "handed over");
+}
