Answer 502 if another gateway refuses the key of a request that may have run

Cause: a request that may have run before it was handed over was answered with the 401 of the other gateway, which says that it did not run. Change: such a 401 becomes a 502, as a 503 does.

--- a/components/gateway/src/peer_forward.rs
+++ b/components/gateway/src/peer_forward.rs
@@ -145,7 +145,7 @@
                 self.record_version(&response);
                 count("answered");
                 return Some(match response.status() {
-                    StatusCode::SERVICE_UNAVAILABLE if before => Err(refused_elsewhere(peer)),
+                    status if before && is_refusal(status, request) => Err(refused_elsewhere(peer)),
                     _ => Ok(without_version(caller_response(response))),
                 });
             }
@@ -226,6 +226,15 @@
     Refusal::from_failure(&failure)
 }
 
+/// Whether the answer of another gateway says that the request did not run there.
+fn is_refusal(status: StatusCode, request: &RoutedRequest) -> bool {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => true,
+        StatusCode::UNAUTHORIZED => request.call.workspace.is_some(),
+        _ => false,
+    }
+}
+
 fn no_links(request: &RoutedRequest, ran: Ran, tried: usize) -> Refusal {
     let detail = format!("this daemon reaches no upstream, and none of {tried} others took it");
     let refusal = Refusal {
--- a/standins/src/platform/peer.rs
+++ b/standins/src/platform/peer.rs
@@ -17,6 +17,7 @@
 #[derive(Clone)]
 struct Peer {
     version: u64,
+    status: StatusCode,
     answers: Local<Rc<Cell<usize>>>,
 }
 
@@ -37,7 +38,7 @@
             _ => {
                 peer.answers.set(peer.answers.get() + 1);
                 let headers = [("coltsfootgw-version", peer.version.to_string())];
-                (headers, peer.version.to_string()).into_response()
+                (peer.status, headers, peer.version.to_string()).into_response()
             }
         }
     })
@@ -50,9 +51,23 @@
 ///
 /// Panics if no port can be bound.
 pub async fn start_peer(site: &Site, version: u64) -> Rc<Cell<usize>> {
+    start_peer_answering(site, version, StatusCode::OK).await
+}
+
+/// Starts a peer as [`start_peer`] does, which answers with a status.
+///
+/// # Panics
+///
+/// Panics if no port can be bound.
+pub async fn start_peer_answering(
+    site: &Site,
+    version: u64,
+    status: StatusCode,
+) -> Rc<Cell<usize>> {
     let answers = Rc::new(Cell::new(0));
     let peer = Peer {
         version,
+        status,
         answers: Local::new(answers.clone()),
     };
     let router = Router::new().fallback(answer).with_state(peer);
--- a/tests/gateway_key_handovers.rs
+++ b/tests/gateway_key_handovers.rs
@@ -17,7 +17,7 @@
     KEYED_VERSION, PUBLIC, keyed_configuration, keyed_request, request, start_site_with, workspace,
 };
 use standins::platform::link::{LinkState, Links};
-use standins::platform::peer::start_peer;
+use standins::platform::peer::{start_peer, start_peer_answering};
 use standins::platform::site::{READ, SEARCH, SHARDS, Site, WRITE, put};
 use transport::Payload;
 
@@ -220,3 +220,37 @@
     assert!(others.iter().all(is_served), "{others:?}");
     assert_eq!(peer.get(), others.len(), "handed over");
 }
+
+/// Guards against a request that ran and is refused as not run, since the gateway that it is
+/// handed over to does not hold its key any more.
+#[compio::test]
+async fn a_request_that_ran_is_not_refused_as_not_run_by_another_gateway() {
+    let site = start_site_with(&[]).await;
+    let configuration = patient_configuration(&site, KEYED_VERSION, &workspaces());
+    put(&site.store, "op/config", &configuration);
+    let links = Links::start(&site).await;
+    let status = StatusCode::UNAUTHORIZED;
+    let peer = start_peer_answering(&site, KEYED_VERSION, status).await;
+    let gateway = start_gateway_at(links.store_address, &[]).await;
+    wait_until_ready(&gateway).await;
+    for upstream in &site.shards[0] {
+        upstream.service_time.set(Millis(8_000));
+    }
+    let path = format!("{READ}1");
+    let running = async {
+        let answer = gateway.exchange(keyed_request(&path, "runs", KEY)).await;
+        println!("{answer:?}");
+        answer
+    };
+    let cut = async {
+        wait_until("the request runs", PROPAGATION, async || {
+            site.runs("runs") > 0
+        })
+        .await;
+        links.set(LinkState::Hanging).await;
+        notice_loss(&gateway).await;
+    };
+    let (answer, ()) = join(running, cut).await;
+    assert_eq!(answer.status(), StatusCode::BAD_GATEWAY, "{answer:?}");
+    assert!(peer.get() > 0);
+}
