Answer 401 if a search's key is taken away before any shard got it

Cause: while other shards still waited, a search whose key was taken away was answered 502, as if they might have run it. Change: it counts as not run if nothing was sent.

--- a/components/gateway/src/forward/search.rs
+++ b/components/gateway/src/forward/search.rs
@@ -57,12 +57,14 @@
 
     /// Returns the failure of a search that may not run on any shard, with whether one
     /// may have run it.
-    fn denial(&self) -> Option<Failure> {
+    fn denial(&self, may_have_run: bool) -> Option<Failure> {
         let is_denied = |f: &&Failure| matches!(f.reason, Reason::Quarantined | Reason::Revoked);
         let failures = self.failures.iter().map(|(_, failure)| failure);
         let denied = failures.clone().find(is_denied)?;
         let is_running = self.answers.len() + self.failures.len() < self.covered.len();
         let ran = match is_running {
+            // The other shards still wait.
+            true if denied.reason == Reason::Revoked && !may_have_run => Ran::No,
             true => Ran::Unknown,
             false => self.ran(),
         };
@@ -181,7 +183,7 @@
     pools: &[Option<Rc<Pool>>],
 ) -> Refusal {
     let progress = results.progress();
-    if let Some(failure) = results.denial() {
+    if let Some(failure) = results.denial(request.call.may_have_run.get()) {
         return Refusal::from_failure(&failure);
     }
     let detail = format!(
--- a/tests/gateway_key_changes.rs
+++ b/tests/gateway_key_changes.rs
@@ -175,6 +175,7 @@
 /// against one that is refused though its key is held.
 #[rstest]
 #[case::read(READ, Change::TakenAway, StatusCode::UNAUTHORIZED)]
+#[case::search(SEARCH, Change::TakenAway, StatusCode::UNAUTHORIZED)]
 #[case::write(WRITE, Change::TakenAway, StatusCode::UNAUTHORIZED)]
 #[case::same_version(READ, Change::TakenAwayInSameVersion, StatusCode::UNAUTHORIZED)]
 #[case::workspace(WRITE, Change::WorkspaceTakenAway, StatusCode::UNAUTHORIZED)]
