Send no Retry-After with a 401

Cause: a request whose key was taken away while it waited was told when to come back, though waiting does not help. Change: the expected wait is left out, as for quarantined requests. Measured: four cases of a_request_that_waits_is_sent_only_while_its_key_is_held failed on the header and pass.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -130,7 +130,8 @@
 fn to_refusal(request: &RoutedRequest, failure: &Failure, pool: &Pool) -> Refusal {
     let refusal = Refusal::from_failure(failure);
     match failure.ran {
-        Ran::No if refusal.cause == Cause::Quarantined => refusal,
+        // Waiting does not help against these.
+        Ran::No if matches!(refusal.cause, Cause::Quarantined | Cause::UnknownKey) => refusal,
         Ran::No => with_expected_wait(refusal, &[Some(pool)], request.call.deadline),
         Ran::Yes | Ran::Unknown => refusal,
     }
--- a/tests/gateway_key_changes.rs
+++ b/tests/gateway_key_changes.rs
@@ -206,6 +206,7 @@
         site.received("waits").is_empty(),
         expected != StatusCode::OK
     );
+    assert!(!answer.headers().contains_key("retry-after"), "{answer:?}");
 }
 
 /// Guards against a search that is refused as not run though some shards ran it before its
