Ask for the permission to send after the last wait

Cause: an attempt asked for its permission and then waited until crashes under the request were explained, so that it could be sent after its key was taken away. Change: the permission is checked last.

--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -119,9 +119,6 @@
     if call.caller_left.get() {
         return Err(Failure::not_run(Reason::CallerLeft));
     }
-    if !call.permission.is_valid() {
-        return Err(Failure::not_run(Reason::Revoked));
-    }
     // It may have been quarantined while it waited for its slot and connection.
     let shared = &pool.shared;
     shared
@@ -131,6 +128,10 @@
     if !pool.is_available(slot.key) {
         return Err(Failure::not_run(Reason::NoReplica));
     }
+    // No wait may follow before the request is sent.
+    if !call.permission.is_valid() {
+        return Err(Failure::not_run(Reason::Revoked));
+    }
     let started = Millis::now();
     let time_left = call.deadline.since(started);
     let recipient = Recipient {
