End a booking at the first attempt without permission

Cause: a booking whose key was taken away went on to the next upstream, which cost a retry token and a slot, and could end in another reason than the key. Change: it is final, as for searches.

--- a/components/upstreams/src/dispatch.rs
+++ b/components/upstreams/src/dispatch.rs
@@ -57,6 +57,7 @@
             let left = call.deadline.since(Millis::now());
             let running = attempt::run(&slot, self, call, shard.name());
             match compio::time::timeout(left.into(), running).await {
+                Ok(Err(failure)) if failure.reason == Reason::Revoked => return Err(failure),
                 Ok(Err(failure)) if failure.ran == Ran::No && !call.caller_left.get() => {
                     call.may_have_run.set(false);
                     attempts += usize::from(!failure.is_unsent());
