Keep the connection of a caller whose key is refused

Cause: the 401 is sent before the body was read, and the HTTP library closes the connection if the body has not arrived by then. The caller's next request on it was lost. Change: the body is read and dropped beside the answer, for at most 1 s and within the limit for bodies.

--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -11,6 +11,7 @@
 use clock::Millis;
 use futures_util::future::{Either, select};
 use http::{HeaderValue, Response, header};
+use http_body_util::{BodyExt, Limited};
 use routes::{Delivery, Entry, Table};
 use slog::{info, warn};
 use telemetry::names;
@@ -31,6 +32,9 @@
 /// Retry-After of requests that arrive before a configuration is in force.
 const LOADING_RETRY_AFTER: Millis = Millis(200);
 
+/// Time for which the body of a refused request is read.
+const DISCARD_TIME: Millis = Millis(1_000);
+
 const UNREADABLE_ATTEMPTS: &str = "the attempts made before can't be read";
 
 #[derive(Clone)]
@@ -97,7 +101,12 @@
     });
     let result = match resolved {
         Ok(resolved) => serve_before_exit(gateway, resolved, request).await,
-        Err(refusal) => Err(refusal),
+        Err(refusal) => {
+            if refusal.cause == Cause::UnknownKey {
+                discard_body(gateway, request);
+            }
+            Err(refusal)
+        }
     };
     let elapsed = Millis::now().since(arrived);
     record_outcome(&result, route, elapsed);
@@ -152,6 +161,19 @@
     })
 }
 
+/// Reads the body of a refused request without keeping it. The HTTP library closes the
+/// connection if a body that has not arrived completely is dropped.
+fn discard_body(gateway: &Gateway, request: Request) {
+    let limit = gateway.fleet.table().map_or(0, |t| t.limits.body_bytes);
+    let mut body = Limited::new(request.into_body(), limit);
+    let reading = async move { while let Some(Ok(_)) = body.frame().await {} };
+    let reading = async move {
+        // A body that takes longer costs the caller its connection.
+        let _ = compio::time::timeout(DISCARD_TIME.into(), reading).await;
+    };
+    compio::runtime::spawn(reading).detach();
+}
+
 /// Serves a request, or refuses it when the process is about to exit.
 async fn serve_before_exit(
     gateway: &Rc<Gateway>,
--- a/tests/gateway_keys.rs
+++ b/tests/gateway_keys.rs
@@ -28,6 +28,8 @@
 const MOST_REQUESTS: usize = 30;
 /// Slots of all upstreams of a shard.
 const SLOTS: usize = 4;
+/// Bytes of a body that does not arrive together with its head.
+const LARGE_BODY: usize = 200_000;
 
 fn workspaces() -> Vec<Value> {
     vec![
@@ -76,7 +78,7 @@
     let (site, gateway) = start().await;
     let address = gateway.endpoints.callers();
     let mut connection = Connection::open(address).await.unwrap();
-    let bodies = [0, 10, 10];
+    let bodies = [0, 10, LARGE_BODY];
     for (at, prefix) in [READ, SEARCH, WRITE].into_iter().enumerate() {
         let id = format!("refused-{at}");
         let body = Bytes::from(vec![b'x'; bodies[at]]);
