--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -78,7 +78,7 @@
     let objective = request.entry.route.objective;
     let admission = match &request.identity {
         Identity::Key(_, workspace) => Some(gateway.quotas.admit(workspace, objective).await?),
-        Identity::Anonymous | Identity::Checked(..) => None,
+        Identity::Anonymous | Identity::Vouched(..) => None,
     };
     Ok(Running {
         admission,
@@ -190,7 +190,8 @@
 fn to_refusal(request: &RoutedRequest, failure: &Failure, pool: &Pool) -> Refusal {
     let refusal = Refusal::from_failure(failure);
     match failure.ran {
-        Ran::No if refusal.cause == Cause::Quarantined => refusal,
+        // Waiting does not help against these.
+        Ran::No if matches!(refusal.cause, Cause::Quarantined | Cause::UnknownKey) => refusal,
         Ran::No => with_expected_wait(refusal, &[Some(pool)], &request.call),
         Ran::Yes | Ran::Unknown => refusal,
     }
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -11,7 +11,8 @@
 use clock::Millis;
 use futures_util::future::{Either, select};
 use http::{HeaderValue, Response, header};
-use routes::{Delivery, Entry, KeyDigest, Table};
+use http_body_util::{BodyExt, Limited};
+use routes::{Delivery, Entry, Table};
 use slog::{info, warn};
 use telemetry::names;
 use transport::{Local, detached, local};
@@ -31,6 +32,9 @@
 /// Retry-After of requests that arrive before a configuration is in force.
 const LOADING_RETRY_AFTER: Millis = Millis(200);
 
+/// Time for which the body of a refused request is read.
+const DISCARD_TIME: Millis = Millis(1_000);
+
 const UNREADABLE_ATTEMPTS: &str = "the attempts made before can't be read";
 
 #[derive(Clone)]
@@ -76,7 +80,6 @@
         origin: Origin::Peer,
         arrived: Millis::now() - handover.elapsed,
         attempts,
-        key: handover.key,
     };
     Some(answer(gateway, source, context, request).await)
 }
@@ -87,8 +90,6 @@
     /// Arrival at the first daemon.
     arrived: Millis,
     attempts: AttemptsMade,
-    /// The caller's key, if another daemon has checked it.
-    key: Option<KeyDigest>,
 }
 
 impl Source {
@@ -98,7 +99,6 @@
             origin: Origin::Caller,
             arrived: Millis::now(),
             attempts: AttemptsMade::default(),
-            key: None,
         }
     }
 }
@@ -124,7 +124,12 @@
     });
     let result = match resolved {
         Ok(resolved) => serve_before_exit(gateway, resolved, request).await,
-        Err(refusal) => Err(refusal),
+        Err(refusal) => {
+            if refusal.cause == Cause::UnknownKey {
+                discard_body(gateway, request);
+            }
+            Err(refusal)
+        }
     };
     let elapsed = Millis::now().since(arrived);
     record_outcome(&result, route, elapsed);
@@ -162,7 +167,7 @@
     };
     let entry = find_route(&table, request).map_err(unless_behind)?;
     let (wire, headers) = (gateway.wire.as_ref(), request.headers());
-    let identity = Identity::resolve(wire, &table, &entry.route, source.key, headers);
+    let identity = Identity::resolve(wire, &table, &entry.route, source.origin, headers);
     let identity = identity.map_err(unless_behind)?;
     Ok(ResolvedRoute {
         deadline: deadline(&entry.route, &context, source.arrived),
@@ -177,6 +182,19 @@
     })
 }
 
+/// Reads the body of a refused request without keeping it. The HTTP library closes the
+/// connection if a body that has not arrived completely is dropped.
+fn discard_body(gateway: &Gateway, request: Request) {
+    let limit = gateway.fleet.table().map_or(0, |t| t.limits.body_bytes);
+    let mut body = Limited::new(request.into_body(), limit);
+    let reading = async move { while let Some(Ok(_)) = body.frame().await {} };
+    let reading = async move {
+        // A body that takes longer costs the caller its connection.
+        let _ = compio::time::timeout(DISCARD_TIME.into(), reading).await;
+    };
+    compio::runtime::spawn(reading).detach();
+}
+
 /// Serves a request, or refuses it when the process is about to exit.
 async fn serve_before_exit(
     gateway: &Rc<Gateway>,
--- a/components/gateway/src/peer_forward.rs
+++ b/components/gateway/src/peer_forward.rs
@@ -12,10 +12,10 @@
 use http::header::HeaderName;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
 use rand::seq::IndexedRandom;
-use routes::{Delivery, KeyDigest};
+use routes::Delivery;
 use telemetry::names;
 use transport::{Client, Payload};
-use upstreams::{AttemptsMade, Ran};
+use upstreams::{AttemptsMade, Failure, Ran, Reason};
 
 use crate::delegation::{answer_time, delegates};
 use crate::refusal::{Cause, Refusal, Result};
@@ -32,8 +32,6 @@
 /// Time that the request has spent before and that its answer needs on the way back, in
 /// milliseconds; older daemons send none.
 const ELAPSED_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-elapsed-ms");
-/// Digest of the caller's key, which this daemon has checked; the key itself stays here.
-const KEY_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-key-digest");
 /// The attempts that may have been made for the request, as JSON.
 const ATTEMPTS_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-attempts");
 /// Present if a gateway did not take the request; says why.
@@ -149,6 +147,9 @@
             if attempts_left(request) == 0 {
                 break;
             }
+            if !request.call.permission.is_valid() {
+                return Err(revoked(may_have_run.get()));
+            }
             tried.push(peer);
             let attempts = attempts_for_peer(request);
             let result = self.hand_over(peer, request, attempts, PEER_PAUSE).await;
@@ -187,7 +188,7 @@
                 self.record_version(&response);
                 count("answered");
                 return Some(match response.status() {
-                    StatusCode::SERVICE_UNAVAILABLE if before => Err(refused_elsewhere(peer)),
+                    status if before && is_refusal(status, request) => Err(refused_elsewhere(peer)),
                     _ => Ok(without_version(caller_response(response))),
                 });
             }
@@ -267,6 +268,24 @@
     metrics::counter!(names::PEER_FORWARDS_TOTAL, "outcome" => outcome).increment(1);
 }
 
+/// Returns the refusal of a request whose key was withdrawn before it was handed over.
+fn revoked(may_have_run: bool) -> Refusal {
+    let failure = match may_have_run {
+        true => Failure::unknown(Reason::Revoked),
+        false => Failure::not_run(Reason::Revoked),
+    };
+    Refusal::from_failure(&failure)
+}
+
+/// Whether the answer of another gateway says that the request did not run there.
+fn is_refusal(status: StatusCode, request: &RoutedRequest) -> bool {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => true,
+        StatusCode::UNAUTHORIZED => request.call.workspace.is_some(),
+        _ => false,
+    }
+}
+
 fn no_links(request: &RoutedRequest, ran: Ran, tried: usize) -> Refusal {
     let detail = format!("this daemon reaches no upstream, and none of {tried} others took it");
     let refusal = Refusal {
@@ -329,16 +348,12 @@
     }
     *message.headers_mut() = forwarded.headers.clone();
     let headers = message.headers_mut();
+    request.identity.write_key_digest(headers);
     headers.insert(TIME_LEFT_HEADER, left.0.into());
     headers.insert(VERSION_HEADER, version.into());
     headers.insert(ELAPSED_HEADER, elapsed.0.into());
-    // The caller's own headers of these names say nothing.
+    // The caller's own header of this name says nothing.
     headers.remove(ATTEMPTS_HEADER);
-    headers.remove(KEY_HEADER);
-    let key = request.identity.key().map(KeyDigest::to_hex);
-    if let Some(key) = key.and_then(|key| HeaderValue::from_str(&key).ok()) {
-        headers.insert(KEY_HEADER, key);
-    }
     let attempts = serde_json::to_string(attempts).unwrap_or_default();
     if let Ok(attempts) = HeaderValue::from_bytes(attempts.as_bytes()) {
         headers.insert(ATTEMPTS_HEADER, attempts);
@@ -353,8 +368,6 @@
     pub(crate) time_left: Millis,
     /// Time that it has spent before.
     pub(crate) elapsed: Millis,
-    /// The caller's key, if its configuration asks for one.
-    pub(crate) key: Option<KeyDigest>,
     /// Lowest version of the configuration that may serve it.
     pub(crate) version: u64,
     /// The attempts that it and others may have made; `None` if they can't be read.
@@ -371,17 +384,11 @@
     Some(Handover {
         time_left: Millis(take_number(headers, &TIME_LEFT_HEADER)?),
         elapsed: Millis(take_number(headers, &ELAPSED_HEADER).unwrap_or(0)),
-        key: take_key(headers),
         version: take_number(headers, &VERSION_HEADER)?,
         attempts: take_attempts(headers),
     })
 }
 
-fn take_key(headers: &mut HeaderMap) -> Option<KeyDigest> {
-    let key = headers.remove(&KEY_HEADER)?;
-    KeyDigest::from_hex(key.to_str().ok()?)
-}
-
 fn take_number(headers: &mut HeaderMap, name: &HeaderName) -> Option<u64> {
     let number = header_number(headers, name);
     headers.remove(name);
--- a/components/routes/src/workspace.rs
+++ b/components/routes/src/workspace.rs
@@ -6,8 +6,6 @@
 
 use sha2::{Digest, Sha256};
 
-const DIGEST_BYTES: usize = 32;
-
 /// A customer of the operator, whose callers identify themselves by keys.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Workspace {
@@ -33,7 +31,7 @@
 /// The digest of a key. Keys are compared by their digests, so that the time of a
 /// comparison tells nothing about a key.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
-pub struct KeyDigest([u8; DIGEST_BYTES]);
+pub struct KeyDigest([u8; 32]);
 
 impl KeyDigest {
     /// Returns the digest of a key.
@@ -41,19 +39,15 @@
         Self(Sha256::digest(key).into())
     }
 
-    /// Returns the digest in hexadecimal.
-    pub fn to_hex(self) -> String {
-        self.0.iter().map(|byte| format!("{byte:02x}")).collect()
+    /// Returns the bytes of the digest.
+    pub fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
     }
+}
 
-    /// Reads a digest in hexadecimal.
-    pub fn from_hex(text: &str) -> Option<Self> {
-        let mut digest = [0; DIGEST_BYTES];
-        let is_digest = text.len() == 2 * DIGEST_BYTES && text.is_ascii();
-        for (at, byte) in digest.iter_mut().enumerate().filter(|_| is_digest) {
-            *byte = u8::from_str_radix(&text[2 * at..2 * at + 2], 16).ok()?;
-        }
-        is_digest.then_some(Self(digest))
+impl From<[u8; 32]> for KeyDigest {
+    fn from(bytes: [u8; 32]) -> Self {
+        Self(bytes)
     }
 }
 
