--- a/components/discovery/src/follow.rs
+++ b/components/discovery/src/follow.rs
@@ -25,7 +25,7 @@
 mod reach;
 
 use outage::Outage;
-use reach::Reach;
+pub use reach::Reach;
 
 /// Longest wait of one watch; a watch that does not respond soon after has
 /// failed.
--- a/components/discovery/src/follow/reach.rs
+++ b/components/discovery/src/follow/reach.rs
@@ -15,12 +15,13 @@
 
 /// The outcomes of the last polls, each of a peer chosen by chance.
 #[derive(Debug, Default)]
-pub(super) struct Reach {
+pub struct Reach {
     polls: VecDeque<(Millis, bool)>,
 }
 
 impl Reach {
-    pub(super) fn record(&mut self, is_reached: bool, now: Millis) {
+    /// Records a poll.
+    pub fn record(&mut self, is_reached: bool, now: Millis) {
         self.polls.push_back((now, is_reached));
         while self.polls.len() > POLLS {
             self.polls.pop_front();
@@ -28,7 +29,7 @@
     }
 
     /// Whether nearly all polls reached a peer lately.
-    pub(super) fn is_whole(&self, now: Millis) -> bool {
+    pub fn is_whole(&self, now: Millis) -> bool {
         let recent = self.polls.iter();
         let recent = recent.filter(|(at, _)| now.since(*at) < MAX_AGE);
         let failures = recent.clone().filter(|(_, is_reached)| !is_reached).count();
--- a/components/discovery/src/lib.rs
+++ b/components/discovery/src/lib.rs
@@ -18,7 +18,7 @@
 pub use directory::Directory;
 pub use entry::{CrashEntry, Decode, Entry, InstanceEntry, Lifecycle, Record, UpstreamEntry};
 pub use feed::{Change, Changes, Error, Feed, Position, Result, Snapshot, Update};
-pub use follow::{Follower, Listeners, SharedDirectory};
+pub use follow::{Follower, Listeners, Reach, SharedDirectory};
 pub use registration::{Lease, Leases, Registration};
 pub use relay::{CRASHES_PATH, PeerUpdate, RelayClient, RelayState};
 pub use watchers::watchers;
--- a/components/gateway/src/quotas.rs
+++ b/components/gateway/src/quotas.rs
@@ -96,9 +96,7 @@
         let is_new = {
             let mut roster = self.roster.borrow_mut();
             let older = message.without_quotas.iter();
-            older.fold(false, |is_new, name| {
-                roster.pass_over(name, now) || is_new
-            })
+            older.fold(false, |is_new, name| roster.pass_over(name, now) || is_new)
         };
         if is_new {
             self.assign();
@@ -142,8 +140,9 @@
             let allocator = chosen.get(*name);
             allocator.is_some_and(|a| a.as_deref() == Some(&*self.me))
         });
-        let limit =
-            |(name, q): (&Rc<str>, &routes::Quota)| (name.clone(), Limit::new(q.per_second, q.burst, &margin));
+        let limit = |(name, q): (&Rc<str>, &routes::Quota)| {
+            (name.clone(), Limit::new(q.per_second, q.burst, &margin))
+        };
         let own: HashMap<Rc<str>, Limit> = own.map(limit).collect();
         debug!(self.log, "allocators of quotas chosen"; "workspaces" => chosen.len(),
             "own" => own.len(), "daemons" => roster.daemons());
--- a/components/quota/src/allocators.rs
+++ b/components/quota/src/allocators.rs
@@ -48,12 +48,7 @@
     }
 
     /// Returns the bucket of a workspace; `None` if this daemon is not its allocator.
-    pub fn view(
-        &mut self,
-        workspace: &str,
-        standing: Standing,
-        now: Millis,
-    ) -> Option<BucketView> {
+    pub fn view(&mut self, workspace: &str, standing: Standing, now: Millis) -> Option<BucketView> {
         let allocator = self.by_workspace.get_mut(workspace)?;
         Some(allocator.view(standing, now))
     }
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -7,6 +7,7 @@
 pub mod link;
 pub mod paced_load;
 pub mod peer;
+pub mod quotas;
 pub mod repeating;
 pub mod silent_link;
 pub mod site;
--- a/standins/src/platform/paced_load.rs
+++ b/standins/src/platform/paced_load.rs
@@ -43,6 +43,17 @@
     /// Sends a request below `prefix` each `interval`, each on a new connection and
     /// with an identifier that begins with `name`.
     pub fn start(gateway: SocketAddr, name: &str, prefix: &str, interval: Millis) -> Self {
+        Self::start_with_key(gateway, name, prefix, interval, None)
+    }
+
+    /// As [`PacedLoad::start`], with a key in each request.
+    pub fn start_with_key(
+        gateway: SocketAddr,
+        name: &str,
+        prefix: &str,
+        interval: Millis,
+        key: Option<&'static str>,
+    ) -> Self {
         let outcomes: Rc<RefCell<Vec<Outcome>>> = Rc::default();
         let (all, name, prefix) = (outcomes.clone(), name.to_owned(), prefix.to_owned());
         let task = compio::runtime::spawn(async move {
@@ -51,7 +62,7 @@
                 let (all, id) = (all.clone(), format!("{name}-{n}"));
                 let path = format!("{prefix}{id}");
                 compio::runtime::spawn(async move {
-                    let outcome = send(gateway, &path, &id).await;
+                    let outcome = send(gateway, &path, &id, key).await;
                     all.borrow_mut().push(outcome);
                 })
                 .detach();
@@ -94,11 +105,15 @@
     served as f64 / outcomes.len() as f64
 }
 
-async fn send(gateway: SocketAddr, path: &str, id: &str) -> Outcome {
-    let request = Request::get(path)
+async fn send(gateway: SocketAddr, path: &str, id: &str, key: Option<&str>) -> Outcome {
+    let mut builder = Request::get(path)
         .header("host", HOST)
         .header("request-id", id)
-        .header("deadline-milliseconds", "1000")
+        .header("deadline-milliseconds", "1000");
+    if let Some(key) = key {
+        builder = builder.header("x-api-key", key);
+    }
+    let request = builder
         .body(Payload::default())
         .expect("the request is valid");
     let sent_at = Millis::now();
