Refuse claims until the store answers a probe

Cause: after a failed call the ledger refused claims at once for 0.5 s only; then the next claim called the store again and waited for its time-out of 1.5 s. A daemon knows only of its own calls, and the writer of a key's bucket makes them: when consecutive bookings had buckets of different writers, the 0.5 s of each writer were over before its next claim, and no booking was refused quickly. Whether that happens depends on the random keys, not on load: two of the test's three daemons write the four buckets of its service. A claim that waited behind a failing call of its bucket then made a call of its own. Change: from the first failed call a daemon refuses claims until the store answers a probe. Probes start every 0.5 s, also while earlier ones hang, so that claims are made again as soon after an outage as before. Claims that waited for a failing call are refused with it.

--- a/components/ledger/src/commit.rs
+++ b/components/ledger/src/commit.rs
@@ -1,6 +1,8 @@
 //! Group commit: all requests that arrive while a bucket is being written go
 //! into its next write.
 
+use std::rc::Rc;
+
 use clock::Millis;
 use slog::info;
 use store::Swap;
@@ -12,16 +14,19 @@
 use crate::verdict::Verdict;
 
 const RETRY_PAUSE: Millis = Millis(50);
-const OUTAGE_PAUSE: Millis = Millis(500);
 
 impl Ledger {
     /// Commits the batches of a bucket until no request is pending.
-    pub(crate) async fn run(&self, bucket: &str) {
+    pub(crate) async fn run(self: &Rc<Self>, bucket: &str) {
         loop {
-            let batch = self.take_batch(bucket);
+            let mut batch = self.take_batch(bucket);
             if batch.is_empty() {
                 return;
             }
+            // They waited for a call that failed.
+            if self.is_out.get() {
+                refuse_claims(&mut batch);
+            }
             self.commit(bucket, batch).await;
         }
     }
@@ -38,7 +43,7 @@
 
     /// Commits a batch. Requests past their deadline are dropped; their
     /// submitters get [`Verdict::Unavailable`].
-    async fn commit(&self, key: &str, mut batch: Vec<Pending>) {
+    async fn commit(self: &Rc<Self>, key: &str, mut batch: Vec<Pending>) {
         loop {
             batch.retain(|p| p.request.deadline > Millis::now() && !p.sender.is_canceled());
             if batch.is_empty() {
@@ -65,7 +70,7 @@
     }
 
     /// Returns a bucket with the epoch in which it was read.
-    async fn load_bucket(&self, key: &str) -> Option<(Epoch, CachedBucket)> {
+    async fn load_bucket(self: &Rc<Self>, key: &str) -> Option<(Epoch, CachedBucket)> {
         let Some(epoch) = self.load_epoch().await else {
             self.record_outage();
             info!(self.log, "epoch of the store not known"; "bucket" => key);
@@ -102,11 +107,6 @@
         Some((epoch, read))
     }
 
-    /// Starts an interval in which claims are refused at once.
-    fn record_outage(&self) {
-        self.outage_until.set(Millis::now() + OUTAGE_PAUSE);
-    }
-
     fn cache(&self, key: &str, value: Option<CachedBucket>) {
         if let Some(queue) = self.queues.borrow_mut().get_mut(key) {
             queue.cached = value;
@@ -116,7 +116,13 @@
     /// Writes a bucket; returns `false` if the batch must be retried. This also
     /// covers a write whose reply was lost: the retry recognizes the written
     /// claims by their nonces. A write that was answered in a later epoch is lost.
-    async fn write(&self, key: &str, epoch: &Epoch, version: u64, bucket: Bucket) -> bool {
+    async fn write(
+        self: &Rc<Self>,
+        key: &str,
+        epoch: &Epoch,
+        version: u64,
+        bucket: Bucket,
+    ) -> bool {
         let wait = self.pacer.reserve((self.daemon_count)(), Millis::now());
         compio::time::sleep(wait.into()).await;
         let Ok(json) = serde_json::to_string(&bucket) else {
--- a/components/ledger/src/epoch.rs
+++ b/components/ledger/src/epoch.rs
@@ -13,7 +13,7 @@
 use crate::queue::Ledger;
 
 /// Key of the latest [`Epoch`] that a daemon has recorded.
-const EPOCH_KEY: &str = "ledger/epoch";
+pub(crate) const EPOCH_KEY: &str = "ledger/epoch";
 const CHECK_INTERVAL: Millis = Millis(1_000);
 
 /// An epoch of the store, and since when its claims are known to be complete.
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -5,6 +5,7 @@
 mod commit;
 mod epoch;
 mod key;
+mod outage;
 mod pace;
 mod queue;
 mod verdict;
--- a/components/ledger/src/queue.rs
+++ b/components/ledger/src/queue.rs
@@ -81,8 +81,8 @@
     pub(crate) queues: RefCell<HashMap<String, Queue>>,
     pub(crate) pacer: WritePacer,
     pub(crate) daemon_count: Box<dyn Fn() -> usize>,
-    // Until this time the store counts as unavailable and claims are refused at once.
-    pub(crate) outage_until: Cell<Millis>,
+    /// Whether the store does not answer, so that claims are refused at once.
+    pub(crate) is_out: Cell<bool>,
     releases: Cell<usize>,
     failed_releases: Cell<usize>,
     pub(crate) log: Logger,
@@ -103,7 +103,7 @@
             queues,
             pacer,
             daemon_count,
-            outage_until: Cell::default(),
+            is_out: Cell::default(),
             releases: Cell::default(),
             failed_releases: Cell::default(),
             log: log.clone(),
@@ -112,7 +112,7 @@
 
     /// Claims or releases a key and returns by the request's deadline.
     pub async fn submit(self: &Rc<Self>, request: LedgerRequest) -> Verdict {
-        if !request.release && Millis::now() < self.outage_until.get() {
+        if !request.release && self.is_out.get() {
             return Verdict::Unavailable;
         }
         let bucket = request.key.bucket(&request.service);
--- a/tests/booking_refusals.rs
+++ b/tests/booking_refusals.rs
@@ -4,12 +4,20 @@
 use std::time::Duration;
 
 use clock::Millis;
+use ledger::Key;
 use rstest::rstest;
 use serde_json::{Value, json};
 use standins::bookings::{RETENTION, fleet_with, new_key, runs_by_key};
 use standins::fleet::book;
 use uuid::{NoContext, Timestamp, Uuid};
 
+/// Bookings that are sent one after the other.
+const BOOKINGS: usize = 6;
+
+fn new_keys() -> [String; BOOKINGS] {
+    std::array::from_fn(|_| new_key())
+}
+
 /// A key whose time is `offset_ms` from now.
 fn key_at(offset_ms: i64) -> String {
     let ms = Millis::wall().0.saturating_add_signed(offset_ms);
@@ -17,19 +25,34 @@
     Uuid::new_v7(stamp).to_string()
 }
 
+/// Returns a key whose claim is in this bucket of the service.
+fn key_in(bucket: usize) -> String {
+    let bucket = format!("ledger/jobs/{bucket}");
+    loop {
+        let key = new_key();
+        if Key::parse(&key).unwrap().bucket("jobs") == bucket {
+            return key;
+        }
+    }
+}
+
 /// A booking that can't be claimed is refused at once: its caller is not kept
 /// waiting until a deadline of 20 s.
 #[rstest]
-#[case::down(json!({ "down": true }))]
-#[case::hanging(json!({ "hang": true }))]
-fn without_the_store_bookings_are_refused_at_once(#[case] faults: Value) {
+#[case::down(json!({ "down": true }), new_keys())]
+#[case::hanging(json!({ "hang": true }), new_keys())]
+// Different daemons write these buckets. Each knew for too short a time that its store hangs.
+#[case::hanging_for_two_writers(json!({ "hang": true }), [1, 2, 1, 2, 1, 2].map(key_in))]
+fn without_the_store_bookings_are_refused_at_once(
+    #[case] faults: Value,
+    #[case] keys: [String; BOOKINGS],
+) {
     compio::runtime::Runtime::new().unwrap().block_on(async {
         let fleet = fleet_with(5.0, RETENTION).await;
         fleet.set_store_faults(faults).await;
         let path = "/v1/services/jobs/book";
         let mut fastest = Duration::MAX;
-        for _ in 0..6 {
-            let key = new_key();
+        for key in &keys {
             let headers = [
                 ("idempotency-key", key.as_str()),
                 ("x-deadline-ms", "20000"),
