--- a/src/cli.rs
+++ b/src/cli.rs
@@ -34,8 +34,8 @@
     /// Run a gateway on the users' platform until SIGTERM.
     #[command(after_help = "Example:\n  coltsfootgw gateway --settings settings.yaml")]
     Gateway(GatewayArgs),
-    /// Check declarations or a platform's settings file offline and print each
-    /// finding with its location.
+    /// Check declarations, or a platform's settings file or configuration, offline and
+    /// print each finding with its location.
     #[command(after_help = "Example:\n  coltsfootgw check --file deploy.yaml")]
     Check(CheckArgs),
     /// Show what applying declarations would change.
@@ -108,6 +108,9 @@
     /// A settings file of the users' platform.
     #[arg(long)]
     pub(crate) platform: Option<PathBuf>,
+    /// A configuration of the users' platform (JSON), as operators write it to the store.
+    #[arg(long)]
+    pub(crate) configuration: Option<PathBuf>,
 }
 
 #[derive(Debug, Args)]
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use platform::PlatformSettings;
+use routes::Configuration;
 use schema::apply_reply::Outcome;
 use schema::{ApplyReply, Finding, HistoryEntry, StatusReply};
 
@@ -46,6 +47,22 @@
     )
 }
 
+pub(crate) fn checked_configuration(
+    file: &str,
+    configuration: &Configuration,
+    warnings: usize,
+) -> String {
+    let workspaces = match &configuration.workspaces {
+        Some(workspaces) => format!("{} workspaces", workspaces.len()),
+        None => "no keys required".to_owned(),
+    };
+    format!(
+        "{file}: version {}, {} routes, {workspaces}, {warnings} warnings",
+        configuration.version,
+        configuration.routes.len()
+    )
+}
+
 pub(crate) fn plan_header(revision: u64) -> String {
     format!("changes to revision {revision}:")
 }
