--- a/components/gateway/src/quotas.rs
+++ b/components/gateway/src/quotas.rs
@@ -19,7 +19,7 @@
 
 pub(crate) use self::admission::Admission;
 use self::admission::Waiter;
-use self::roster::Roster;
+use self::roster::{Roster, Source};
 use crate::fleet::Fleet;
 use crate::settings::Settings;
 use crate::view::QuotaView;
@@ -93,11 +93,11 @@
     /// Answers a daemon that asks for tokens.
     pub(crate) fn answer(self: &Rc<Self>, message: &Message) -> Answer {
         let now = Millis::since_boot();
-        let is_new = {
-            let mut roster = self.roster.borrow_mut();
-            let older = message.without_quotas.iter();
-            older.fold(false, |is_new, name| roster.pass_over(name, now) || is_new)
-        };
+        let mut roster = self.roster.borrow_mut();
+        let older = message.without_quotas.iter();
+        let added = older.filter(|name| roster.pass_over(name, Source::Peer, now));
+        let is_new = added.count() > 0;
+        drop(roster);
         if is_new {
             self.assign();
         }
@@ -117,12 +117,12 @@
         let standing = self.standing(now);
         let mut allocators = self.allocators.borrow_mut();
         let accounts = self.accounts.borrow().views(now).into_iter();
-        let view = accounts.map(|(name, tokens, share_per_s, allocator)| QuotaView {
-            bucket: allocators.view(&name, standing, now),
-            workspace: name.to_string(),
-            tokens,
-            share_per_s,
-            allocator: allocator.map(|a| a.to_string()),
+        let view = accounts.map(|account| QuotaView {
+            bucket: allocators.view(&account.workspace, standing, now),
+            workspace: account.workspace.to_string(),
+            tokens: account.tokens,
+            share_per_s: account.share,
+            allocator: account.allocator.map(|a| a.to_string()),
         });
         let mut views: Vec<QuotaView> = view.collect();
         views.sort_by(|a, b| a.workspace.cmp(&b.workspace));
--- a/components/gateway/src/quotas/admission.rs
+++ b/components/gateway/src/quotas/admission.rs
@@ -117,14 +117,9 @@
         allocator: &Rc<str>,
         patience: Millis,
     ) -> Result<Admission> {
-        let (sender, receiver) = oneshot::channel();
         let until = Millis::since_boot() + patience;
-        let waiter = Waiter { until, sender };
-        self.accounts.borrow_mut().begin_wait(name);
+        let receiver = self.enqueue(name, until);
         let guard = WaitGuard(self, name);
-        let mut waiting = self.waiting.borrow_mut();
-        waiting.entry(name.clone()).or_default().push_back(waiter);
-        drop(waiting);
         self.start_task(allocator);
         let waited = compio::time::timeout(patience.into(), receiver).await;
         drop(guard);
@@ -138,6 +133,16 @@
         self.conclude(name, decision)
     }
 
+    /// Adds a request to those that wait for tokens.
+    fn enqueue(&self, name: &Rc<str>, until: Millis) -> oneshot::Receiver<Admission> {
+        let (sender, receiver) = oneshot::channel();
+        let waiter = Waiter { until, sender };
+        self.accounts.borrow_mut().begin_wait(name);
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.entry(name.clone()).or_default().push_back(waiter);
+        receiver
+    }
+
     fn refuse_wait(&self, name: &str, now: Millis) -> Decision {
         let accounts = self.accounts.borrow();
         match accounts.has_quota(name) {
--- a/components/gateway/src/quotas/exchange.rs
+++ b/components/gateway/src/quotas/exchange.rs
@@ -12,6 +12,7 @@
 use transport::{Client, Payload};
 
 use super::admission::Admission;
+use super::roster::Source;
 use super::{QUOTA_LIMIT_BYTES, QUOTA_PATH, Quotas};
 
 /// A message without an answer has failed after this time.
@@ -73,9 +74,8 @@
     /// Sleeps until a time has passed or the task is woken.
     async fn sleep(&self, allocator: &Rc<str>, time: Millis) {
         let (sender, receiver) = oneshot::channel::<()>();
-        let mut tasks = self.tasks.borrow_mut();
-        tasks.insert(allocator.clone(), Some(sender));
-        drop(tasks);
+        let wake = Some(sender);
+        self.tasks.borrow_mut().insert(allocator.clone(), wake);
         let _ = compio::time::timeout(time.max(MIN_SLEEP).into(), receiver).await;
     }
 
@@ -122,7 +122,9 @@
         count(&result);
         self.log_exchange(allocator, finished, &result);
         if let Err(Failure::NoQuotas) = result {
-            self.roster.borrow_mut().pass_over(allocator, now);
+            let mut roster = self.roster.borrow_mut();
+            roster.pass_over(allocator, Source::Answer, now);
+            drop(roster);
             self.assign();
         }
         self.serve_waiting(&message, now);
--- a/components/gateway/src/quotas/roster.rs
+++ b/components/gateway/src/quotas/roster.rs
@@ -11,6 +11,15 @@
 /// A daemon of a build without quotas is passed over for this long; it may be upgraded.
 const PASS_TIME: Millis = Millis(3_000);
 
+/// How a daemon is known to have no quotas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Source {
+    /// It answered this daemon.
+    Answer,
+    /// Another daemon says so. This is not passed on, or it would never end.
+    Peer,
+}
+
 /// What the choice of allocators depends on.
 #[derive(Default)]
 pub(super) struct Roster {
@@ -18,7 +27,7 @@
     daemons: Vec<(String, SocketAddr)>,
     quotas: HashMap<Rc<str>, Quota>,
     /// Daemons of builds without quotas, and until when they are passed over.
-    passed: HashMap<String, Millis>,
+    passed: HashMap<String, (Source, Millis)>,
 }
 
 impl Roster {
@@ -43,26 +52,31 @@
     }
 
     /// Passes over a daemon of a build without quotas; `true` if it was not passed over.
-    pub(super) fn pass_over(&mut self, daemon: &str, now: Millis) -> bool {
-        let until = now + PASS_TIME;
-        let before = self.passed.insert(daemon.to_owned(), until);
-        before.is_none_or(|until| until <= now)
+    pub(super) fn pass_over(&mut self, daemon: &str, source: Source, now: Millis) -> bool {
+        let known = self.passed.get(daemon);
+        let is_new = known.is_none_or(|(_, until)| *until <= now);
+        if is_new || source == Source::Answer {
+            let pass = (source, now + PASS_TIME);
+            self.passed.insert(daemon.to_owned(), pass);
+        }
+        is_new
     }
 
-    /// Returns the daemons that are passed over.
+    /// Returns the daemons that have answered this one that they have no quotas.
     pub(super) fn passed_over(&self, now: Millis) -> Vec<String> {
-        let passed = self.passed.iter().filter(|(_, until)| **until > now);
+        let is_own = |(source, until): (Source, Millis)| source == Source::Answer && until > now;
+        let passed = self.passed.iter().filter(|(_, pass)| is_own(**pass));
         passed.map(|(name, _)| name.clone()).collect()
     }
 
     /// Whether a daemon is passed over no more and has to be asked again.
     pub(super) fn has_lapsed(&self, now: Millis) -> bool {
-        self.passed.values().any(|until| *until <= now)
+        self.passed.values().any(|(_, until)| *until <= now)
     }
 
     /// Returns the allocator of each workspace.
     pub(super) fn choose(&mut self, now: Millis) -> HashMap<Rc<str>, Option<Rc<str>>> {
-        self.passed.retain(|_, until| *until > now);
+        self.passed.retain(|_, (_, until)| *until > now);
         let passed = &self.passed;
         let names = self.daemons.iter().map(|(name, _)| name.as_str());
         let names = names.filter(|name| !passed.contains_key(*name));
--- a/components/quota/src/accounts.rs
+++ b/components/quota/src/accounts.rs
@@ -1,20 +1,20 @@
 //! The workspaces with quotas at one daemon, and its messages to their allocators.
 
+mod channel;
+mod entry;
+
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 use clock::Millis;
 
+use self::channel::Channel;
+use self::entry::Entry;
 use crate::account::{Account, Admitted};
-use crate::message::{Answer, Message, Request};
+use crate::message::{Answer, Message};
 
 /// An allocator that does not answer is asked again after this time.
 const SILENCE_PAUSE: Millis = Millis(1_000);
-/// A daemon that is not the allocator by its own list is asked again after this time, in
-/// which it may have got the newer list.
-const LIST_PAUSE: Millis = Millis(250);
-/// An allocator that has not answered a message within this time is slow.
-const SLOW_TIME: Millis = Millis(10);
 /// Reports that are due within this time are sent with those that are due now.
 const COLLECT_TIME: Millis = Millis(100);
 
@@ -55,24 +55,17 @@
     StillSilent,
 }
 
-struct Entry {
-    account: Account,
-    allocator: Option<Rc<str>>,
-    /// Whether the allocator says that it is none.
-    is_disowned: bool,
-}
-
-/// The messages to one allocator.
-#[derive(Default)]
-struct Channel {
-    /// The message without an answer, and when it was sent.
-    sent: Option<(Millis, Vec<Request>)>,
-    /// Whether the last message was not answered.
-    is_silent: bool,
-    /// Whether a request has waited in vain for the answer to a message.
-    is_slow: bool,
-    /// Before this time nothing is sent.
-    ask_at: Millis,
+/// A workspace with recent traffic at a daemon.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AccountView {
+    /// Its name.
+    pub workspace: Rc<str>,
+    /// Tokens that the daemon holds.
+    pub tokens: u64,
+    /// Requests a second that the daemon may admit by itself.
+    pub share: f64,
+    /// The daemon that grants the tokens.
+    pub allocator: Option<Rc<str>>,
 }
 
 /// The state of all workspaces with quotas at one daemon.
@@ -101,11 +94,7 @@
     pub fn assign(&mut self, allocators: &HashMap<Rc<str>, Option<Rc<str>>>, now: Millis) {
         self.entries.retain(|name, _| allocators.contains_key(name));
         for (name, allocator) in allocators {
-            let entry = self.entries.entry(name.clone()).or_insert_with(|| Entry {
-                account: Account::default(),
-                allocator: None,
-                is_disowned: false,
-            });
+            let entry = self.entries.entry(name.clone()).or_default();
             if entry.allocator != *allocator {
                 entry.allocator = allocator.clone();
                 entry.is_disowned = false;
@@ -278,14 +267,15 @@
         self.entries.values().map(|e| e.account.tokens()).sum()
     }
 
-    /// Returns the workspaces with recent traffic, each with its tokens, its share in
-    /// requests a second and its allocator.
-    pub fn views(&self, now: Millis) -> Vec<(Rc<str>, u64, f64, Option<Rc<str>>)> {
+    /// Returns the workspaces with recent traffic.
+    pub fn views(&self, now: Millis) -> Vec<AccountView> {
         let active = self.entries.iter();
         let active = active.filter(|(_, e)| e.account.has_traffic(now));
-        let view = |(name, e): (&Rc<str>, &Entry)| {
-            let (tokens, share) = (e.account.tokens(), e.account.share(now));
-            (name.clone(), tokens, share, e.allocator.clone())
+        let view = |(name, e): (&Rc<str>, &Entry)| AccountView {
+            workspace: name.clone(),
+            tokens: e.account.tokens(),
+            share: e.account.share(now),
+            allocator: e.allocator.clone(),
         };
         active.map(view).collect()
     }
@@ -296,36 +286,3 @@
         own.map(|e| &e.account)
     }
 }
-
-impl Channel {
-    /// Whether the allocator should have answered by now.
-    fn is_overdue(&self, now: Millis) -> bool {
-        let sent = self.sent.as_ref();
-        self.is_silent || sent.is_some_and(|(at, _)| now.since(*at) >= SLOW_TIME)
-    }
-}
-
-impl Entry {
-    /// Decides about a request without the allocator.
-    fn use_share(&mut self, failure: Failure, now: Millis) -> Decision {
-        if self.account.take_share(now) {
-            return Decision::Admitted(Admitted::Share);
-        }
-        let wait = self.account.share_wait(now).unwrap_or(SILENCE_PAUSE);
-        Decision::Refused(failure, wait)
-    }
-
-    fn finish(&mut self, request: &Request, answer: Option<&Answer>, sent: Millis, now: Millis) {
-        let Some(answer) = answer else {
-            self.account.record_loss();
-            return;
-        };
-        let mut grants = answer.grants.iter();
-        let grant = grants.find(|g| g.workspace == request.workspace);
-        self.is_disowned = grant.is_none();
-        match grant {
-            Some(grant) => self.account.apply(grant, request, sent, now),
-            None => self.account.postpone(now + LIST_PAUSE),
-        }
-    }
-}
--- a/components/quota/src/lib.rs
+++ b/components/quota/src/lib.rs
@@ -13,7 +13,7 @@
 mod share;
 
 pub use account::Admitted;
-pub use accounts::{Accounts, Decision, Failure, Finished};
+pub use accounts::{AccountView, Accounts, Decision, Failure, Finished};
 pub use allocator::{Allocator, BucketView, Standing};
 pub use allocators::Allocators;
 pub use choice::choose;
--- a/components/quota/tests/fleets.rs
+++ b/components/quota/tests/fleets.rs
@@ -2,6 +2,8 @@
 
 #[path = "fleets/failures.rs"]
 mod failures;
+#[path = "fleets/faults.rs"]
+mod faults;
 #[path = "fleets/fleet.rs"]
 mod fleet;
 #[path = "fleets/rule.rs"]
--- a/components/quota/tests/fleets/fleet.rs
+++ b/components/quota/tests/fleets/fleet.rs
@@ -17,9 +17,6 @@
 const PATIENCE: Millis = Millis(15);
 /// A message without an answer has failed after this time.
 const EXCHANGE_TIMEOUT: u64 = 1_000;
-/// A registration without renewal expires after 7 to 10 s.
-const EXPIRY_MS: std::ops::Range<u64> = 7_000..10_000;
-
 enum Event {
     /// Exchange to a daemon.
     Ask(usize, u64, Message),
@@ -29,7 +26,7 @@
     List(usize),
 }
 
-struct Daemon {
+pub(crate) struct Daemon {
     name: Rc<str>,
     accounts: Accounts,
     allocators: Allocators,
@@ -39,10 +36,10 @@
     /// Times until which requests wait.
     waiting: VecDeque<Millis>,
     due: u64,
-    is_up: bool,
-    is_paused: bool,
+    pub(crate) is_up: bool,
+    pub(crate) is_paused: bool,
     /// Side of a partition; the store is on side 0.
-    side: usize,
+    pub(crate) side: usize,
     store_answered: u64,
 }
 
@@ -58,9 +55,9 @@
     pub is_store_down: bool,
     /// Part of the answers that are lost.
     pub loss: f64,
-    daemons: Vec<Daemon>,
-    registered: Vec<usize>,
-    expiries: Vec<(u64, usize)>,
+    pub(crate) daemons: Vec<Daemon>,
+    pub(crate) registered: Vec<usize>,
+    pub(crate) expiries: Vec<(u64, usize)>,
     events: Vec<(u64, Event)>,
     exchanges: u64,
     quota: (f64, f64),
@@ -96,7 +93,7 @@
         fleet
     }
 
-    fn start_daemon(&mut self, at: usize) -> Daemon {
+    pub(crate) fn start_daemon(&mut self, at: usize) -> Daemon {
         let name: Rc<str> = format!("daemon-{at}").into();
         Daemon {
             accounts: Accounts::new(&name, self.rng.random()),
@@ -128,7 +125,7 @@
         Limit::new(self.quota.0, self.quota.1, &Margin::default())
     }
 
-    fn set_list(&mut self, at: usize, list: Vec<usize>) {
+    pub(crate) fn set_list(&mut self, at: usize, list: Vec<usize>) {
         self.daemons[at].list = list;
         self.assign(at);
     }
@@ -157,7 +154,7 @@
         self.publish();
     }
 
-    fn publish(&mut self) {
+    pub(crate) fn publish(&mut self) {
         for at in 0..self.daemons.len() {
             let delay = self.rng.random_range(LIST_DELAY_MS);
             self.events.push((self.now + delay, Event::List(at)));
@@ -170,71 +167,6 @@
         Standing::new(age, self.is_store_down && age > Millis(5_000))
     }
 
-    /// Kills a daemon; its registration expires later.
-    pub fn kill(&mut self, at: usize) {
-        self.daemons[at].is_up = false;
-        self.expire_later(at);
-    }
-
-    fn expire_later(&mut self, at: usize) {
-        let expiry = self.now + self.rng.random_range(EXPIRY_MS);
-        self.expiries.push((expiry, at));
-    }
-
-    /// Starts a daemon again under its name.
-    pub fn restart(&mut self, at: usize) {
-        self.expiries.retain(|(_, daemon)| *daemon != at);
-        self.daemons[at] = self.start_daemon(at);
-        if !self.registered.contains(&at) {
-            self.registered.push(at);
-            self.publish();
-        }
-        self.set_list(at, self.registered.clone());
-    }
-
-    /// Ends a daemon, which removes its registration.
-    pub fn leave(&mut self, at: usize) {
-        self.daemons[at].is_up = false;
-        self.registered.retain(|daemon| *daemon != at);
-        self.publish();
-    }
-
-    /// Freezes a daemon.
-    pub fn pause(&mut self, at: usize) {
-        self.daemons[at].is_paused = true;
-        self.expire_later(at);
-    }
-
-    /// Lets a frozen daemon continue. It has the old list until the store answers it.
-    pub fn resume(&mut self, at: usize) {
-        self.daemons[at].is_paused = false;
-        self.return_to_store(at);
-    }
-
-    /// Cuts daemons off from the store and the others.
-    pub fn cut(&mut self, cut: &[usize]) {
-        for &at in cut {
-            self.daemons[at].side = 1;
-            self.expire_later(at);
-        }
-    }
-
-    pub fn heal(&mut self) {
-        for at in 0..self.daemons.len() {
-            if std::mem::take(&mut self.daemons[at].side) > 0 {
-                self.return_to_store(at);
-            }
-        }
-    }
-
-    fn return_to_store(&mut self, at: usize) {
-        self.expiries.retain(|(_, daemon)| *daemon != at);
-        if !self.registered.contains(&at) {
-            self.registered.push(at);
-        }
-        self.publish();
-    }
-
     /// Runs for a time; `arrivals` returns the daemons that get a request in a millisecond.
     pub fn run(&mut self, ms: u64, arrivals: &mut dyn FnMut(u64, &mut StdRng) -> Vec<usize>) {
         for _ in 0..ms {
