--- a/components/gateway/src/quotas.rs
+++ b/components/gateway/src/quotas.rs
@@ -19,7 +19,7 @@
 
 pub(crate) use self::admission::Admission;
 use self::admission::Waiter;
-use self::roster::Roster;
+use self::roster::{Roster, Source};
 use crate::fleet::Fleet;
 use crate::settings::Settings;
 use crate::view::QuotaView;
@@ -93,10 +93,11 @@
     /// Answers a daemon that asks for tokens.
     pub(crate) fn answer(self: &Rc<Self>, message: &Message) -> Answer {
         let now = Millis::since_boot();
-        let mut is_new = false;
-        for name in &message.without_quotas {
-            is_new |= self.roster.borrow_mut().pass_over(name, now);
-        }
+        let mut roster = self.roster.borrow_mut();
+        let older = message.without_quotas.iter();
+        let added = older.filter(|name| roster.pass_over(name, Source::Peer, now));
+        let is_new = added.count() > 0;
+        drop(roster);
         if is_new {
             self.assign();
         }
