Keep evacuations and cold periods in the directory

The key op/evacuate/ZONE is decoded, kept and relayed as other records. It has no lease, so that its deletion counts at once, also after an outage or a restore of the store. A peer that lags behind could bring a deleted key back for good; such a record is ignored.

The end of an upstream's cold period counts from when its report was seen. A later end, or one that is more than a second sooner, is a change if the service has a cold limit, and falling times from report to report are none. The same report read again, as after a restore, does not start the period again.

--- a/components/discovery/src/directory.rs
+++ b/components/discovery/src/directory.rs
@@ -11,6 +11,7 @@
 use crate::feed::{Change, Changes, Position, Snapshot, Update};
 use crate::history::History;
 
+mod cold;
 mod records;
 
 /// Records that expired during an outage of the store, or that the backup lacks from
@@ -26,6 +27,8 @@
     entry: Entry,
     /// When a deleted record is dropped; set while its deletion may be a lapse.
     drop_at: Option<Millis>,
+    /// When an upstream's cold period ends, as [`Millis::since_boot`] counts.
+    cold_until: Millis,
 }
 
 struct Departed {
@@ -43,11 +46,19 @@
     position: Position,
     lapse_until: Millis,
     rejected: Vec<String>,
+    /// Returns the time by the clock that includes suspension.
+    boot_clock: Rc<dyn Fn() -> Millis>,
 }
 
 impl Directory {
     /// Returns an empty directory.
     pub fn new(decoder: Rc<dyn Decode>) -> Self {
+        Self::with_clock(decoder, Rc::new(Millis::since_boot))
+    }
+
+    /// Returns an empty directory that sees cold periods begin by a clock like
+    /// [`Millis::since_boot`].
+    pub fn with_clock(decoder: Rc<dyn Decode>, boot_clock: Rc<dyn Fn() -> Millis>) -> Self {
         Self {
             decoder,
             known: BTreeMap::new(),
@@ -57,6 +68,7 @@
             position: Position::default(),
             lapse_until: Millis::ZERO,
             rejected: Vec::new(),
+            boot_clock,
         }
     }
 
@@ -78,6 +90,15 @@
         })
     }
 
+    /// Returns for each upstream by its identifier until when it is cold, as
+    /// [`Millis::since_boot`] counts; zero for those that were never cold.
+    pub fn cold_ends(&self) -> impl Iterator<Item = (&str, Millis)> {
+        self.known.values().filter_map(|k| match &k.entry {
+            Entry::Upstream(entry) => Some((entry.id.as_str(), k.cold_until)),
+            _ => None,
+        })
+    }
+
     /// Returns the registered daemons.
     pub fn instances(&self) -> impl Iterator<Item = &InstanceEntry> {
         self.known.values().filter_map(|k| match &k.entry {
@@ -86,6 +107,14 @@
         })
     }
 
+    /// Returns the failure domains to whose upstreams nothing is sent.
+    pub fn evacuated(&self) -> impl Iterator<Item = &str> {
+        self.known.values().filter_map(|k| match &k.entry {
+            Entry::Evacuation(domain) => Some(domain.as_str()),
+            _ => None,
+        })
+    }
+
     /// Returns the upstreams that crashed during requests.
     pub fn crashes(&self) -> impl Iterator<Item = &CrashEntry> {
         self.known.values().filter_map(|k| match &k.entry {
@@ -163,6 +192,7 @@
                 self.history.add(change.clone());
             }
             is_changed |= match change {
+                Change::Put(record) if self.is_ended_evacuation(&record) => false,
                 Change::Put(record) => self.put(record),
                 Change::Delete { key, revision } => self.delete(&key, revision, now),
             };
--- a/components/discovery/src/directory/records.rs
+++ b/components/discovery/src/directory/records.rs
@@ -6,6 +6,7 @@
 use clock::Millis;
 use routes::Configuration;
 
+use super::cold::{ColdEnd, cold_end};
 use super::{Departed, Directory, KnownRecord};
 use crate::entry::{Entry, Record, UpstreamEntry};
 
@@ -75,9 +76,39 @@
         }
         let is_changed =
             known.is_none_or(|(k, drop_at)| drop_at.is_some() || !k.is_same_state(&entry));
+        let cold = self.cold_end(&record.key, &entry);
+        let is_limited = self.cold_rate(&entry.service).is_some();
         self.departed.remove(&record.key);
+        let key = record.key.clone();
         self.insert(record, Entry::Upstream(entry));
-        is_changed
+        if let Some(known) = self.known.get_mut(&key) {
+            known.cold_until = cold.until;
+        }
+        is_changed || (is_limited && cold.is_changed)
+    }
+
+    /// Returns the end of an upstream's cold period after a report. The same report may be
+    /// read again, such as after a restore of the store, and says nothing new then.
+    fn cold_end(&self, key: &str, entry: &UpstreamEntry) -> ColdEnd {
+        let known = self.known.get(key);
+        let until = known.map_or(Millis::ZERO, |k| k.cold_until);
+        let is_repeated = match known.map(|k| &k.entry) {
+            Some(Entry::Upstream(known)) => known.report_key() == entry.report_key(),
+            _ => false,
+        };
+        match is_repeated {
+            true => ColdEnd {
+                until,
+                is_changed: false,
+            },
+            false => cold_end(until, entry.cold_remaining, (self.boot_clock)()),
+        }
+    }
+
+    /// Returns the rate of requests that cold upstreams of a service take.
+    fn cold_rate(&self, service: &str) -> Option<f64> {
+        let configuration = self.configuration.as_ref()?;
+        configuration.services.get(service)?.cold_rate
     }
 
     fn insert(&mut self, record: Record, entry: Entry) {
@@ -85,10 +116,19 @@
             record: record.clone(),
             entry,
             drop_at: None,
+            cold_until: Millis::ZERO,
         };
         self.known.insert(record.key, known);
     }
 
+    /// Whether a record is an evacuation that is known to have ended: a peer that lags
+    /// behind may send it after its deletion, and no other change would end it again.
+    pub(super) fn is_ended_evacuation(&self, record: &Record) -> bool {
+        record.revision <= self.position.revision
+            && !self.known.contains_key(&record.key)
+            && matches!(self.decoder.decode(record), Ok(Entry::Evacuation(_)))
+    }
+
     pub(super) fn delete(&mut self, key: &str, revision: u64, now: Millis) -> bool {
         let Some(known) = self.known.get_mut(key) else {
             return false;
@@ -98,7 +138,9 @@
         if known.record.revision > revision || is_configuration {
             return false;
         }
-        if now < self.lapse_until {
+        // Evacuations have no lease, so that they can't expire by an outage of the store.
+        let can_lapse = !matches!(known.entry, Entry::Evacuation(_));
+        if can_lapse && now < self.lapse_until {
             known.drop_at = Some(self.lapse_until);
             return false;
         }
--- a/components/discovery/src/entry.rs
+++ b/components/discovery/src/entry.rs
@@ -29,6 +29,8 @@
     Instance(InstanceEntry),
     /// An upstream that crashed during a request.
     Crash(CrashEntry),
+    /// A failure domain to whose upstreams nothing is sent.
+    Evacuation(String),
     /// A record that this system does not use.
     Foreign,
 }
@@ -58,7 +60,7 @@
     pub slots: usize,
     /// Whether it takes new work.
     pub lifecycle: Lifecycle,
-    /// For how much longer it stays slow after its start.
+    /// For how much longer it is cold.
     pub cold_remaining: Millis,
     /// Wall-clock time of its start, if it reports one.
     pub started_at: Option<Millis>,
@@ -74,7 +76,7 @@
     }
 
     /// Whether two entries are equal apart from the sequence number and the
-    /// remaining time of the slow start.
+    /// remaining time of the cold period, which falls from report to report.
     pub(crate) fn is_same_state(&self, other: &Self) -> bool {
         let normalized = Self {
             sequence: other.sequence,
--- a/components/discovery/tests/support/word_decoder.rs
+++ b/components/discovery/tests/support/word_decoder.rs
@@ -5,10 +5,11 @@
 
 use clock::Millis;
 use discovery::{Decode, Entry, Lifecycle, Record, UpstreamEntry};
-use routes::Configuration;
+use routes::{Configuration, ServiceLimits};
 
-/// Decodes values such as `ready 100 7` (state, start time, sequence number)
-/// and `config 3`.
+/// Decodes values such as `ready 100 7` (state, start time, sequence number), also with
+/// the time for which an upstream is cold as a fourth word, `config 3`, also with the
+/// cold rate of all services as a third word, and `evacuate`.
 pub struct WordDecoder;
 
 impl Decode for WordDecoder {
@@ -18,9 +19,15 @@
         let number = |i: usize| words[i].parse::<u64>().map_err(|e| e.to_string());
         let lifecycle = match words[0] {
             "foreign" => return Ok(Entry::Foreign),
+            "evacuate" => return Ok(Entry::Evacuation(record.key.clone())),
             "config" => {
+                let limits = ServiceLimits {
+                    connections: 1,
+                    cold_rate: words.get(2).and_then(|rate| rate.parse().ok()),
+                };
                 let configuration = Configuration {
                     version: number(1)?,
+                    services: [("s".to_owned(), limits)].into(),
                     ..Configuration::default()
                 };
                 return Ok(Entry::Configuration(Rc::new(configuration)));
@@ -36,7 +43,10 @@
             domain: "a".to_owned(),
             slots: 2,
             lifecycle,
-            cold_remaining: Millis::ZERO,
+            cold_remaining: match words.len() {
+                4 => Millis(number(3)?),
+                _ => Millis::ZERO,
+            },
             started_at: Some(Millis(number(1)?)),
             sequence: number(2)?,
         }))
