Send nothing to evacuated domains, and limit cold upstreams

The upstreams of an evacuated domain are no candidates for first sends, retries, hedges, trials and queued requests, and no link is checked by them. A search is refused before any shard runs it if evacuations leave too few shards: without this a search over two evacuated shards was answered 502, because the second was taken to be running.

Each daemon has an equal share of the rate of a cold upstream, as of Server-Limit, with a burst for windows of one second.

--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -125,6 +125,11 @@
     metrics::gauge!(names::LINKS_LOST).set(f64::from(u8::from(are_cut)));
     let limited = gateway.fleet.shared().rate_limits.len();
     metrics::gauge!(names::RATE_LIMITED_UPSTREAMS).set(limited as f64);
+    let cold_limits = &gateway.fleet.shared().cold_limits;
+    let cold = cold_limits.count(Millis::since_boot());
+    metrics::gauge!(names::COLD_UPSTREAMS).set(cold as f64);
+    let evacuated = gateway.fleet.evacuated().len();
+    metrics::gauge!(names::EVACUATED_DOMAINS).set(evacuated as f64);
     let pools = gateway.fleet.pools();
     let upstreams: Vec<UpstreamView> = pools.iter().flat_map(|p| p.upstream_views()).collect();
     let queued: usize = pools.iter().map(|p| p.queued()).sum();
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -8,8 +8,9 @@
 use discovery::{Directory, Lifecycle, UpstreamEntry};
 use routes::{Configuration, Table};
 use slog::info;
-use upstreams::{Budget, Endpoint, Pool, Shared};
+use upstreams::{Budget, ColdPeriod, Endpoint, Pool, Shared};
 
+use crate::evacuations::Evacuations;
 use crate::settings::RetryBudget;
 
 /// Share of the slack that all daemons together may save up as earned tokens.
@@ -29,24 +30,29 @@
 /// The route table, and the upstream pools by service.
 pub(crate) struct Fleet {
     shared: Rc<Shared>,
+    /// Name of this daemon.
+    instance: String,
     pools: RefCell<HashMap<String, Rc<Pool>>>,
     table: RefCell<Option<Rc<Table>>>,
     configuration: RefCell<Option<Rc<Configuration>>>,
     daemons: Cell<usize>,
     counted_at: Cell<Millis>,
     retry_budget: Cell<RetryBudget>,
+    evacuations: Evacuations,
 }
 
 impl Fleet {
-    pub(crate) fn new(shared: &Rc<Shared>, retry_budget: RetryBudget) -> Rc<Self> {
+    pub(crate) fn new(shared: &Rc<Shared>, instance: &str, retry_budget: RetryBudget) -> Rc<Self> {
         Rc::new(Self {
             shared: shared.clone(),
+            instance: instance.to_owned(),
             pools: RefCell::default(),
             table: RefCell::default(),
             configuration: RefCell::default(),
             daemons: Cell::new(1),
             counted_at: Cell::new(Millis::ZERO),
             retry_budget: Cell::new(retry_budget),
+            evacuations: Evacuations::default(),
         })
     }
 
@@ -81,6 +87,11 @@
         self.pools.borrow().values().cloned().collect()
     }
 
+    /// Returns the failure domains to whose upstreams nothing is sent.
+    pub(crate) fn evacuated(&self) -> Vec<String> {
+        self.evacuations.domains().iter().cloned().collect()
+    }
+
     pub(crate) fn shared(&self) -> &Shared {
         &self.shared
     }
@@ -88,7 +99,9 @@
     /// Updates the route table and the pools from the directory.
     pub(crate) fn update(&self, directory: &Directory) {
         self.update_daemons(directory.instances().count());
+        self.update_rank(directory);
         self.update_table(directory);
+        self.update_evacuations(directory);
         let mut by_service: HashMap<&str, Vec<&UpstreamEntry>> = HashMap::new();
         for entry in directory.upstreams() {
             by_service.entry(&entry.service).or_default().push(entry);
@@ -98,11 +111,21 @@
                 pool.install(&[]);
             }
         }
+        let cold_ends: HashMap<&str, Millis> = directory.cold_ends().collect();
         for (service, entries) in by_service {
-            self.update_service(service, &entries);
+            self.update_service(service, &entries, &cold_ends);
         }
     }
 
+    /// Updates this daemon's rank, by name, among those that share the limits of cold
+    /// upstreams.
+    fn update_rank(&self, directory: &Directory) {
+        let others = directory.instances();
+        let rank = others.filter(|other| other.name < self.instance).count();
+        let limits = &self.shared.cold_limits;
+        limits.set_daemons(self.daemons.get(), rank, Millis::since_boot());
+    }
+
     /// Updates the daemon count: increases apply at once, decreases after
     /// [`DECREASE_DELAY`].
     fn update_daemons(&self, seen: usize) {
@@ -135,9 +158,34 @@
         *self.table.borrow_mut() = Some(Rc::new(Table::new(configuration)));
     }
 
-    fn update_service(&self, service: &str, entries: &[&UpstreamEntry]) {
+    fn update_evacuations(&self, directory: &Directory) {
+        let difference = self.evacuations.replace(directory.evacuated());
+        let count = |domain: &str| directory.upstreams().filter(|u| u.domain == domain).count();
+        for domain in &difference.started {
+            info!(self.shared.log, "failure domain evacuated"; "domain" => domain,
+                "upstreams" => count(domain), "revision" => directory.position().revision);
+        }
+        for domain in &difference.ended {
+            info!(self.shared.log, "evacuation ended"; "domain" => domain,
+                "upstreams" => count(domain), "revision" => directory.position().revision);
+        }
+    }
+
+    fn update_service(
+        &self,
+        service: &str,
+        entries: &[&UpstreamEntry],
+        cold_ends: &HashMap<&str, Millis>,
+    ) {
         let pool = self.get_or_create(service);
         let connections = self.connections(service);
+        let cold_rate = self.cold_rate(service);
+        let cold = |id: &str| {
+            Some(ColdPeriod {
+                per_second: cold_rate?,
+                until: *cold_ends.get(id)?,
+            })
+        };
         let endpoint = |entry: &&UpstreamEntry| Endpoint {
             id: entry.id.clone(),
             address: entry.address,
@@ -146,9 +194,12 @@
             slots: entry.slots,
             connections,
             is_drained: entry.lifecycle == Lifecycle::Draining,
+            is_evacuated: self.evacuations.contains(&entry.domain),
+            cold: cold(&entry.id),
         };
         let endpoints: Vec<Endpoint> = entries.iter().map(endpoint).collect();
-        let slots: usize = endpoints.iter().map(|e| e.slots).sum();
+        let used = endpoints.iter().filter(|e| !e.is_evacuated);
+        let slots: usize = used.map(|e| e.slots).sum();
         pool.set_queue_limit(slots * QUEUE_PER_SLOT);
         pool.set_budget_limit(token_limit(self.slack(), self.daemons.get()));
         pool.install(&endpoints);
@@ -166,6 +217,13 @@
         connection_share(total, self.daemons.get())
     }
 
+    /// Returns the rate of requests that cold upstreams of a service take from all daemons
+    /// together.
+    fn cold_rate(&self, service: &str) -> Option<f64> {
+        let table = self.table.borrow();
+        table.as_ref()?.service_limits(service)?.cold_rate
+    }
+
     fn get_or_create(&self, service: &str) -> Rc<Pool> {
         let mut pools = self.pools.borrow_mut();
         // A daemon that starts has earned nothing: what it replaces may have spent
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! Forwards a request to its upstreams and builds the caller's response.
 
+mod evacuated;
 mod rates;
 mod search;
 
--- a/components/gateway/src/forward/search.rs
+++ b/components/gateway/src/forward/search.rs
@@ -11,6 +11,7 @@
 use slog::info;
 use upstreams::{Answer, Call, Failure, Pool, Ran, Reason};
 
+use super::evacuated::refuse_evacuated;
 use super::rates::{find_delayed, refuse_beyond_rates};
 use super::{ServiceShard, with_expected_wait};
 use crate::gather::{Progress, Step, partial_answer_after};
@@ -99,6 +100,7 @@
         .iter()
         .map(|s| gateway.fleet.pool(s))
         .collect();
+    refuse_evacuated(request, gather, &pools)?;
     let delayed = find_delayed(&request.call, &pools);
     refuse_beyond_rates(request, gather, &pools, &delayed)?;
     // Others run the search already when a shard turns out to wait for a rate limit.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 mod admin;
 mod concurrency;
 mod crash_sharing;
+mod evacuations;
 mod fleet;
 mod forward;
 mod gather;
--- a/components/gateway/src/reload.rs
+++ b/components/gateway/src/reload.rs
@@ -70,6 +70,8 @@
     }
     if is_changed {
         gateway.fleet.set_retry_budget(settings.retry_budget);
+        let cold_limits = &gateway.fleet.shared().cold_limits;
+        cold_limits.set_bounds(settings.cold_bounds, Millis::since_boot());
         gateway.follower.set_seeds(settings.seeds.clone());
         gateway.fleet.update(&gateway.directory.borrow());
         *gateway.settings.borrow_mut() = settings;
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -153,9 +153,10 @@
         crash_limit: CRASHES_TO_QUARANTINE,
         settle_time: CRASH_SETTLE_TIME,
         preferred_domain: Some(settings.domain.clone()),
+        cold_bounds: settings.cold_bounds,
     };
     let shared = Shared::with_config(log, config);
-    let fleet = Fleet::new(&shared, settings.retry_budget);
+    let fleet = Fleet::new(&shared, &settings.instance, settings.retry_budget);
     let (updated, limits) = (
         fleet.clone(),
         Rc::new(Cell::new(server_limits(&Limits::default()))),
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use clock::Millis;
+use upstreams::ColdBounds;
 
 /// Settings of one gateway daemon.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,6 +30,8 @@
     pub grace_period: Millis,
     /// Limit on the extra load that all daemons together may cause.
     pub retry_budget: RetryBudget,
+    /// What a cold upstream may get from all daemons together.
+    pub cold_bounds: ColdBounds,
 }
 
 /// Limit on the hedges and retries that all daemons together may send to one
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -17,6 +17,8 @@
     revision: u64,
     store_age_ms: Millis,
     daemons: usize,
+    /// Failure domains to whose upstreams nothing is sent.
+    evacuated: Vec<String>,
     in_flight: usize,
     limits: Vec<LimitView>,
     services: Vec<ServiceView>,
@@ -48,6 +50,7 @@
             revision: position.revision,
             store_age_ms: gateway.follower.store_age(Millis::now()),
             daemons: gateway.fleet.daemons(),
+            evacuated: gateway.fleet.evacuated(),
             in_flight: gateway.in_flight.count(),
             limits: gateway.limiters.limits(),
             services: pools.iter().map(service).collect(),
--- a/components/telemetry/src/metric.rs
+++ b/components/telemetry/src/metric.rs
@@ -68,6 +68,10 @@
     pub const LIMITED_SENDS_TOTAL: &str = "coltsfootgw_limited_sends_total";
     /// Upstreams that name a rate limit.
     pub const RATE_LIMITED_UPSTREAMS: &str = "coltsfootgw_rate_limited_upstreams";
+    /// Upstreams that are cold and have a limit for that time.
+    pub const COLD_UPSTREAMS: &str = "coltsfootgw_cold_upstreams";
+    /// Failure domains to whose upstreams nothing is sent.
+    pub const EVACUATED_DOMAINS: &str = "coltsfootgw_evacuated_domains";
     /// Whether no upstream can be reached from this daemon.
     pub const LINKS_LOST: &str = "coltsfootgw_links_lost";
     /// Checks of the links to the upstreams, by outcome.
--- a/components/upstreams/src/attempt/record.rs
+++ b/components/upstreams/src/attempt/record.rs
@@ -191,6 +191,8 @@
             slog::info!(pool.shared.log, "upstream was replaced"; "upstream" => &upstream.id,
                 "address" => %upstream.address);
             upstream.is_replaced.set(true);
+            let limits = &pool.shared.cold_limits;
+            limits.give_back(&upstream.process, Millis::since_boot());
             pool.drop_unservable();
         }
         Err(f) if f.ran == Ran::Unknown => upstream.health.borrow_mut().record_failure(now),
--- a/components/upstreams/src/endpoint.rs
+++ b/components/upstreams/src/endpoint.rs
@@ -4,8 +4,10 @@
 
 use clock::Millis;
 
+use crate::cold_limits::ColdPeriod;
+
 /// An upstream as configuration or discovery provides it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Endpoint {
     /// Identifier, unique within its service.
     pub id: String,
@@ -22,4 +24,8 @@
     pub connections: usize,
     /// Whether it gets no new requests.
     pub is_drained: bool,
+    /// Whether nothing is sent to it because its failure domain is evacuated.
+    pub is_evacuated: bool,
+    /// For how long it takes fewer requests, if that is limited.
+    pub cold: Option<ColdPeriod>,
 }
--- a/components/upstreams/src/known_upstreams.rs
+++ b/components/upstreams/src/known_upstreams.rs
@@ -22,7 +22,8 @@
         known.push(Rc::downgrade(upstream));
     }
 
-    /// Returns up to `count` upstreams at random, without `excluded`.
+    /// Returns up to `count` upstreams at random, without `excluded` and those of
+    /// evacuated failure domains.
     pub(crate) fn sample(
         &self,
         count: usize,
@@ -31,6 +32,7 @@
         let known = self.0.borrow();
         let alive = known.iter().filter_map(Weak::upgrade);
         let is_other = |u: &Rc<Upstream>| excluded.is_none_or(|e| !Rc::ptr_eq(u, e));
-        alive.filter(is_other).sample(&mut rand::rng(), count)
+        let candidates = alive.filter(|u| is_other(u) && !u.is_evacuated.get());
+        candidates.sample(&mut rand::rng(), count)
     }
 }
--- a/components/upstreams/src/link_check.rs
+++ b/components/upstreams/src/link_check.rs
@@ -34,13 +34,13 @@
     Reachable,
     /// None did.
     Unreachable,
-    /// No upstream is known.
+    /// No upstream is known outside of evacuated failure domains.
     Unknown,
 }
 
 impl Shared {
     /// Tries to connect to some upstreams of all services at once, whatever is known of
-    /// them; the connections are closed again.
+    /// them, unless their failure domain is evacuated; the connections are closed again.
     pub async fn check_links(&self) -> LinkCheck {
         self.check_links_without(None).await
     }
--- a/components/upstreams/src/placement.rs
+++ b/components/upstreams/src/placement.rs
@@ -123,7 +123,9 @@
     /// Whether more sub-requests wait than there are slots; hedges would then
     /// only delay the waiting sub-requests.
     pub(crate) fn is_overloaded(&self) -> bool {
-        let slots: usize = self.upstreams().iter().map(|u| u.slots.get()).sum();
+        let upstreams = self.upstreams().into_iter();
+        let used = upstreams.filter(|u| !u.is_evacuated.get());
+        let slots: usize = used.map(|u| u.slots.get()).sum();
         self.queue.len() > slots
     }
 
@@ -137,7 +139,7 @@
         };
         let key = self.best_free(request, running, now)?;
         let upstream = self.find(key)?;
-        self.shared.rate_limits.spend(&upstream.process, now);
+        self.spend_rates(&upstream, now);
         if running.is_suspect {
             let mut placed = self.placed_suspects.borrow_mut();
             placed.insert(running.fingerprint);
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -112,6 +112,19 @@
             upstream.slots.set(endpoint.slots);
             upstream.connections.set(endpoint.connections);
             upstream.is_drained.set(endpoint.is_drained);
+            upstream.is_evacuated.set(endpoint.is_evacuated);
+            self.set_cold(&upstream, endpoint);
+        }
+    }
+
+    fn set_cold(&self, upstream: &Upstream, endpoint: &Endpoint) {
+        let (limits, now) = (&self.shared.cold_limits, Millis::since_boot());
+        let is_new = limits.set(&upstream.process, endpoint.cold, now);
+        if let Some(period) = endpoint.cold.filter(|_| is_new) {
+            self.shared.log_limiter.write(|| {
+                slog::info!(self.shared.log, "upstream is cold"; "upstream" => &upstream.id,
+                    "per_second" => period.per_second, "left_ms" => period.until.since(now).0);
+            });
         }
     }
 
@@ -159,15 +172,23 @@
         !is_backing_off && self.is_staying(key)
     }
 
-    /// Whether an upstream is in the pool, not drained, not replaced and not leaving.
+    /// Whether an upstream is in the pool, not drained, not evacuated, not replaced and
+    /// not leaving.
     pub(crate) fn is_staying(&self, key: UpstreamKey) -> bool {
         let upstream = self.find(key);
         upstream.is_some_and(|u| {
-            let is_removed = u.is_drained.get() || u.is_replaced.get();
+            let is_removed = u.is_drained.get() || u.is_evacuated.get() || u.is_replaced.get();
             !is_removed && !self.shared.drains.is_leaving(&u.process)
         })
     }
 
+    /// Whether evacuations leave no upstream that takes requests.
+    pub fn is_evacuated(&self) -> bool {
+        let all = self.entries();
+        let is_any = all.iter().any(|(_, u)| u.is_evacuated.get());
+        is_any && !all.iter().any(|(key, _)| self.is_staying(*key))
+    }
+
     /// Returns the time until an upstream accepts requests again, zero if one does;
     /// `None` if none stays.
     pub fn shortest_backoff(&self, now: Millis) -> Option<Millis> {
@@ -185,8 +206,8 @@
     /// Returns how long `more` new sub-requests would wait for a slot, in
     /// milliseconds.
     pub fn expected_wait(&self, candidates: &[UpstreamKey], more: usize) -> f64 {
-        let upstreams: Vec<Rc<Upstream>> =
-            candidates.iter().filter_map(|&k| self.find(k)).collect();
+        let known = candidates.iter().filter_map(|&k| self.find(k));
+        let upstreams: Vec<Rc<Upstream>> = known.filter(|u| !u.is_evacuated.get()).collect();
         let slots: usize = upstreams.iter().map(|u| u.limit()).sum();
         let busy: usize = upstreams.iter().map(|u| u.busy()).sum();
         let ahead = (busy + self.queue.len() + more).saturating_sub(slots);
--- a/components/upstreams/src/rate_share.rs
+++ b/components/upstreams/src/rate_share.rs
@@ -3,20 +3,33 @@
 
 use clock::Millis;
 
-/// All daemons together may send at once what the limit allows in this many seconds
-/// and [`BURST_REQUESTS`].
-const BURST_SECONDS: f64 = 1.25;
-const BURST_REQUESTS: f64 = 0.5;
-/// Each daemon may hold a whole token if there are at most as many daemons as the limit
-/// allows requests in this many seconds and [`WHOLE_REQUESTS`].
-const WHOLE_SECONDS: f64 = 2.0;
-const WHOLE_REQUESTS: f64 = 4.0;
+/// The burst for a limit over windows of several seconds.
+const LONG_WINDOW_BURST: Burst = Burst {
+    seconds: 1.25,
+    requests: 0.5,
+    whole_seconds: 2.0,
+    whole_requests: 4.0,
+};
 /// Lowest rate, in requests a second, so that the end of a limit of 0 is noticed.
 const MIN_PER_SECOND: f64 = 0.05;
 /// Part of the limit that is used by chance, as more than the mean may be sent.
 const CHANCE_RATE: f64 = 0.8;
 const MS_PER_S: f64 = 1_000.0;
 
+/// What all daemons together may send at once.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Burst {
+    /// They may send what the limit allows in this many seconds, and `requests`.
+    pub seconds: f64,
+    /// Requests beyond what the limit allows in `seconds`.
+    pub requests: f64,
+    /// Each daemon may hold a whole token if there are at most as many daemons as the
+    /// limit allows requests in this many seconds, and `whole_requests`.
+    pub whole_seconds: f64,
+    /// Daemons beyond what the limit allows in `whole_seconds`.
+    pub whole_requests: f64,
+}
+
 /// A token bucket for an equal share of a limit, so that all daemons together keep it
 /// without an exchange of messages.
 ///
@@ -25,6 +38,7 @@
 /// average, what all parts add up to.
 #[derive(Clone, Debug)]
 pub struct RateShare {
+    rule: Burst,
     per_ms: f64,
     /// Most tokens that it holds.
     burst: f64,
@@ -33,9 +47,16 @@
 }
 
 impl RateShare {
-    /// Returns the share of one of `daemons` daemons, without tokens.
+    /// Returns the share of one of `daemons` daemons, without tokens, for a limit over
+    /// windows of several seconds.
     pub fn new(per_second: f64, daemons: usize, now: Millis) -> Self {
+        Self::with_burst(per_second, daemons, LONG_WINDOW_BURST, now)
+    }
+
+    /// Returns a share as [`RateShare::new`] does, with another burst.
+    pub fn with_burst(per_second: f64, daemons: usize, rule: Burst, now: Millis) -> Self {
         let mut share = Self {
+            rule,
             per_ms: 0.0,
             burst: 0.0,
             tokens: 0.0,
@@ -45,12 +66,18 @@
         share
     }
 
+    /// Changes the burst from the next call of [`RateShare::set`] on.
+    pub fn set_burst(&mut self, rule: Burst) {
+        self.rule = rule;
+    }
+
     /// Changes the limit or the number of daemons.
     pub fn set(&mut self, per_second: f64, daemons: usize, now: Millis) {
         let tokens = self.tokens(now);
         let (per_second, daemons) = (per_second.max(MIN_PER_SECOND), daemons.max(1) as f64);
-        let burst = (per_second * BURST_SECONDS + BURST_REQUESTS) / daemons;
-        self.burst = match daemons <= per_second * WHOLE_SECONDS + WHOLE_REQUESTS {
+        let rule = self.rule;
+        let burst = (per_second * rule.seconds + rule.requests) / daemons;
+        self.burst = match daemons <= per_second * rule.whole_seconds + rule.whole_requests {
             true => burst.max(1.0),
             false => burst,
         };
@@ -90,6 +117,15 @@
         self.filled_at = now;
     }
 
+    /// Returns the token of a request that was sent but does not count.
+    pub fn give_back(&mut self, now: Millis) {
+        self.tokens = match self.is_partial() {
+            true => self.burst,
+            false => (self.tokens(now) + 1.0).min(self.burst),
+        };
+        self.filled_at = now;
+    }
+
     /// Records that a request was not sent here because of its draw.
     pub fn miss(&mut self, now: Millis) {
         if self.is_partial() {
--- a/components/upstreams/src/rate_wait.rs
+++ b/components/upstreams/src/rate_wait.rs
@@ -2,9 +2,18 @@
 
 use clock::Millis;
 
+use crate::cold_limits::Times;
 use crate::pool::Pool;
 use crate::queue::SlotRequest;
-use crate::upstream::UpstreamKey;
+use crate::shared::Shared;
+use crate::upstream::{Upstream, UpstreamKey};
+
+impl Shared {
+    /// Whether the rate of requests to any upstream may be limited.
+    fn has_rate_limits(&self) -> bool {
+        !self.rate_limits.is_empty() || !self.cold_limits.is_empty()
+    }
+}
 
 impl Pool {
     /// Returns the time until the rate limits allow a request to one upstream: zero if
@@ -15,12 +24,53 @@
         draw: f64,
         now: Millis,
     ) -> Option<Millis> {
-        let limits = &self.shared.rate_limits;
-        if limits.is_empty() {
+        if !self.shared.has_rate_limits() {
             return Some(Millis::ZERO);
         }
         let upstream = self.find(key)?;
-        limits.wait(&upstream.process, self.spread_draw(key, draw), now)
+        let named = self.named_rate_wait(key, &upstream, draw, now)?;
+        Some(named.max(self.cold_wait(&upstream)))
+    }
+
+    /// Returns the time until the limit that an upstream names allows a request.
+    fn named_rate_wait(
+        &self,
+        key: UpstreamKey,
+        upstream: &Upstream,
+        draw: f64,
+        now: Millis,
+    ) -> Option<Millis> {
+        let limits = &self.shared.rate_limits;
+        match limits.is_empty() {
+            true => Some(Millis::ZERO),
+            false => limits.wait(&upstream.process, self.spread_draw(key, draw), now),
+        }
+    }
+
+    /// Returns the time until an upstream that may be cold takes a request.
+    fn cold_wait(&self, upstream: &Upstream) -> Millis {
+        let limits = &self.shared.cold_limits;
+        match limits.is_empty() {
+            true => Millis::ZERO,
+            false => limits.wait(&upstream.process, self.place(upstream), Times::now()),
+        }
+    }
+
+    /// Returns the place of an upstream among those of its service, from 0 to 1, the same on
+    /// all daemons.
+    fn place(&self, upstream: &Upstream) -> f64 {
+        let all = self.upstreams();
+        let before = all.iter().filter(|u| u.name < upstream.name).count();
+        before as f64 / all.len().max(1) as f64
+    }
+
+    /// Takes the tokens of a request to an upstream.
+    pub(crate) fn spend_rates(&self, upstream: &Upstream, now: Millis) {
+        self.shared.rate_limits.spend(&upstream.process, now);
+        if !self.shared.cold_limits.is_empty() {
+            let boot = Millis::since_boot();
+            self.shared.cold_limits.spend(&upstream.process, boot);
+        }
     }
 
     /// Returns a draw for each upstream of a pool that succeeds where those of the others
@@ -38,9 +88,14 @@
         if limits.is_empty() {
             return;
         }
-        let has_missed = |key: &&UpstreamKey| self.upstream_rate_wait(**key, draw, now).is_none();
-        let missed = keys.iter().filter(has_missed).filter_map(|&k| self.find(k));
-        missed.for_each(|upstream| limits.miss(&upstream.process, now));
+        for &key in keys {
+            let Some(upstream) = self.find(key) else {
+                continue;
+            };
+            if self.named_rate_wait(key, &upstream, draw, now).is_none() {
+                limits.miss(&upstream.process, now);
+            }
+        }
     }
 
     /// Returns the shortest time until the rate limits allow a request to one of the
@@ -52,7 +107,7 @@
         draw: f64,
         now: Millis,
     ) -> Option<Millis> {
-        if self.shared.rate_limits.is_empty() {
+        if !self.shared.has_rate_limits() {
             return Some(Millis::ZERO);
         }
         let available = candidates.iter().filter(|&&k| self.is_available(k));
@@ -67,7 +122,7 @@
     /// request, with those that wait already; zero if they allow one now, `None` if
     /// they never do.
     pub fn rate_wait(&self, draw: f64, now: Millis) -> Option<Millis> {
-        if self.shared.rate_limits.is_empty() {
+        if !self.shared.has_rate_limits() {
             return Some(Millis::ZERO);
         }
         let keys = self.keys();
@@ -89,11 +144,11 @@
     /// Returns the time that the requests in the queue take at the rates of some
     /// upstreams; zero if one of them has no limit.
     pub(crate) fn rate_queue_time(&self, keys: &[UpstreamKey]) -> Millis {
-        let limits = &self.shared.rate_limits;
-        if limits.is_empty() {
+        if !self.shared.has_rate_limits() {
             return Millis::ZERO;
         }
-        let per_ms = |&key: &UpstreamKey| limits.per_ms(&self.find(key)?.process);
+        let boot = Millis::since_boot();
+        let per_ms = |&key: &UpstreamKey| self.upstream_per_ms(key, boot);
         let rates: Option<Vec<f64>> = keys.iter().map(per_ms).collect();
         let total: f64 = rates.unwrap_or_default().iter().sum();
         match total > 0.0 {
@@ -101,4 +156,14 @@
             false => Millis::ZERO,
         }
     }
+
+    /// Returns this daemon's share of the lowest limit of an upstream, in requests per
+    /// millisecond.
+    fn upstream_per_ms(&self, key: UpstreamKey, boot: Millis) -> Option<f64> {
+        let process = &self.find(key)?.process;
+        let named = self.shared.rate_limits.per_ms(process);
+        let cold = self.shared.cold_limits.per_ms(process, boot);
+        let limits = named.into_iter().chain(cold);
+        limits.min_by(f64::total_cmp)
+    }
 }
--- a/components/upstreams/src/service.rs
+++ b/components/upstreams/src/service.rs
@@ -121,6 +121,8 @@
             slots: service.slots,
             connections: connections_per_daemon(service),
             is_drained: declared.drain,
+            is_evacuated: false,
+            cold: None,
         };
         let endpoints: Vec<Endpoint> = service.upstreams.iter().map(endpoint).collect();
         self.pool.set_queue_limit(service.queue);
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -11,6 +11,7 @@
 
 use crate::abandoned::Unwatched;
 use crate::backoffs::Backoffs;
+use crate::cold_limits::{ColdBounds, ColdLimits};
 use crate::crashes::{CrashTable, DEFAULT_CRASH_LIMIT};
 use crate::drains::Drains;
 use crate::failure::Result;
@@ -36,6 +37,8 @@
     pub settle_time: Millis,
     /// Failure domain whose upstreams are preferred.
     pub preferred_domain: Option<String>,
+    /// What a cold upstream may get in any one second.
+    pub cold_bounds: ColdBounds,
 }
 
 impl Default for PoolConfig {
@@ -46,6 +49,7 @@
             crash_limit: DEFAULT_CRASH_LIMIT,
             settle_time: Millis::ZERO,
             preferred_domain: None,
+            cold_bounds: ColdBounds::default(),
         }
     }
 }
@@ -58,6 +62,8 @@
     pub backoffs: Backoffs,
     /// Limits on the rate of requests that upstreams named.
     pub rate_limits: RateLimits,
+    /// Limits on the rate of requests of cold upstreams.
+    pub cold_limits: ColdLimits,
     /// The upstreams of all pools.
     pub(crate) upstreams: KnownUpstreams,
     /// Upstreams where requests were cancelled.
@@ -94,6 +100,7 @@
             drains: Drains::default(),
             backoffs: Backoffs::default(),
             rate_limits: RateLimits::default(),
+            cold_limits: ColdLimits::new(config.cold_bounds),
             upstreams: KnownUpstreams::default(),
             unwatched: Unwatched::default(),
             links: Links::default(),
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -54,6 +54,7 @@
     pub(crate) slots: Cell<usize>,
     pub(crate) connections: Cell<usize>,
     pub(crate) is_drained: Cell<bool>,
+    pub(crate) is_evacuated: Cell<bool>,
     /// Whether another process was found at its address.
     pub(crate) is_replaced: Cell<bool>,
     pub(crate) open: Rc<Cell<usize>>,
@@ -134,6 +135,7 @@
             slots: Cell::new(1),
             connections: Cell::new(1),
             is_drained: Cell::new(false),
+            is_evacuated: Cell::new(false),
             is_replaced: Cell::new(false),
             open: Rc::default(),
             idle: RefCell::default(),
--- a/components/upstreams/src/view.rs
+++ b/components/upstreams/src/view.rs
@@ -39,6 +39,8 @@
     pub owned: bool,
     /// Whether it is unavailable for new requests.
     pub leaving: bool,
+    /// Whether nothing is sent to it because its failure domain is evacuated.
+    pub evacuated: bool,
     /// How much it is preferred.
     pub tier: Tier,
     /// Slots in use.
@@ -51,6 +53,8 @@
     pub connections: usize,
     /// Requests a second that it takes from all daemons together, if it names a limit.
     pub rate_limit: Option<f64>,
+    /// Whether it is cold and gets fewer requests for that.
+    pub is_cold: bool,
     /// Moving average of its latency, in milliseconds.
     pub mean_ms: f64,
     health: Health,
@@ -86,12 +90,14 @@
             name: upstream.name.clone(),
             owned: is_owned,
             leaving: !is_available,
+            evacuated: upstream.is_evacuated.get(),
             tier: health.tier(now),
             busy: upstream.busy(),
             limit: upstream.limit(),
             open: upstream.open.get(),
             connections: upstream.connections.get(),
             rate_limit: None,
+            is_cold: false,
             mean_ms: upstream.latency.borrow().mean_ms(pool_mean_ms, now),
             health,
         }
@@ -126,12 +132,14 @@
 
     fn views(&self, is_owned: impl Fn(&Upstream) -> bool) -> Vec<UpstreamView> {
         let pool_mean_ms = self.latency.borrow().mean_ms();
+        let boot = Millis::since_boot();
         let view = |(key, upstream): (UpstreamKey, Rc<Upstream>)| {
             let is_available = self.is_available(key);
             let view =
                 UpstreamView::new(&upstream, is_owned(&upstream), is_available, pool_mean_ms);
             UpstreamView {
                 rate_limit: self.shared.rate_limits.per_second(&upstream.process),
+                is_cold: self.shared.cold_limits.is_cold(&upstream.process, boot),
                 ..view
             }
         };
--- a/components/upstreams/tests/placement.rs
+++ b/components/upstreams/tests/placement.rs
@@ -32,6 +32,8 @@
         slots: 2,
         connections: 2,
         is_drained: false,
+        is_evacuated: false,
+        cold: None,
     }
 }
 
--- a/components/upstreams/tests/unsent.rs
+++ b/components/upstreams/tests/unsent.rs
@@ -46,6 +46,8 @@
         slots: 2,
         connections: 2,
         is_drained: true,
+        is_evacuated: false,
+        cold: None,
     }
 }
 
