--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -78,6 +78,21 @@
         put(&self.store, &format!("servers/{id}"), &entry);
     }
 
+    /// Overwrites the store entry of an upstream that is ready, with a new sequence number
+    /// and with other values of some fields.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such upstream or `fields` is no object.
+    pub fn report_fields(&self, shard: usize, replica: usize, seq: u64, fields: &Value) {
+        let id = &self.shards[shard][replica].id;
+        let mut entry = upstream_entry(&shard_name(shard), self.addresses[id], "ready", seq);
+        for (name, value) in fields.as_object().expect("fields are an object") {
+            entry[name] = value.clone();
+        }
+        put(&self.store, &format!("servers/{id}"), &entry);
+    }
+
     /// Returns the addresses of all upstreams.
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         self.addresses.values().copied().collect()
