--- a/components/gateway/src/delegation.rs
+++ b/components/gateway/src/delegation.rs
@@ -69,3 +69,18 @@
     let mean = known.iter().sum::<f64>() / known.len() as f64;
     count * mean / own
 }
+
+/// Returns the sum of the shares of the daemons before this one, in the order of
+/// `instances`, where each daemon's share is one divided by its [`equal_daemons`].
+pub fn share_before<'a>(instances: impl Iterator<Item = &'a InstanceEntry>, me: SocketAddr) -> f64 {
+    let all: Vec<&InstanceEntry> = instances.collect();
+    let known = all.iter().filter(|i| i.millicores > 0);
+    let known: Vec<f64> = known.map(|i| f64::from(i.millicores)).collect();
+    let mean = known.iter().sum::<f64>() / known.len() as f64;
+    let weight = |i: &&InstanceEntry| match i.millicores {
+        0 => 1.0,
+        millicores => f64::from(millicores) / mean,
+    };
+    let before = all.iter().take_while(|i| i.address != me);
+    before.map(weight).sum::<f64>() / all.len().max(1) as f64
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod concurrency;
 mod crash_sharing;
 mod delegation;
+mod evacuations;
 mod fleet;
 mod forward;
 mod gather;
@@ -32,7 +33,7 @@
 
 pub use concurrency::ConcurrencyLimiter;
 pub use crash_sharing::{MissingCrash, WriteSchedule, crash_write_delay};
-pub use delegation::{answer_time, delegates, equal_daemons};
+pub use delegation::{answer_time, delegates, equal_daemons, share_before};
 pub use fleet::{connection_share, token_limit};
 pub use forward::late_wait;
 pub use gather::{Progress, Step, partial_answer_after};
--- a/components/gateway/src/reload.rs
+++ b/components/gateway/src/reload.rs
@@ -6,6 +6,7 @@
 
 use clock::Millis;
 use slog::{info, warn};
+use upstreams::Times;
 
 use crate::settings::Settings;
 use crate::state::Gateway;
@@ -70,6 +71,8 @@
     }
     if is_changed {
         gateway.fleet.set_retry_budget(settings.retry_budget);
+        let cold_limits = &gateway.fleet.shared().cold_limits;
+        cold_limits.set_bounds(settings.cold_bounds, Times::now());
         gateway.quotas.set_margin(settings.quota_margin);
         gateway.follower.set_seeds(settings.seeds.clone());
         gateway.fleet.update(&gateway.directory.borrow());
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 
 use clock::Millis;
 use quota::Margin;
+use upstreams::ColdBounds;
 
 /// Settings of one gateway daemon.
 #[derive(Clone, Debug, PartialEq)]
@@ -34,6 +35,8 @@
     pub retry_budget: RetryBudget,
     /// What workspaces may exceed their quotas by.
     pub quota_margin: Margin,
+    /// What a cold upstream may get from all daemons together.
+    pub cold_bounds: ColdBounds,
 }
 
 /// Limit on the hedges and retries that all daemons together may send to one
--- a/components/gateway/tests/delegation.rs
+++ b/components/gateway/tests/delegation.rs
@@ -9,7 +9,7 @@
 
 use clock::Millis;
 use discovery::InstanceEntry;
-use gateway::{answer_time, connection_share, delegates, equal_daemons, token_limit};
+use gateway::{answer_time, connection_share, delegates, equal_daemons, share_before, token_limit};
 use rstest::rstest;
 
 const LARGE: u32 = 500;
@@ -94,6 +94,22 @@
     assert!(saved <= 285.0, "{saved}");
 }
 
+// Gaps between the shares would waste tokens of cold upstreams, and overlaps exceed their
+// rates.
+#[rstest]
+#[case::large_and_small(site())]
+#[case::some_unknown((0..9).map(|n| instance(n, "a", u32::from(n % 3) * 50)).collect())]
+#[case::all_unknown((0..9).map(|n| instance(n, "a", 0)).collect())]
+fn the_shares_lie_side_by_side(#[case] all: Vec<InstanceEntry>) {
+    let mut end = 0.0;
+    for own in &all {
+        let start = share_before(all.iter(), own.address);
+        assert!((start - end).abs() < 1e-9, "{start} after {end}");
+        end = start + 1.0 / equal_daemons(all.iter(), own.address);
+    }
+    assert!((end - 1.0).abs() < 1e-9, "{end}");
+}
+
 #[rstest]
 #[case::equal(&[250; 7])]
 #[case::unknown(&[0; 7])]
--- a/components/upstreams/tests/permissions.rs
+++ b/components/upstreams/tests/permissions.rs
@@ -49,6 +49,8 @@
         slots: 2,
         connections: 2,
         is_drained: false,
+        is_evacuated: false,
+        cold: None,
     }
 }
 
--- a/components/upstreams/tests/queue_places.rs
+++ b/components/upstreams/tests/queue_places.rs
@@ -32,6 +32,8 @@
         slots: 1,
         connections: 1,
         is_drained: false,
+        is_evacuated: false,
+        cold: None,
     }]);
     pool
 }
