--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -19,7 +19,8 @@
     epoch: u64,
     revision: u64,
     store_age_ms: Millis,
-    daemons: f64,
+    /// Daemons like this one that share budgets and connections, rounded.
+    daemons: usize,
     /// Failure domains to whose upstreams nothing is sent.
     evacuated: Vec<String>,
     in_flight: usize,
@@ -68,7 +69,7 @@
             epoch: position.epoch,
             revision: position.revision,
             store_age_ms: gateway.follower.store_age(Millis::now()),
-            daemons: gateway.fleet.daemons(),
+            daemons: gateway.fleet.daemons().round() as usize,
             evacuated: gateway.fleet.evacuated(),
             in_flight: gateway.in_flight.count(),
             limits: gateway.limiters.limits(),
