Keep searches at a large daemon that waits for slow upstreams, and run what it has no room for

Cause: a search that was handed to a daemon with a larger processor was given up after two objectives, as one of a daemon without links is, though the answer would have come within the deadline; and the refusal of a daemon at the limit of a route went to the caller, though the daemon of the caller had room. The key was not looked up again after the wait for a token of the quota, and the list of daemons was read for each search. Change: a daemon that has not answered for two objectives is checked on a new connection, and only its silence ends the wait; a refusal before any work leaves the search to the caller's daemon; what a daemon refused as not run returns its token; the key is looked up before each hand-over; the list is read when it changes. The wire of hand-overs and the delegation are modules of their own.

--- a/components/gateway/src/delegation.rs
+++ b/components/gateway/src/delegation.rs
@@ -58,21 +58,21 @@
     instances: impl Iterator<Item = &'a InstanceEntry>,
     me: SocketAddr,
 ) -> f64 {
-    let all: Vec<&InstanceEntry> = instances.collect();
-    let count = all.len().max(1) as f64;
-    let known = all.iter().filter(|i| i.millicores > 0);
-    let known: Vec<f64> = known.map(|i| f64::from(i.millicores)).collect();
-    let own = all.iter().find(|i| i.address == me && i.millicores > 0);
-    let Some(own) = own.map(|i| f64::from(i.millicores)) else {
-        return count;
-    };
-    let mean = known.iter().sum::<f64>() / known.len() as f64;
-    count * mean / own
+    let weights = weights(instances);
+    let own = weights.iter().find(|(address, _)| *address == me);
+    weights.len().max(1) as f64 / own.map_or(1.0, |(_, weight)| *weight)
 }
 
 /// Returns the sum of the shares of the daemons before this one, in the order of
 /// `instances`, where each daemon's share is one divided by its [`equal_daemons`].
 pub fn share_before<'a>(instances: impl Iterator<Item = &'a InstanceEntry>, me: SocketAddr) -> f64 {
+    let weights = weights(instances);
+    let before = weights.iter().take_while(|(address, _)| *address != me);
+    before.map(|(_, weight)| weight).sum::<f64>() / weights.len().max(1) as f64
+}
+
+/// Returns the processor of each daemon as a multiple of the mean, 1 if it is not known.
+fn weights<'a>(instances: impl Iterator<Item = &'a InstanceEntry>) -> Vec<(SocketAddr, f64)> {
     let all: Vec<&InstanceEntry> = instances.collect();
     let known = all.iter().filter(|i| i.millicores > 0);
     let known: Vec<f64> = known.map(|i| f64::from(i.millicores)).collect();
@@ -81,6 +81,20 @@
         0 => 1.0,
         millicores => f64::from(millicores) / mean,
     };
-    let before = all.iter().take_while(|i| i.address != me);
-    before.map(weight).sum::<f64>() / all.len().max(1) as f64
+    all.iter().map(|i| (i.address, weight(i))).collect()
+}
+
+/// Returns the daemons with large processors: all but those that have a part of the
+/// largest which is smaller by [`MIN_GAIN`]; all if none is known. What one daemon does
+/// for all others is done by one of these, as it grows with the number of daemons.
+pub fn large_daemons<'a>(
+    instances: impl Iterator<Item = &'a InstanceEntry>,
+) -> Vec<&'a InstanceEntry> {
+    let all: Vec<&InstanceEntry> = instances.collect();
+    let largest = all.iter().map(|i| i.millicores).max().unwrap_or(0);
+    let is_large = |i: &&InstanceEntry| i.millicores.saturating_mul(MIN_GAIN) > largest;
+    match largest {
+        0 => all,
+        _ => all.into_iter().filter(is_large).collect(),
+    }
 }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -56,7 +56,11 @@
 impl Running {
     /// Returns the token of a request that did not run.
     fn finish(mut self, result: &Result<Response<Bytes>>) {
-        let is_unrun = matches!(result, Err(refusal) if refusal.ran == Ran::No);
+        // Another daemon may have refused it, whose answer is the result then.
+        let is_unrun = match result {
+            Ok(_) => !self.may_have_run.get(),
+            Err(refusal) => refusal.ran == Ran::No,
+        };
         match self.admission.take() {
             Some(admission) if !is_unrun => admission.spend(),
             _ => {}
@@ -136,7 +140,10 @@
     let route = &request.entry.route;
     let workspace = request.call.workspace.as_ref();
     let permit = gateway.limiters.admit(route, workspace).map_err(|wait| {
-        let refusal = Refusal::not_run(Cause::Overloaded, "the limit of the route is reached");
+        let refusal = Refusal {
+            is_untaken: true,
+            ..Refusal::not_run(Cause::Overloaded, "the limit of the route is reached")
+        };
         with_call_retry(refusal, wait, &request.call)
     })?;
     let result = serve(gateway, request).await;
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -21,7 +21,7 @@
 use crate::forward;
 use crate::identity::Identity;
 use crate::in_flight::InFlightRequest;
-use crate::peer_forward::{read_handover, unserved, with_version};
+use crate::peer_forward::{read_handover, refusal_outcome, unserved, with_outcome};
 use crate::refusal::{Cause, Refusal, Result};
 use crate::routed_request::{
     Origin, ResolvedRoute, RoutedRequest, deadline, read_request, with_retry_after,
@@ -133,8 +133,13 @@
     };
     let elapsed = Millis::now().since(arrived);
     record_outcome(&result, route, elapsed);
+    let ran = refusal_outcome(&result);
     let mut response = match result {
         Ok(response) => response,
+        Err(refusal) if origin == Origin::Peer && refusal.is_untaken => {
+            drop(in_flight);
+            return unserved(refusal.cause.name()).map(Body::from);
+        }
         Err(refusal) => {
             log_refusal(gateway, &id, &refusal, elapsed);
             refusal.to_response()
@@ -148,7 +153,7 @@
     let response = response.map(Body::from);
     match origin {
         Origin::Caller => response,
-        Origin::Peer => with_version(response, version),
+        Origin::Peer => with_outcome(response, version, ran),
     }
 }
 
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -33,7 +33,7 @@
 
 pub use concurrency::ConcurrencyLimiter;
 pub use crash_sharing::{MissingCrash, WriteSchedule, crash_write_delay};
-pub use delegation::{answer_time, delegates, equal_daemons, share_before};
+pub use delegation::{answer_time, delegates, equal_daemons, large_daemons, share_before};
 pub use fleet::{connection_share, token_limit};
 pub use forward::late_wait;
 pub use gather::{Progress, Step, partial_answer_after};
--- a/components/gateway/src/peer_forward.rs
+++ b/components/gateway/src/peer_forward.rs
@@ -1,5 +1,8 @@
-//! Hands requests to other gateways while this one reaches no upstream, and answers
-//! those that other gateways hand over.
+//! Hands requests to other gateways: all while this one reaches no upstream, and searches
+//! to those with larger processors.
+
+mod delegate;
+mod message;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -9,38 +12,21 @@
 use bytes::Bytes;
 use clock::Millis;
 use discovery::SharedDirectory;
-use http::header::HeaderName;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
+use http::{Response, StatusCode};
 use rand::seq::IndexedRandom;
 use routes::Delivery;
 use telemetry::names;
-use transport::{Client, Payload};
+use transport::Client;
 use upstreams::{AttemptsMade, Failure, Ran, Reason};
 
-use crate::delegation::{answer_time, delegates};
+use self::message::{peer_request, take_outcome};
+pub(crate) use self::message::{read_handover, refusal_outcome, unserved, with_outcome};
+use crate::delegation::answer_time;
 use crate::refusal::{Cause, Refusal, Result};
 use crate::routed_request::{RoutedRequest, caller_response, with_retry_after};
 
-/// Prefix of the path under which gateways accept requests of their peers; the path and
-/// query of the caller follow.
-const REQUESTS_PATH: &str = "/v1/requests";
-/// Time that is left for the request, in milliseconds.
-const TIME_LEFT_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-time-left-ms");
-/// In a request the lowest version of the configuration that may serve it, in its response
-/// the version that did.
-const VERSION_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-version");
-/// Time that the request has spent before and that its answer needs on the way back, in
-/// milliseconds; older daemons send none.
-const ELAPSED_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-elapsed-ms");
-/// The attempts that may have been made for the request, as JSON.
-const ATTEMPTS_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-attempts");
-/// Present if a gateway did not take the request; says why.
-const UNSERVED_HEADER: HeaderName = HeaderName::from_static("coltsfootgw-unserved");
 /// A gateway that did not take a request is passed over for so long.
 const PEER_PAUSE: Millis = Millis(1_000);
-/// A gateway that searches are handed to is passed over for so long if it did not answer:
-/// each search that it is tried with is at risk.
-const DELEGATE_PAUSE: Millis = Millis(5_000);
 /// Time to connect to a gateway.
 const CONNECT_TIMEOUT: Millis = Millis(50);
 /// A gateway has this many objectives of the route to answer a request that may be
@@ -63,12 +49,26 @@
     Failed,
 }
 
+/// How a request is handed over.
+struct Terms {
+    /// The attempts that the gateway has to count.
+    attempts: AttemptsMade,
+    /// Time for its answer.
+    timeout: Millis,
+    /// A gateway that does not take the request is passed over for so long.
+    refusal_pause: Millis,
+    /// One that can't be reached or does not answer is passed over for so long.
+    failure_pause: Millis,
+}
+
 /// Hands requests to other gateways.
 pub(crate) struct PeerForwarder {
     directory: SharedDirectory,
     me: SocketAddr,
     /// Time that this daemon needs to pass an answer on.
     answer_time: Millis,
+    /// Gateways that searches are handed to.
+    delegates: RefCell<Vec<SocketAddr>>,
     clients: RefCell<HashMap<SocketAddr, Rc<Client>>>,
     paused: RefCell<HashMap<SocketAddr, (Pause, Millis)>>,
     has_failed: Cell<bool>,
@@ -83,6 +83,7 @@
             directory,
             me,
             answer_time: answer_time(millicores),
+            delegates: RefCell::default(),
             clients: RefCell::default(),
             paused: RefCell::default(),
             has_failed: Cell::new(false),
@@ -102,36 +103,7 @@
         newest > version && Millis::now().since(since) < CATCH_UP_TIME
     }
 
-    /// Hands a search to a gateway with a larger processor; `None` if there is none, or if
-    /// it did not take the search or did not answer. All attempts go with it: the caller
-    /// waits for one gateway, which needs them for hedges.
-    pub(crate) async fn delegate(
-        &self,
-        request: &RoutedRequest,
-    ) -> Option<Result<Response<Bytes>>> {
-        let peer = self.choose_delegate()?;
-        let attempts = request.call.attempts.borrow().compact();
-        let result = self
-            .hand_over(peer, request, attempts, DELEGATE_PAUSE)
-            .await;
-        let is_final = attempts_left(request) == 0 || Millis::now() >= request.call.deadline;
-        match result {
-            None if is_final => Some(Err(unanswered(peer))),
-            result => result,
-        }
-    }
-
-    fn choose_delegate(&self) -> Option<SocketAddr> {
-        let now = Millis::now();
-        let mut paused = self.paused.borrow_mut();
-        paused.retain(|_, (_, until)| *until > now);
-        let mut delegates = delegates(self.directory.borrow().instances(), self.me);
-        delegates.retain(|address| !paused.contains_key(address));
-        delegates.choose(&mut rand::rng()).copied()
-    }
-
-    fn record_version(&self, response: &Response<Bytes>) {
-        let version = header_number(response.headers(), &VERSION_HEADER).unwrap_or(0);
+    fn record_version(&self, version: u64) {
         if version > self.newest.get().0 {
             self.newest.set((version, Millis::now()));
         }
@@ -147,13 +119,9 @@
             if attempts_left(request) == 0 {
                 break;
             }
-            if !request.call.permission.is_valid() {
-                return Err(revoked(may_have_run.get()));
-            }
             tried.push(peer);
-            let attempts = attempts_for_peer(request);
-            let result = self.hand_over(peer, request, attempts, PEER_PAUSE).await;
-            if let Some(result) = result {
+            let terms = terms_of_links(request);
+            if let Some(result) = self.hand_over(peer, request, &terms).await {
                 return result;
             }
             let has_time = Millis::now() < request.call.deadline;
@@ -177,39 +145,51 @@
         &self,
         peer: SocketAddr,
         request: &RoutedRequest,
-        attempts: AttemptsMade,
-        failure_pause: Millis,
+        terms: &Terms,
     ) -> Option<Result<Response<Bytes>>> {
         let may_have_run = &request.call.may_have_run;
+        // The key may have been withdrawn while the request waited.
+        if !request.call.permission.is_valid() {
+            return Some(Err(revoked(may_have_run.get())));
+        }
         let before = may_have_run.replace(true);
-        let (pause, time) = match self.send(peer, request, &attempts).await {
-            Ok(response) if !response.headers().contains_key(UNSERVED_HEADER) => {
-                self.has_failed.set(false);
-                self.record_version(&response);
-                count("answered");
-                return Some(match response.status() {
-                    status if before && is_refusal(status, request) => Err(refused_elsewhere(peer)),
-                    _ => Ok(without_version(caller_response(response))),
-                });
-            }
-            Err(e) if !e.is_unsent() => {
-                let limit = request.call.policy.attempts;
-                let allowed = limit.saturating_sub(attempts.elsewhere);
-                request.call.attempts.borrow_mut().elsewhere += allowed;
-                (Pause::Failed, failure_pause)
-            }
-            Err(_) => {
-                may_have_run.set(before);
-                (Pause::Refused, failure_pause)
-            }
-            Ok(_) => {
-                may_have_run.set(before);
-                (Pause::Refused, PEER_PAUSE)
+        let mut response = match self.send(peer, request, terms).await {
+            Ok(response) => response,
+            Err(e) => {
+                if e.is_unsent() {
+                    may_have_run.set(before);
+                    self.pass_over(peer, Pause::Refused, terms.failure_pause);
+                } else {
+                    self.record_failure(peer, request, terms);
+                }
+                return None;
             }
         };
-        count("failed");
-        self.pause(peer, pause, time);
-        None
+        let outcome = take_outcome(&mut response);
+        if outcome.is_unserved {
+            may_have_run.set(before);
+            self.pass_over(peer, Pause::Refused, terms.refusal_pause);
+            return None;
+        }
+        self.has_failed.set(false);
+        self.record_version(outcome.version);
+        count("answered");
+        if outcome.is_not_run {
+            may_have_run.set(before);
+        }
+        Some(match response.status() {
+            status if before && is_refusal(status, request) => Err(refused_elsewhere(peer)),
+            _ => Ok(caller_response(response)),
+        })
+    }
+
+    /// Records that a gateway did not answer a request: it may have made all attempts that
+    /// it was allowed.
+    fn record_failure(&self, peer: SocketAddr, request: &RoutedRequest, terms: &Terms) {
+        let limit = request.call.policy.attempts;
+        let allowed = limit.saturating_sub(terms.attempts.elsewhere);
+        request.call.attempts.borrow_mut().elsewhere += allowed;
+        self.pass_over(peer, Pause::Failed, terms.failure_pause);
     }
 
     /// Chooses a gateway among those that did not fail lately.
@@ -230,7 +210,8 @@
         select(None).or_else(|| select(Some(Pause::Failed)))
     }
 
-    fn pause(&self, peer: SocketAddr, pause: Pause, time: Millis) {
+    fn pass_over(&self, peer: SocketAddr, pause: Pause, time: Millis) {
+        count("failed");
         let until = Millis::now() + time;
         self.paused.borrow_mut().insert(peer, (pause, until));
     }
@@ -239,19 +220,16 @@
         &self,
         peer: SocketAddr,
         request: &RoutedRequest,
-        attempts: &AttemptsMade,
+        terms: &Terms,
     ) -> transport::Result<Response<Bytes>> {
-        let left = request.call.deadline.since(Millis::now());
-        let route = &request.entry.route;
-        let timeout = match route.delivery {
-            Delivery::Idempotent => left.min(Millis(route.objective.0 * OBJECTIVES)),
-            Delivery::AtMostOnce => left,
-        };
+        let now = Millis::now();
+        let left = request.call.deadline.since(now);
         let client = self.client(peer);
         let version = request.version.max(self.newest.get().0);
-        let elapsed = Millis::now().since(request.arrived) + self.answer_time;
-        let message = peer_request(request, version, left, elapsed, attempts);
-        client.send(message, RESPONSE_LIMIT_BYTES, timeout).await
+        let elapsed = now.since(request.arrived) + self.answer_time;
+        let message = peer_request(request, version, left, elapsed, &terms.attempts);
+        let sending = client.send(message, RESPONSE_LIMIT_BYTES, terms.timeout);
+        sending.await
     }
 
     fn client(&self, peer: SocketAddr) -> Rc<Client> {
@@ -298,15 +276,6 @@
     }
 }
 
-/// Returns the refusal of a search that another gateway took and did not answer.
-fn unanswered(peer: SocketAddr) -> Refusal {
-    let detail = format!("{peer} took the search and did not answer");
-    Refusal {
-        ran: Ran::Unknown,
-        ..Refusal::not_run(Cause::NoLinks, detail)
-    }
-}
-
 /// Returns the refusal of a request that another gateway refused as not run, though it may
 /// have run before it was handed over.
 fn refused_elsewhere(peer: SocketAddr) -> Refusal {
@@ -323,6 +292,22 @@
     request.call.policy.attempts.saturating_sub(made)
 }
 
+/// Returns the terms on which a request is handed over because the links are lost: a
+/// gateway that does not answer one that may be repeated soon leaves time for another.
+fn terms_of_links(request: &RoutedRequest) -> Terms {
+    let left = request.call.deadline.since(Millis::now());
+    let route = &request.entry.route;
+    Terms {
+        attempts: attempts_for_peer(request),
+        timeout: match route.delivery {
+            Delivery::Idempotent => left.min(Millis(route.objective.0 * OBJECTIVES)),
+            Delivery::AtMostOnce => left,
+        },
+        refusal_pause: PEER_PAUSE,
+        failure_pause: PEER_PAUSE,
+    }
+}
+
 /// Returns the attempts that a gateway has to count: those that were made, and one more if
 /// at least one is then left to it, which another gateway may need if this one does not answer.
 fn attempts_for_peer(request: &RoutedRequest) -> AttemptsMade {
@@ -330,99 +315,3 @@
     attempts.elsewhere += usize::from(attempts_left(request) > 1);
     attempts
 }
-
-/// Returns the request for a gateway, with what it needs to serve it.
-fn peer_request(
-    request: &RoutedRequest,
-    version: u64,
-    left: Millis,
-    elapsed: Millis,
-    attempts: &AttemptsMade,
-) -> Request<Payload> {
-    let forwarded = &request.forwarded;
-    let mut message = Request::new(Payload::new(forwarded.body.clone()));
-    *message.method_mut() = forwarded.method.clone();
-    let path = forwarded.uri.path_and_query().map_or("/", |p| p.as_str());
-    if let Ok(uri) = format!("{REQUESTS_PATH}{path}").parse() {
-        *message.uri_mut() = uri;
-    }
-    *message.headers_mut() = forwarded.headers.clone();
-    let headers = message.headers_mut();
-    request.identity.write_key_digest(headers);
-    headers.insert(TIME_LEFT_HEADER, left.0.into());
-    headers.insert(VERSION_HEADER, version.into());
-    headers.insert(ELAPSED_HEADER, elapsed.0.into());
-    // The caller's own header of this name says nothing.
-    headers.remove(ATTEMPTS_HEADER);
-    let attempts = serde_json::to_string(attempts).unwrap_or_default();
-    if let Ok(attempts) = HeaderValue::from_bytes(attempts.as_bytes()) {
-        headers.insert(ATTEMPTS_HEADER, attempts);
-    }
-    message
-}
-
-/// What a gateway says of a request that it hands over.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Handover {
-    /// Time that is left for the request.
-    pub(crate) time_left: Millis,
-    /// Time that it has spent before.
-    pub(crate) elapsed: Millis,
-    /// Lowest version of the configuration that may serve it.
-    pub(crate) version: u64,
-    /// The attempts that it and others may have made; `None` if they can't be read.
-    pub(crate) attempts: Option<AttemptsMade>,
-}
-
-/// Restores a caller's request that another gateway handed over; `None` if it is no
-/// such request.
-pub(crate) fn read_handover<B>(request: &mut http::Request<B>) -> Option<Handover> {
-    let path = request.uri().path_and_query()?.as_str();
-    let uri: Uri = path.strip_prefix(REQUESTS_PATH)?.parse().ok()?;
-    *request.uri_mut() = uri;
-    let headers = request.headers_mut();
-    Some(Handover {
-        time_left: Millis(take_number(headers, &TIME_LEFT_HEADER)?),
-        elapsed: Millis(take_number(headers, &ELAPSED_HEADER).unwrap_or(0)),
-        version: take_number(headers, &VERSION_HEADER)?,
-        attempts: take_attempts(headers),
-    })
-}
-
-fn take_number(headers: &mut HeaderMap, name: &HeaderName) -> Option<u64> {
-    let number = header_number(headers, name);
-    headers.remove(name);
-    number
-}
-
-fn header_number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
-    headers.get(name)?.to_str().ok()?.parse().ok()
-}
-
-/// Tells the gateway that handed a request over which version served it.
-pub(crate) fn with_version<B>(mut response: Response<B>, version: u64) -> Response<B> {
-    response
-        .headers_mut()
-        .insert(VERSION_HEADER, version.into());
-    response
-}
-
-fn without_version(mut response: Response<Bytes>) -> Response<Bytes> {
-    response.headers_mut().remove(VERSION_HEADER);
-    response
-}
-
-/// Reads the attempts; gateways that do not count them send none.
-fn take_attempts(headers: &mut HeaderMap) -> Option<AttemptsMade> {
-    match headers.remove(&ATTEMPTS_HEADER) {
-        Some(value) => serde_json::from_slice(value.as_bytes()).ok(),
-        None => Some(AttemptsMade::default()),
-    }
-}
-
-/// Returns the answer of a gateway that does not take a request.
-pub(crate) fn unserved(reason: &'static str) -> Response<Bytes> {
-    let builder = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
-    let builder = builder.header(UNSERVED_HEADER, reason);
-    builder.body(Bytes::new()).unwrap_or_default()
-}
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -86,6 +86,8 @@
     /// Whether load explains it, so that fewer requests of the route should run at a
     /// time. Missing or failed upstreams are no load.
     pub is_overload: bool,
+    /// Whether this daemon refused it before any work, and another one may take it.
+    pub is_untaken: bool,
 }
 
 impl Refusal {
@@ -97,6 +99,7 @@
             detail: detail.into(),
             retry_after: None,
             is_overload: cause.is_load(),
+            is_untaken: false,
         }
     }
 
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -172,15 +172,17 @@
         settings.peer_address,
         log,
     );
-    let peer_forwarder = PeerForwarder::new(
+    let peer_forwarder = Rc::new(PeerForwarder::new(
         directory.clone(),
         settings.peer_address,
         settings.millicores,
-    );
+    ));
+    let delegating = peer_forwarder.clone();
     let quotas = Quotas::new(&settings, &fleet, &follower, log);
     let assigned = quotas.clone();
     follower.add_listener(move |directory| {
         updated.update(directory);
+        delegating.update(directory);
         assigned.update(directory);
         if let Some(table) = updated.table() {
             limits.set(server_limits(&table.limits));
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -25,7 +25,7 @@
     pub(crate) follower: Rc<Follower>,
     pub(crate) directory: discovery::SharedDirectory,
     pub(crate) crash_sharing: Rc<CrashSharing>,
-    pub(crate) peer_forwarder: PeerForwarder,
+    pub(crate) peer_forwarder: Rc<PeerForwarder>,
     pub(crate) quotas: Rc<Quotas>,
     pub(crate) limiters: RouteLimiters,
     pub(crate) wire: Rc<dyn WireFormat>,
--- a/components/gateway/tests/delegation.rs
+++ b/components/gateway/tests/delegation.rs
@@ -9,7 +9,10 @@
 
 use clock::Millis;
 use discovery::InstanceEntry;
-use gateway::{answer_time, connection_share, delegates, equal_daemons, share_before, token_limit};
+use gateway::{
+    answer_time, connection_share, delegates, equal_daemons, large_daemons, share_before,
+    token_limit,
+};
 use rstest::rstest;
 
 const LARGE: u32 = 500;
@@ -131,3 +134,28 @@
 ) {
     assert_eq!(answer_time(millicores), expected);
 }
+
+// An allocator of quotas answers messages of all daemons: on a twelfth of a core those of a
+// workspace with callers everywhere would take most of its time.
+#[test]
+fn what_one_daemon_does_for_all_is_done_by_large_ones() {
+    let all = site();
+    let large = large_daemons(all.iter());
+    assert_eq!(large.len(), 6);
+    assert!(large.iter().all(|i| i.millicores == LARGE));
+}
+
+#[rstest]
+#[case::equal(&[250; 7], 7)]
+#[case::unknown(&[0; 7], 7)]
+#[case::similar(&[250, 200, 130, 126], 4)]
+#[case::older_daemons(&[500, 0, 0], 1)]
+#[case::none(&[], 0)]
+fn daemons_with_similar_or_unknown_processors_are_all_large(
+    #[case] millicores: &[u32],
+    #[case] expected: usize,
+) {
+    let all = (0..).zip(millicores).map(|(n, m)| instance(n, "a", *m));
+    let all: Vec<InstanceEntry> = all.collect();
+    assert_eq!(large_daemons(all.iter()).len(), expected);
+}
--- a/tests/gateway_delegation.rs
+++ b/tests/gateway_delegation.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use clock::Millis;
+use futures_util::future::join_all;
 use http::StatusCode;
 use rstest::rstest;
 use serde_json::json;
@@ -13,6 +14,11 @@
 use standins::platform::site::{READ, SEARCH, SHARDS, Site, start_site};
 
 const SEARCHES: usize = 20;
+/// Service time of slow upstreams; the objective of searches is 100 ms, their deadline 1 s.
+const SLOW_TIME: Millis = Millis(400);
+/// Slow searches after which a route is at the lowest limit, which admits two.
+const SEARCHES_TO_LIMIT: usize = 6;
+const CONCURRENT: usize = 6;
 /// Time in which a search is answered that first meets a large gateway which is gone.
 const TAKEOVER_TIME: Millis = Millis(300);
 /// A lost hand-over is noticed within the time that a search may take there; afterwards
@@ -119,3 +125,51 @@
     assert_served(&small, "after").await;
     large.process.resume();
 }
+
+/// Lets all upstreams take longer than the large gateway had for an answer once: two
+/// objectives.
+fn slow_down(site: &Site) {
+    for upstream in site.shards.iter().flatten() {
+        upstream.service_time.set(SLOW_TIME);
+    }
+}
+
+/// Guards against searches that are given up at the small gateway while the large one still
+/// waits for slow upstreams: its answer would have come in time for the caller.
+#[compio::test]
+async fn a_search_that_takes_long_on_the_large_gateway_is_answered() {
+    let site = start_site().await;
+    let [small, large] = start(&site, 0.1, 0.5).await;
+    assert_served(&small, "before").await;
+    slow_down(&site);
+    for n in 0..3 {
+        let status = search(&small, &format!("slow-{n}")).await;
+        assert_eq!(status, StatusCode::OK, "slow-{n}");
+    }
+    assert_eq!(sends(&small).await, 0.0);
+    assert!(sends(&large).await > 0.0);
+}
+
+/// Guards against callers that are refused because the large gateway is at the limit of the
+/// route, though the small one has room.
+#[compio::test]
+async fn searches_beyond_the_limit_of_the_large_gateway_run_on_the_small_one() {
+    let site = start_site().await;
+    let [small, _large] = start(&site, 0.1, 0.5).await;
+    slow_down(&site);
+    // These miss their objective, which lowers the limit.
+    for n in 0..SEARCHES_TO_LIMIT {
+        search(&small, &format!("miss-{n}")).await;
+    }
+    let searches = (0..CONCURRENT).map(|n| {
+        let name = format!("many-{n}");
+        let small = &small;
+        async move { search(small, &name).await }
+    });
+    let statuses = join_all(searches).await;
+    assert!(
+        statuses.iter().all(|s| *s == StatusCode::OK),
+        "{statuses:?}"
+    );
+    assert!(sends(&small).await > 0.0);
+}
