Let large daemons allocate quotas, and count the time of a suspension as silence

Cause: the allocator of a workspace was any daemon. And an allocator judged its list of daemons by a clock that stands still while the machine is suspended, and by the time at which a peer's answer was read, so that after a pause it could go on as the allocator though another one had followed. Change: allocators are chosen among the daemons with large processors; the age of the directory is counted by the clock that includes suspension, from the start of the poll that showed it.

--- a/components/discovery/src/follow.rs
+++ b/components/discovery/src/follow.rs
@@ -68,9 +68,12 @@
     is_loaded: Cell<bool>,
     outage: RefCell<Outage>,
     last_contact: Cell<Millis>,
-    /// Latest time at which a peer that was polled had heard from the store.
+    /// When the store had last answered this daemon, or a peer from which it got its changes,
+    /// as [`Millis::since_boot`] counts.
     current_at: Cell<Millis>,
-    /// When the last [`LONG_SILENCE`] ended.
+    /// When the store had last answered this daemon, by the same clock.
+    answered_at: Cell<Millis>,
+    /// When the last [`LONG_SILENCE`] ended, by the same clock.
     silence_ended: Cell<Millis>,
     reach: RefCell<Reach>,
     watcher: RefCell<Option<Rc<RelayClient>>>,
@@ -103,7 +106,8 @@
             is_loaded: Cell::new(false),
             outage: RefCell::new(Outage::new(heartbeat)),
             last_contact: Cell::new(Millis::ZERO),
-            current_at: Cell::default(),
+            current_at: Cell::new(Millis::since_boot()),
+            answered_at: Cell::new(Millis::since_boot()),
             silence_ended: Cell::new(Millis::ZERO),
             reach: RefCell::default(),
             watcher: RefCell::default(),
@@ -137,18 +141,26 @@
     }
 
     /// Returns the age of the directory: the time since the store last answered, this
-    /// daemon or a peer from which it got its changes.
+    /// daemon or a peer from which it got its changes. Other than by
+    /// [`store_age`](Self::store_age), a daemon that was suspended finds it old. `now` is
+    /// a time as [`Millis::since_boot`] counts.
     pub fn directory_age(&self, now: Millis) -> Millis {
-        now.since(self.last_contact.get().max(self.current_at.get()))
+        now.since(self.current_at.get())
     }
 
-    /// Returns when the store last answered after so long a silence that other daemons may
-    /// have dropped this one meanwhile.
+    /// Records that the directory was current at a time as [`Millis::since_boot`] counts.
+    fn record_current(&self, at: Millis) {
+        self.current_at.set(self.current_at.get().max(at));
+    }
+
+    /// Returns when the store last answered after so long a silence, or suspension of this
+    /// daemon, that others may have dropped this one meanwhile.
     pub fn silence_ended(&self) -> Millis {
         self.silence_ended.get()
     }
 
-    /// Whether the store is silent and the polls of peers show that they can be reached.
+    /// Whether the store is silent and the polls of peers show that they can be reached, at a
+    /// time as [`Millis::since_boot`] counts.
     pub fn reaches_peers(&self, now: Millis) -> bool {
         self.reach.borrow().is_whole(now)
     }
@@ -311,9 +323,13 @@
     fn record_contact(&self, age: Millis) {
         let now = Millis::now();
         let at = now.since(age);
-        if at.since(self.last_contact.get()) >= LONG_SILENCE {
-            self.silence_ended.set(now);
+        let answered_at = Millis::since_boot() - age;
+        if answered_at.since(self.answered_at.get()) >= LONG_SILENCE {
+            self.silence_ended.set(Millis::since_boot());
         }
+        self.answered_at
+            .set(self.answered_at.get().max(answered_at));
+        self.record_current(answered_at);
         self.last_contact.set(self.last_contact.get().max(at));
         if let Some(end) = self.outage.borrow_mut().record_contact(at) {
             let revision = self.directory.borrow().position().revision;
--- a/components/discovery/src/follow/peers.rs
+++ b/components/discovery/src/follow/peers.rs
@@ -74,17 +74,20 @@
             return;
         };
         let after = self.directory.borrow().position();
+        // The answer may wait in the socket while this daemon is frozen.
+        let began = Millis::since_boot();
         let result = RelayClient::new(address).poll(after, Millis::ZERO).await;
         let is_reached = result.is_ok();
-        self.reach.borrow_mut().record(is_reached, Millis::now());
+        self.reach
+            .borrow_mut()
+            .record(is_reached, Millis::since_boot());
         match result {
             Ok(update) if self.is_outdated(&update) => {
                 debug!(self.log, "peer is in an older epoch"; "peer" => %address,
                     "epoch" => update.position().epoch);
             }
             Ok(update) => {
-                let current_at = Millis::now() - update.age;
-                self.current_at.set(self.current_at.get().max(current_at));
+                self.record_current(began - update.age);
                 self.apply_update(update);
                 let to = self.directory.borrow().position();
                 if to > after {
--- a/components/gateway/src/quotas.rs
+++ b/components/gateway/src/quotas.rs
@@ -172,9 +172,8 @@
         if self.restarted.replace(ended) != ended {
             self.allocators.borrow_mut().restart(now);
         }
-        let clock = Millis::now();
-        let age = self.follower.directory_age(clock);
-        let standing = Standing::new(age, self.follower.reaches_peers(clock));
+        let age = self.follower.directory_age(now);
+        let standing = Standing::new(age, self.follower.reaches_peers(now));
         if self.standing.replace(standing) != standing && self.roster.borrow().has_quotas() {
             warn!(self.log, "standing as an allocator of quotas changed";
                 "standing" => ?standing, "directory_age_ms" => age.0);
--- a/components/gateway/src/quotas/roster.rs
+++ b/components/gateway/src/quotas/roster.rs
@@ -8,6 +8,8 @@
 use discovery::Directory;
 use routes::Quota;
 
+use crate::delegation::large_daemons;
+
 /// A daemon of a build without quotas is passed over for this long; it may be upgraded.
 const PASS_TIME: Millis = Millis(3_000);
 
@@ -23,7 +25,7 @@
 /// What the choice of allocators depends on.
 #[derive(Default)]
 pub(super) struct Roster {
-    /// Names and addresses, sorted.
+    /// Names and addresses of the daemons that can be allocators, sorted.
     daemons: Vec<(String, SocketAddr)>,
     quotas: HashMap<Rc<str>, Quota>,
     /// Daemons of builds without quotas, and until when they are passed over.
@@ -41,8 +43,8 @@
         let quotas: HashMap<Rc<str>, Quota> = quotas.collect();
         let mut daemons = Vec::new();
         if !quotas.is_empty() {
-            let instances = directory.instances();
-            daemons.extend(instances.map(|i| (i.name.clone(), i.address)));
+            let large = large_daemons(directory.instances());
+            daemons.extend(large.iter().map(|i| (i.name.clone(), i.address)));
             daemons.sort();
         }
         let is_changed = quotas != self.quotas || daemons != self.daemons;
