Start a search at cold upstreams only once enough shards may take it

Cause: a search that could have its turn at a cold upstream soon was started on the other shards, and waited for the turn in the queue of that one. If another search took the turn, it was answered 502 though a refusal before any shard ran it was possible (the known red case of gateway_cold). Change: where an upstream of a search is cold, the search waits for the turns before any shard runs it, and is refused as not run if it may not wait so long.

--- a/components/gateway/src/forward/rates.rs
+++ b/components/gateway/src/forward/rates.rs
@@ -16,7 +16,7 @@
 
 /// Returns for each shard whether the rate limits of its upstreams delay a search for
 /// longer than it may wait for them.
-pub(super) fn find_delayed(call: &Call, pools: &[Option<Rc<Pool>>]) -> Vec<bool> {
+fn find_delayed(call: &Call, pools: &[Option<Rc<Pool>>]) -> Vec<bool> {
     let now = Millis::now();
     let is_delayed = |pool: &Rc<Pool>| match pool.rate_wait(call.draw, now) {
         Some(Millis::ZERO) => false,
@@ -27,9 +27,52 @@
     pools.map(|p| p.as_ref().is_some_and(is_delayed)).collect()
 }
 
+/// Waits until the shares of cold upstreams allow a search on enough shards at once, and
+/// returns what [`find_delayed`] does then. Such a share can pass while a search waits for
+/// it in a queue; a shard that has run the search by then would have done so for nothing.
+///
+/// # Errors
+///
+/// Fails as [`refuse_beyond_rates`] does, if the search may not wait so long.
+pub(super) async fn wait_for_rates(
+    request: &RoutedRequest,
+    gather: &Gather,
+    pools: &[Option<Rc<Pool>>],
+) -> Result<Vec<bool>> {
+    loop {
+        let delayed = find_delayed(&request.call, pools);
+        refuse_beyond_rates(request, gather, pools, &delayed)?;
+        match wait_for_enough(&request.call, gather, pools) {
+            Millis::ZERO => return Ok(delayed),
+            wait => compio::time::sleep(wait.into()).await,
+        }
+    }
+}
+
+/// Returns the time until the rates may allow a search on enough shards, zero if they do
+/// or if no upstream of them is cold.
+fn wait_for_enough(call: &Call, gather: &Gather, pools: &[Option<Rc<Pool>>]) -> Millis {
+    let now = Millis::now();
+    let known = || pools.iter().flatten();
+    if !known().any(|pool| pool.has_cold_upstreams()) {
+        return Millis::ZERO;
+    }
+    let waits: Vec<Millis> = known()
+        .filter_map(|p| p.rate_wait(call.draw, now))
+        .collect();
+    let ready = waits.iter().filter(|wait| **wait == Millis::ZERO).count();
+    match ready >= gather.required_shards() {
+        true => Millis::ZERO,
+        false => {
+            let later = waits.into_iter().filter(|wait| *wait > Millis::ZERO);
+            later.min().unwrap_or_default()
+        }
+    }
+}
+
 /// Refuses a search before any shard runs it if too few shards remain without the
 /// delayed ones.
-pub(super) fn refuse_beyond_rates(
+fn refuse_beyond_rates(
     request: &RoutedRequest,
     gather: &Gather,
     pools: &[Option<Rc<Pool>>],
--- a/components/gateway/src/forward/search.rs
+++ b/components/gateway/src/forward/search.rs
@@ -13,7 +13,7 @@
 
 use super::evacuated::refuse_evacuated;
 use super::lateness::refuse_late;
-use super::rates::{find_delayed, refuse_beyond_rates};
+use super::rates::wait_for_rates;
 use super::{ServiceShard, with_expected_wait};
 use crate::gather::{Progress, Step, partial_answer_after};
 use crate::merge::top_records;
@@ -104,8 +104,7 @@
         .map(|s| gateway.fleet.pool(s))
         .collect();
     refuse_evacuated(request, gather, &pools)?;
-    let delayed = find_delayed(&request.call, &pools);
-    refuse_beyond_rates(request, gather, &pools, &delayed)?;
+    let delayed = wait_for_rates(request, gather, &pools).await?;
     refuse_late(&request.call, &pools, gather.required_shards())?;
     // Others run the search already when a shard turns out to wait for a rate limit.
     let patient = Call {
--- a/components/upstreams/src/rate_wait.rs
+++ b/components/upstreams/src/rate_wait.rs
@@ -1,5 +1,7 @@
 //! How long the rate limits of upstreams delay a request to a pool.
 
+use std::rc::Rc;
+
 use clock::Millis;
 
 use crate::cold_limits::Times;
@@ -32,6 +34,14 @@
         Some(named.max(self.cold_wait(&upstream)?))
     }
 
+    /// Whether the rate of requests to any of the upstreams is limited because it is cold.
+    pub fn has_cold_upstreams(&self) -> bool {
+        let limits = &self.shared.cold_limits;
+        let boot = Millis::since_boot();
+        let is_cold = |u: &Rc<Upstream>| limits.is_cold(&u.process, boot);
+        !limits.is_empty() && self.upstreams().iter().any(is_cold)
+    }
+
     /// Returns the time until the limit that an upstream names allows a request.
     fn named_rate_wait(
         &self,
