--- a/components/upstreams/tests/evacuation.rs
+++ b/components/upstreams/tests/evacuation.rs
@@ -12,11 +12,14 @@
     Call, ColdPeriod, Endpoint, LinkCheck, Pool, PoolConfig, Ran, Reason, RetryPolicy,
 };
 
+#[path = "support/silent.rs"]
+mod silent;
 #[path = "support/test_pool.rs"]
 mod test_pool;
 #[path = "support/unanswered.rs"]
 mod unanswered;
 
+use silent::silent;
 use test_pool::{AllUpstreams, empty_pool};
 use unanswered::call_once;
 
@@ -26,13 +29,6 @@
 /// A request that can't be served is refused within this time of the evacuation.
 const REFUSAL_TIME: Millis = Millis(50);
 
-/// Listens but never answers.
-fn silent() -> TcpListener {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.set_nonblocking(true).unwrap();
-    listener
-}
-
 fn endpoint(id: &str, domain: &str, listener: &TcpListener) -> Endpoint {
     Endpoint {
         id: id.to_owned(),
--- a/components/upstreams/tests/placement.rs
+++ b/components/upstreams/tests/placement.rs
@@ -6,23 +6,19 @@
 use clock::Millis;
 use upstreams::{Crash, Endpoint, Pool, PoolConfig};
 
+#[path = "support/silent.rs"]
+mod silent;
 #[path = "support/test_pool.rs"]
 mod test_pool;
 #[path = "support/unanswered.rs"]
 mod unanswered;
 
+use silent::silent;
 use test_pool::{AllUpstreams, empty_pool};
 use unanswered::call_once;
 
 const TIMEOUT: Millis = Millis(30);
 
-/// Listens but never answers.
-fn silent() -> TcpListener {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.set_nonblocking(true).unwrap();
-    listener
-}
-
 fn endpoint(id: &str, domain: &str, listener: &TcpListener) -> Endpoint {
     Endpoint {
         id: id.to_owned(),
--- a/standins/src/platform/gateway.rs
+++ b/standins/src/platform/gateway.rs
@@ -45,6 +45,23 @@
     start_gateway_at(site.store_address, seeds).await
 }
 
+/// Starts several gateways of a site, and waits until they are ready and know each other.
+pub async fn start_gateways(site: &Site, count: usize) -> Vec<Gateway> {
+    let mut all: Vec<Gateway> = Vec::new();
+    for _ in 0..count {
+        let seeds: Vec<_> = all.iter().take(3).map(|g| g.endpoints).collect();
+        all.push(start_gateway(site, &seeds).await);
+    }
+    for gateway in &all {
+        wait_until("the gateway is ready", PROPAGATION, async || {
+            gateway.is_ready().await
+        })
+        .await;
+    }
+    compio::time::sleep(PROPAGATION).await;
+    all
+}
+
 /// Starts a gateway that uses the store at an address.
 pub async fn start_gateway_at(store: SocketAddr, seeds: &[Endpoints]) -> Gateway {
     start_gateway_in("a", store, seeds).await
--- a/tests/gateway_cold.rs
+++ b/tests/gateway_cold.rs
@@ -6,8 +6,7 @@
 use clock::Millis;
 use rstest::rstest;
 use serde_json::{Value, json};
-use standins::fleet::wait_until;
-use standins::platform::gateway::{Gateway, PROPAGATION, start_gateway};
+use standins::platform::gateway::{Gateway, PROPAGATION, start_gateways};
 use standins::platform::paced_load::{outcomes_since, served_share, start_loads};
 use standins::platform::site::{READ, SEARCH, Site, Size, configuration, put};
 
@@ -37,18 +36,7 @@
         limited["services"][shard]["cold-per-s"] = json!(rate);
     }
     put(&site.store, "op/config", &limited);
-    let mut all: Vec<Gateway> = Vec::new();
-    for _ in 0..GATEWAYS {
-        let seeds: Vec<_> = all.iter().take(3).map(|g| g.endpoints).collect();
-        all.push(start_gateway(&site, &seeds).await);
-    }
-    for gateway in &all {
-        wait_until("the gateway is ready", PROPAGATION, async || {
-            gateway.is_ready().await
-        })
-        .await;
-    }
-    compio::time::sleep(PROPAGATION).await;
+    let all = start_gateways(&site, GATEWAYS).await;
     (site, all)
 }
 
--- a/tests/gateway_quotas.rs
+++ b/tests/gateway_quotas.rs
@@ -9,9 +9,8 @@
 use http::{Request, Response, StatusCode};
 use rstest::rstest;
 use serde_json::Value;
-use standins::fleet::wait_until;
 use standins::platform::gateway::{
-    ANSWER_LIMIT_BYTES, Gateway, PROPAGATION, TIMEOUT, retry_after_s, start_gateway,
+    ANSWER_LIMIT_BYTES, Gateway, PROPAGATION, TIMEOUT, retry_after_s, start_gateways,
 };
 use standins::platform::paced_load::{Outcome, PacedLoad};
 use standins::platform::peer::start_peer;
@@ -66,18 +65,7 @@
         "op/config",
         &with_tenants(configuration, &tenants),
     );
-    let mut all: Vec<Gateway> = Vec::new();
-    for _ in 0..count {
-        let seeds: Vec<_> = all.iter().take(3).map(|g| g.endpoints).collect();
-        all.push(start_gateway(&site, &seeds).await);
-    }
-    for gateway in &all {
-        wait_until("the gateway is ready", PROPAGATION, async || {
-            gateway.is_ready().await
-        })
-        .await;
-    }
-    compio::time::sleep(PROPAGATION).await;
+    let all = start_gateways(&site, count).await;
     (site, all)
 }
 
--- a/tests/gateway_rate_limits.rs
+++ b/tests/gateway_rate_limits.rs
@@ -6,8 +6,7 @@
 
 use clock::Millis;
 use rstest::rstest;
-use standins::fleet::wait_until;
-use standins::platform::gateway::{Gateway, PROPAGATION, start_gateway};
+use standins::platform::gateway::{Gateway, PROPAGATION, start_gateway, start_gateways};
 use standins::platform::paced_load::{outcomes_since, served_share, start_loads};
 use standins::platform::site::{READ, SEARCH, Site, Size};
 
@@ -36,18 +35,7 @@
         service_time: Millis(5),
     };
     let site = Site::start(size).await.expect("loopback ports are free");
-    let mut all: Vec<Gateway> = Vec::new();
-    for _ in 0..gateways {
-        let seeds: Vec<_> = all.iter().take(3).map(|g| g.endpoints).collect();
-        all.push(start_gateway(&site, &seeds).await);
-    }
-    for gateway in &all {
-        wait_until("the gateway is ready", PROPAGATION, async || {
-            gateway.is_ready().await
-        })
-        .await;
-    }
-    compio::time::sleep(PROPAGATION).await;
+    let all = start_gateways(&site, gateways).await;
     (site, all)
 }
 
