--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -111,6 +111,13 @@
         self.history.borrow_mut().push(Event::Put(item));
     }
 
+    /// Returns the values, as base64 text, of all items whose keys start with a prefix.
+    pub fn values(&self, prefix: &str) -> Vec<String> {
+        let items = self.items.borrow();
+        let matching = items.iter().filter(|(key, _)| key.starts_with(prefix));
+        matching.map(|(_, item)| item.value.clone()).collect()
+    }
+
     /// Deletes an item.
     pub fn delete(&self, key: &str) {
         if self.items.borrow_mut().remove(key).is_none() {
--- a/tests/gateway_unkeyed.rs
+++ b/tests/gateway_unkeyed.rs
@@ -5,15 +5,20 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use compio::BufResult;
 use compio::io::AsyncWriteExt;
 use compio::net::TcpListener;
 use http::{Method, StatusCode};
 use rstest::rstest;
-use standins::platform::gateway::ready;
+use serde_json::Value;
+use standins::platform::gateway::{ready, start_gateways};
 use standins::platform::keys::request;
-use standins::platform::site::{READ, SHARDS, WRITE, put, shard_name, start_site, upstream_entry};
+use standins::platform::site::{
+    READ, SEARCH, SHARDS, WRITE, put, shard_name, start_site, upstream_entry,
+};
 use standins::raw_request::RawRequest;
 use transport::listen;
 
@@ -34,6 +39,10 @@
     "expect-instance: raw-0",
 ];
 
+/// Operations of the store that gateways used before there were quotas.
+const STORE_CALLS: [&str; 5] = ["kv-txn", "kv-watch", "kv-range", "kv-lease", "kv-keep"];
+const REQUESTS: usize = 12;
+
 /// Answers the requests of all connections and keeps them.
 async fn serve(listener: TcpListener, received: Rc<RefCell<Vec<RawRequest>>>) {
     while let Ok((mut stream, _)) = listener.accept().await {
@@ -97,3 +106,44 @@
     assert_eq!(Vec::from_iter(head.split("\r\n")), Vec::from_iter(expected));
     assert_eq!(received.body, body);
 }
+
+/// Guards against messages between gateways and calls to the store that a deployment without
+/// quotas, and with equal processors, did not ask for.
+#[compio::test]
+async fn without_quotas_gateways_exchange_and_store_nothing_new() {
+    let site = start_site().await;
+    let gateways = start_gateways(&site, 2).await;
+    for n in 0..REQUESTS {
+        let gateway = &gateways[n % gateways.len()];
+        let id = format!("r-{n}");
+        let path = match n % 3 {
+            0 => format!("{SEARCH}{n}"),
+            _ => format!("{READ}{n}"),
+        };
+        assert_eq!(gateway.get(&path, &id).await.status(), StatusCode::OK);
+    }
+    for gateway in &gateways {
+        let page = gateway.metrics("/metrics").await;
+        for name in ["coltsfootgw_quota_", "coltsfootgw_peer_forwards_total"] {
+            let counted = page
+                .lines()
+                .find(|l| l.starts_with(name) && !l.ends_with(" 0"));
+            assert_eq!(counted, None);
+        }
+        let calls = page
+            .lines()
+            .filter(|l| l.starts_with("coltsfootgw_store_calls_total"));
+        for call in calls {
+            let is_known = STORE_CALLS.iter().any(|known| call.contains(known));
+            assert!(is_known, "{call}");
+        }
+    }
+    let registered = site.store.values("coltsfootgw/instances/");
+    assert_eq!(registered.len(), gateways.len());
+    for value in registered {
+        let value = STANDARD.decode(value).unwrap();
+        let value: Value = serde_json::from_slice(&value).unwrap();
+        let fields: Vec<&String> = value.as_object().unwrap().keys().collect();
+        assert_eq!(fields, ["address", "domain", "name"]);
+    }
+}
