Hand searches over before this daemon's own registration is seen

Cause: a daemon looked up its own processor among the registrations, so that after a loss of power, when all register again, small daemons ran the searches of the first seconds themselves. A hand-over to another region was given 50 ms to connect, of which the way takes 40 ms. Change: the own processor comes from the settings; 100 ms to connect. Measured: the tests of delegation, with and without processes, pass.

--- a/components/gateway/src/delegation.rs
+++ b/components/gateway/src/delegation.rs
@@ -19,20 +19,16 @@
 const MAX_ANSWER_TIME: Millis = Millis(10);
 
 /// Returns the daemons that searches may be handed to: those with a much larger
-/// processor, of the own failure domain if there are any; none if this daemon's own
-/// registration is not known.
+/// processor, of the own failure domain if there are any. `own` need not be registered
+/// yet, as right after a start.
 pub fn delegates<'a>(
     instances: impl Iterator<Item = &'a InstanceEntry>,
-    me: SocketAddr,
+    own: &InstanceEntry,
 ) -> Vec<SocketAddr> {
-    let all: Vec<&InstanceEntry> = instances.collect();
-    let Some(own) = all.iter().find(|i| i.address == me) else {
-        return Vec::new();
-    };
-    let is_larger = |i: &&&InstanceEntry| {
+    let is_larger = |i: &&InstanceEntry| {
         own.millicores > 0 && i.millicores >= own.millicores.saturating_mul(MIN_GAIN)
     };
-    let larger: Vec<&InstanceEntry> = all.iter().filter(is_larger).copied().collect();
+    let larger: Vec<&InstanceEntry> = instances.filter(is_larger).collect();
     let near = larger.iter().filter(|i| i.domain == own.domain);
     let near: Vec<SocketAddr> = near.map(|i| i.address).collect();
     match near.is_empty() {
--- a/components/gateway/src/peer_forward.rs
+++ b/components/gateway/src/peer_forward.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use clock::Millis;
-use discovery::SharedDirectory;
+use discovery::{InstanceEntry, SharedDirectory};
 use http::{Response, StatusCode};
 use rand::seq::IndexedRandom;
 use routes::Delivery;
@@ -27,8 +27,8 @@
 
 /// A gateway that did not take a request is passed over for so long.
 const PEER_PAUSE: Millis = Millis(1_000);
-/// Time to connect to a gateway.
-const CONNECT_TIMEOUT: Millis = Millis(50);
+/// Time to connect to a gateway, also in another region.
+const CONNECT_TIMEOUT: Millis = Millis(100);
 /// A gateway has this many objectives of the route to answer a request that may be
 /// repeated.
 const OBJECTIVES: u64 = 2;
@@ -64,7 +64,7 @@
 /// Hands requests to other gateways.
 pub(crate) struct PeerForwarder {
     directory: SharedDirectory,
-    me: SocketAddr,
+    own: InstanceEntry,
     /// Time that this daemon needs to pass an answer on.
     answer_time: Millis,
     /// Gateways that searches are handed to.
@@ -78,11 +78,11 @@
 }
 
 impl PeerForwarder {
-    pub(crate) fn new(directory: SharedDirectory, me: SocketAddr, millicores: u32) -> Self {
+    pub(crate) fn new(directory: SharedDirectory, own: InstanceEntry) -> Self {
         Self {
             directory,
-            me,
-            answer_time: answer_time(millicores),
+            answer_time: answer_time(own.millicores),
+            own,
             delegates: RefCell::default(),
             clients: RefCell::default(),
             paused: RefCell::default(),
@@ -198,7 +198,7 @@
         let directory = self.directory.borrow();
         let peers = directory.instances().map(|i| i.address);
         let peers: Vec<SocketAddr> = peers
-            .filter(|a| *a != self.me && !tried.contains(a))
+            .filter(|a| *a != self.own.address && !tried.contains(a))
             .collect();
         let mut paused = self.paused.borrow_mut();
         paused.retain(|_, (_, until)| *until > now);
--- a/components/gateway/src/peer_forward/delegate.rs
+++ b/components/gateway/src/peer_forward/delegate.rs
@@ -33,7 +33,7 @@
 impl PeerForwarder {
     /// Reads from the directory which gateways searches are handed to.
     pub(crate) fn update(&self, directory: &Directory) {
-        *self.delegates.borrow_mut() = delegates(directory.instances(), self.me);
+        *self.delegates.borrow_mut() = delegates(directory.instances(), &self.own);
     }
 
     /// Hands a search to a gateway with a larger processor; `None` if there is none, or if
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -99,12 +99,7 @@
     let metrics = bind(settings.metrics_address).await?;
     info!(log, "started"; "callers" => %callers.address, "ready" => %ready.address,
         "peers" => %peers.address, "metrics" => %metrics.address, "domain" => &settings.domain);
-    let instance = InstanceEntry {
-        name: settings.instance.clone(),
-        address: settings.peer_address,
-        domain: settings.domain.clone(),
-        millicores: settings.millicores,
-    };
+    let instance = own_entry(&settings);
     let registration = Registration::new(adapters.leases.clone(), instance, &log);
     let gateway = build(settings, &adapters, recorder, &log);
     start_tasks(&gateway, &registration);
@@ -130,6 +125,16 @@
     Ok(())
 }
 
+/// Returns the entry under which this daemon registers.
+fn own_entry(settings: &Settings) -> InstanceEntry {
+    InstanceEntry {
+        name: settings.instance.clone(),
+        address: settings.peer_address,
+        domain: settings.domain.clone(),
+        millicores: settings.millicores,
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<Listener> {
     Listener::bind(address).await.context(BindSnafu)
 }
@@ -172,11 +177,7 @@
         settings.peer_address,
         log,
     );
-    let peer_forwarder = Rc::new(PeerForwarder::new(
-        directory.clone(),
-        settings.peer_address,
-        settings.millicores,
-    ));
+    let peer_forwarder = Rc::new(PeerForwarder::new(directory.clone(), own_entry(&settings)));
     let delegating = peer_forwarder.clone();
     let quotas = Quotas::new(&settings, &fleet, &follower, log);
     let assigned = quotas.clone();
