Show that daemons learn nothing from the store after large entries of another writer

Another writer puts 13 entries of the largest size (value-bytes) into the store; the answer to the watch is then larger than what a daemon reads, and it is asked for again and again.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -5,6 +5,7 @@
 use crate::world::Record;
 
 mod keys;
+mod large_entries;
 mod overwritten;
 mod refused;
 
@@ -32,6 +33,7 @@
     let end = match case {
         "refused" => refused::run(&record, trouble),
         "overwritten" => overwritten::run(&record, trouble),
+        "large_entries" => large_entries::run(&record, trouble),
         "keys" => keys::run(&record, trouble),
         _ => End::NotRun,
     };
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -1,6 +1,6 @@
 //! The platform's metadata store (PROTOCOL.md, "The platform's metadata store").
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -10,6 +10,9 @@
 use crate::http::{Request, read_request, response};
 use crate::json::{Json, parse, quote};
 
+/// `history-s` of the small site.
+const HISTORY: Duration = Duration::from_secs(20);
+
 #[derive(Clone)]
 struct Item {
     value: String,
@@ -21,8 +24,8 @@
 #[derive(Default)]
 struct State {
     items: BTreeMap<String, Item>,
-    /// Revision, key, and the item unless it was deleted.
-    history: Vec<(u64, String, Option<Item>)>,
+    /// Revision, key, the item unless it was deleted, and when that was.
+    history: VecDeque<(u64, String, Option<Item>, Instant)>,
     /// Watches after an earlier revision than this get 410.
     kept_after: u64,
     leases: HashMap<u64, (Duration, Instant)>,
@@ -45,13 +48,15 @@
             lease,
         };
         self.items.insert(key.to_owned(), item.clone());
-        self.history.push((revision, key.to_owned(), Some(item)));
+        self.history
+            .push_back((revision, key.to_owned(), Some(item), Instant::now()));
     }
 
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
-            self.history.push((self.revision, key.to_owned(), None));
+            self.history
+                .push_back((self.revision, key.to_owned(), None, Instant::now()));
         }
     }
 
@@ -64,6 +69,11 @@
 
     fn expire(&mut self) {
         let now = Instant::now();
+        let is_old = |at: &Instant| now.duration_since(*at) > HISTORY;
+        while self.history.front().is_some_and(|(_, _, _, at)| is_old(at)) {
+            let dropped = self.history.pop_front();
+            self.kept_after = dropped.map_or(self.kept_after, |(revision, ..)| revision);
+        }
         let ended = self.leases.iter().filter(|(_, (_, end))| *end <= now);
         let ended: Vec<u64> = ended.map(|(lease, _)| *lease).collect();
         ended.into_iter().for_each(|lease| {
@@ -267,9 +277,9 @@
             let newer = state
                 .history
                 .iter()
-                .filter(|(r, k, _)| *r > after && k.starts_with(&prefix));
+                .filter(|(r, k, _, _)| *r > after && k.starts_with(&prefix));
             let events: Vec<String> = newer
-                .map(|(revision, key, written)| match written {
+                .map(|(revision, key, written, _)| match written {
                     Some(written) => item(key, written),
                     None => format!(
                         "{{\"key\":{},\"revision\":{revision},\"deleted\":true}}",
