Show that an incomplete entry of another writer moves a backend to another service

Another writer overwrites the entries of three backends without version and born, with another service; the daemons use the backends for it until their next reports.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -4,6 +4,7 @@
 
 use crate::world::Record;
 
+mod incomplete;
 mod keys;
 mod large_entries;
 mod overwritten;
@@ -34,6 +35,7 @@
         "refused" => refused::run(&record, trouble),
         "overwritten" => overwritten::run(&record, trouble),
         "large_entries" => large_entries::run(&record, trouble),
+        "incomplete" => incomplete::run(&record, trouble),
         "keys" => keys::run(&record, trouble),
         _ => End::NotRun,
     };
