Show that a request whose backends crash silently is not quarantined

A request crashes each backend that begins to run it, and the backends are silent afterwards; no crash is noticed, since no connection is lost.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -9,6 +9,7 @@
 mod large_entries;
 mod overwritten;
 mod refused;
+mod silent_crash;
 
 /// How a case ended; also the exit status.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +37,7 @@
         "overwritten" => overwritten::run(&record, trouble),
         "large_entries" => large_entries::run(&record, trouble),
         "incomplete" => incomplete::run(&record, trouble),
+        "silent_crash" => silent_crash::run(&record, trouble),
         "keys" => keys::run(&record, trouble),
         _ => End::NotRun,
     };
