--- a/review/standin-2/cases/overwritten.rs
+++ b/review/standin-2/cases/overwritten.rs
@@ -1,5 +1,5 @@
-//! A backend leaves. Its entry in the store is overwritten by another writer, with a state
-//! that the pages don't name.
+//! Two backends leave. Their entries in the store are overwritten by another writer, with a
+//! state that the pages don't name.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -12,12 +12,14 @@
 
 const SERVICE: &str = "kafi81c";
 const BACKENDS: usize = 16;
+/// `scale_in` has share 0.15.
+const LEAVING: usize = 2;
 const WORK_MS: u64 = 90;
 const INTERVAL_MS: u64 = 22;
 const DEADLINE_MS: u64 = 4_000;
 /// `drain-ms` of the small site.
 const DRAIN_S: f64 = 3.0;
-/// The backend goes on serving for `drain-ms` and a little longer.
+/// The backends go on serving for `drain-ms` and a little longer.
 const SERVING_MS: u64 = 4_500;
 
 pub fn run(record: &Record, trouble: bool) -> End {
@@ -63,37 +65,36 @@
         thread::spawn(move || send_until(&is_over, &lost, &record, &gateways))
     };
     sleep_ms(2_000);
-    // Daemons prefer some backends; one that is in use leaves.
+    // Daemons prefer some backends; those that are most in use leave.
     let recent = |b: &&Backend| {
-        let since = record.seconds() - 1.0;
+        let since = record.seconds() - 2.0;
         b.run_times().into_iter().filter(|at| *at > since).count()
     };
-    let Some(leaving) = backends.iter().max_by_key(recent) else {
-        return End::NotRun;
-    };
-    match trouble {
-        true => leaving.overwrite("stopped"),
-        false => leaving.leave(),
+    let mut leaving: Vec<&Backend> = backends.iter().collect();
+    leaving.sort_by_key(|b| std::cmp::Reverse(recent(b)));
+    leaving.truncate(LEAVING);
+    for backend in &leaving {
+        match trouble {
+            true => backend.overwrite("stopped"),
+            false => backend.leave(),
+        }
     }
     let gone_at = record.seconds();
     sleep_ms(SERVING_MS);
-    leaving.end_process();
+    leaving.iter().for_each(|backend| backend.end_process());
     sleep_ms(1_500);
     is_over.store(true, Ordering::Relaxed);
     let Ok(sent) = load.join() else {
         return End::NotRun;
     };
-    let late: Vec<f64> = leaving
-        .run_times()
-        .into_iter()
-        .filter(|at| *at > gone_at + DRAIN_S)
-        .collect();
+    let late = leaving.iter().flat_map(|backend| backend.run_times());
+    let late: Vec<f64> = late.filter(|at| *at > gone_at + DRAIN_S).collect();
+    let last = late.iter().copied().fold(gone_at, f64::max);
     record.write(&format!(
-        "{sent} requests; {} began to run on {} later than {DRAIN_S} s after the store had \
-         acknowledged that no entry names it any more, the last {:.3} s after; {} got no answer of a backend",
+        "{sent} requests; {} began to run on the backends that left later than {DRAIN_S} s after the store had \
+         acknowledged that no entry names them any more, the last {:.3} s after; {} got no answer of a backend",
         late.len(),
-        leaving.id,
-        late.last().map_or(0.0, |at| at - gone_at),
+        last - gone_at,
         lost.load(Ordering::Relaxed)
     ));
     End::of(!late.is_empty())
