Divide shared limits equally while the processor of a daemon is unknown

Cause: a daemon of an older build registers no processor. Newer daemons weighted the known processors against their own mean and gave the unknown one a weight of 1, while the older daemon itself divides by the number of daemons, so that all shares together could exceed the whole during an upgrade.

Change: all weights are 1 as long as one processor is not known.

Test: equal_or_unknown_processors_get_equal_shares::case_4_older_daemon failed with the old weights and passes (26 of 26 in components/gateway/tests/delegation.rs).

--- a/components/gateway/src/delegation.rs
+++ b/components/gateway/src/delegation.rs
@@ -49,7 +49,7 @@
 
 /// Returns among how many daemons like this one everything is divided that all daemons
 /// share: the work follows the processors, so the shares of connections and budgets do
-/// too. It is the number of daemons if their processors are equal or not known.
+/// too. It is the number of daemons if their processors are equal or not all known.
 pub fn equal_daemons<'a>(
     instances: impl Iterator<Item = &'a InstanceEntry>,
     me: SocketAddr,
@@ -67,15 +67,17 @@
     before.map(|(_, weight)| weight).sum::<f64>() / weights.len().max(1) as f64
 }
 
-/// Returns the processor of each daemon as a multiple of the mean, 1 if it is not known.
+/// Returns the processor of each daemon as a multiple of the mean. All are 1 if one is not
+/// known: older daemons divide by the number of daemons, and all shares together must not
+/// exceed the whole.
 fn weights<'a>(instances: impl Iterator<Item = &'a InstanceEntry>) -> Vec<(SocketAddr, f64)> {
     let all: Vec<&InstanceEntry> = instances.collect();
-    let known = all.iter().filter(|i| i.millicores > 0);
-    let known: Vec<f64> = known.map(|i| f64::from(i.millicores)).collect();
-    let mean = known.iter().sum::<f64>() / known.len() as f64;
-    let weight = |i: &&InstanceEntry| match i.millicores {
-        0 => 1.0,
-        millicores => f64::from(millicores) / mean,
+    let sum: f64 = all.iter().map(|i| f64::from(i.millicores)).sum();
+    let mean = sum / all.len() as f64;
+    let are_known = all.iter().all(|i| i.millicores > 0);
+    let weight = |i: &&InstanceEntry| match are_known {
+        true => f64::from(i.millicores) / mean,
+        false => 1.0,
     };
     all.iter().map(|i| (i.address, weight(i))).collect()
 }
--- a/components/gateway/tests/delegation.rs
+++ b/components/gateway/tests/delegation.rs
@@ -117,6 +117,7 @@
 #[case::equal(&[250; 7])]
 #[case::unknown(&[0; 7])]
 #[case::own_unknown(&[0, 500, 84, 84, 84, 84, 84])]
+#[case::older_daemon(&[500, 0, 84, 84, 84, 84, 84])]
 fn equal_or_unknown_processors_get_equal_shares(#[case] millicores: &[u32]) {
     let all = (0..).zip(millicores).map(|(n, m)| instance(n, "a", *m));
     let all: Vec<InstanceEntry> = all.collect();
--- a/components/upstreams/src/fair_wait.rs
+++ b/components/upstreams/src/fair_wait.rs
@@ -2,8 +2,8 @@
 
 use clock::Millis;
 
-/// Factor of the wait at the rate of a flow's last grants. The rate varies: without a
-/// margin, one in eight of the requests that were not served had waited for nothing.
+/// Factor of the wait at the rate of a flow's last grants. The rate varies, and a request
+/// that waits in vain only delays others.
 const PACE_MARGIN: f64 = 1.2;
 
 /// What a new request has to wait for in the queue.
--- a/components/upstreams/src/turns.rs
+++ b/components/upstreams/src/turns.rs
@@ -1,10 +1,9 @@
 //! Turns of daemons whose shares of a rate are less than a request. No I/O.
 //!
 //! The tokens of a rate are numbered by the wall clock, and each belongs to one daemon. The
-//! number of tokens that can be used at any time is then nearly constant. Independent random
-//! draws of 402 daemons, by contrast, were above the bound of one second in up to 1 of 10
-//! bursts. If clocks or lists of daemons differ, turns overlap at random, which is no worse
-//! than such draws.
+//! number of tokens that can be used at any time is then nearly constant, while independent
+//! random draws of many daemons can come at once. If clocks or lists of daemons differ,
+//! turns overlap at random, which is no worse than such draws.
 
 use clock::Millis;
 
