Encode keys and names of others in URIs, so that the whole store can be read

Another writer has entries whose keys hold a space, and one is the last of a page.

Cause: PlatformStore::read put the last key into the query of the next page as it stood. A space makes no valid URI ("invalid uri character" in the log as "store unreachable"). With "&", "+" or "#" the URI is valid and names an earlier key, so that one page was read again and again.

--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -11,7 +11,7 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
-use transport::{Client, Payload, header_number};
+use transport::{Client, Payload, header_number, uri_component};
 
 use crate::error::{Error, Result};
 use crate::kv::{Entry, Store, Swap, VALUE_LIMIT_BYTES};
@@ -77,7 +77,7 @@
 #[async_trait(?Send)]
 impl Store for HttpStore {
     async fn get(&self, key: &str) -> Result<Option<Entry>> {
-        let request = build(SERVICE, Method::GET, &format!("/v1/kv/{key}"), Bytes::new())?;
+        let request = build(SERVICE, Method::GET, &path("kv", key), Bytes::new())?;
         let response = self.call(&self.client, request, CALL_TIMEOUT).await?;
         match response.status() {
             StatusCode::OK => decode(SERVICE, response.body()).map(Some),
@@ -96,12 +96,7 @@
             });
         }
         let body = json!({ "expected": expected, "value": value }).to_string();
-        let request = build(
-            SERVICE,
-            Method::POST,
-            &format!("/v1/cas/{key}"),
-            body.into(),
-        )?;
+        let request = build(SERVICE, Method::POST, &path("cas", key), body.into())?;
         let response = self.call(&self.client, request, CALL_TIMEOUT).await?;
         match response.status() {
             StatusCode::OK => {
@@ -117,7 +112,7 @@
     }
 
     async fn watch(&self, key: &str, after: u64, wait: Millis) -> Result<Option<Entry>> {
-        let path = format!("/v1/watch/{key}?after={after}&wait_ms={}", wait.0);
+        let path = format!("{}?after={after}&wait_ms={}", path("watch", key), wait.0);
         let request = build(SERVICE, Method::GET, &path, Bytes::new())?;
         let response = self
             .call(&self.watch_client, request, wait + WATCH_MARGIN)
@@ -130,6 +125,14 @@
     }
 }
 
+/// Returns the path of an operation on a key; slashes separate segments in both.
+fn path(operation: &str, key: &str) -> String {
+    let segments = key
+        .split('/')
+        .map(|s| uri_component(s.as_bytes()).to_string());
+    format!("/v1/{operation}/{}", segments.collect::<Vec<_>>().join("/"))
+}
+
 pub(crate) fn build(
     service: &'static str,
     method: Method,
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -16,6 +16,7 @@
 mod server;
 mod signal;
 mod timer;
+mod uri;
 
 pub use channel::{Channel, PeerClient, operator_client, peer_client};
 pub use client::Client;
@@ -31,3 +32,4 @@
 };
 pub use signal::{StopSignalGuard, stop_signal};
 pub use timer::RuntimeTimer;
+pub use uri::uri_component;
--- a/src/cmd/book.rs
+++ b/src/cmd/book.rs
@@ -6,7 +6,7 @@
 use uuid::Uuid;
 
 use crate::cli::BookArgs;
-use crate::cmd::call::{check_json, send};
+use crate::cmd::call::{check_json, send, service_path};
 use crate::exit::{ArgumentSnafu, Code, Result};
 
 pub(crate) fn run(args: &BookArgs) -> Result<Code> {
@@ -28,6 +28,6 @@
         .build()
     })?;
     let headers = HeaderMap::from_iter([(http::HeaderName::from_static("idempotency-key"), value)]);
-    let path = format!("/v1/services/{}/book", args.service);
+    let path = service_path(&args.service, "book");
     send(&args.caller, &path, body.to_string(), headers)
 }
--- a/src/cmd/call.rs
+++ b/src/cmd/call.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use snafu::ResultExt;
 use tonic::Status;
-use transport::Payload;
+use transport::{Payload, uri_component};
 
 use crate::cli::CallerArgs;
 use crate::exit::{ArgumentSnafu, Code, Error, ReadSnafu, Result, RuntimeSnafu, TransportSnafu};
@@ -47,6 +47,12 @@
     println!("{}", serde_json::to_string(value).unwrap_or_default());
 }
 
+/// Returns the path of an operation of a service.
+pub(crate) fn service_path(service: &str, operation: &str) -> String {
+    let service = uri_component(service.as_bytes());
+    format!("/v1/services/{service}/{operation}")
+}
+
 /// Sends a request as a caller and prints the body of the answer.
 pub(crate) fn send(
     caller: &CallerArgs,
--- a/src/cmd/search.rs
+++ b/src/cmd/search.rs
@@ -5,7 +5,7 @@
 use serde_json::value::RawValue;
 
 use crate::cli::SearchArgs;
-use crate::cmd::call::{check_json, send};
+use crate::cmd::call::{check_json, send, service_path};
 use crate::exit::{Code, Result};
 
 pub(crate) fn run(args: &SearchArgs) -> Result<Code> {
@@ -15,6 +15,6 @@
     if !args.shard.is_empty() {
         body["shards"] = json!(args.shard);
     }
-    let path = format!("/v1/services/{}/search", args.service);
+    let path = service_path(&args.service, "search");
     send(&args.caller, &path, body.to_string(), HeaderMap::new())
 }
--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -87,13 +87,23 @@
     /// Panics if there is no such upstream or `fields` is no object.
     pub fn report_fields(&self, shard: usize, replica: usize, seq: u64, fields: &Value) {
         let id = &self.shards[shard][replica].id;
-        let mut entry = upstream_entry(&shard_name(shard), self.addresses[id], "ready", seq);
+        let mut entry = self.entry(shard, replica, seq);
         for (name, value) in fields.as_object().expect("fields are an object") {
             entry[name] = value.clone();
         }
         put(&self.store, &format!("servers/{id}"), &entry);
     }
 
+    /// Returns the store entry of an upstream that is ready.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such upstream.
+    pub fn entry(&self, shard: usize, replica: usize, seq: u64) -> Value {
+        let id = &self.shards[shard][replica].id;
+        upstream_entry(&shard_name(shard), self.addresses[id], "ready", seq)
+    }
+
     /// Returns the addresses of all upstreams.
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         self.addresses.values().copied().collect()
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -1,6 +1,8 @@
 //! An invalid request is refused with an error that names the fault, and
 //! invalid bytes on any port leave the daemon running.
 
+use std::process::Command;
+
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
 use rstest::rstest;
@@ -181,3 +183,23 @@
         assert_eq!(answer.body["complete"], true, "{answer:?}");
     });
 }
+
+/// Guards against a service name that makes the URI of a call invalid, or that of another
+/// service.
+#[rstest]
+#[case::space("no such service")]
+#[case::path("jobs/search?#")]
+#[case::escaped("j%6Fbs")]
+#[compio::test]
+async fn a_command_names_the_service_that_it_was_given(#[case] service: &str) {
+    let fleet = Fleet::ready(&Binaries::find(), Plan::default()).await;
+    let callers = fleet.daemons[0].callers.to_string();
+    let command = ["search", "--callers", &callers, service, "1"];
+    let output = Command::new(Binaries::find().product)
+        .args(command)
+        .output();
+    let output = output.unwrap();
+    let answer = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(answer.contains("not declared"), "{output:?}");
+    assert!(answer.contains(service), "{output:?}");
+}
