--- a/components/discovery/src/entry.rs
+++ b/components/discovery/src/entry.rs
@@ -135,3 +135,15 @@
     /// Wall-clock time of the crash.
     pub crashed_at: Millis,
 }
+
+/// A request that an upstream has not answered since it fell silent, as daemons tell each
+/// other. It is not kept in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspicionEntry {
+    /// Digest of the request.
+    pub fingerprint: u64,
+    /// Shard for which the request ran.
+    pub shard: String,
+    /// Failure domain of the upstream.
+    pub domain: String,
+}
--- a/components/discovery/src/lib.rs
+++ b/components/discovery/src/lib.rs
@@ -16,9 +16,11 @@
 pub use compression::Compressor;
 pub use crash_records::{CRASH_BATCH, CrashExchange, CrashRecords};
 pub use directory::Directory;
-pub use entry::{CrashEntry, Decode, Entry, InstanceEntry, Lifecycle, Record, UpstreamEntry};
+pub use entry::{
+    CrashEntry, Decode, Entry, InstanceEntry, Lifecycle, Record, SuspicionEntry, UpstreamEntry,
+};
 pub use feed::{Change, Changes, Error, Feed, Position, Result, Snapshot, Update};
 pub use follow::{Follower, Listeners, Reach, SharedDirectory};
 pub use registration::{Lease, Leases, Registration};
-pub use relay::{CRASHES_PATH, PeerUpdate, RelayClient, RelayState};
+pub use relay::{CRASHES_PATH, PeerUpdate, RelayClient, RelayState, SUSPICIONS_PATH};
 pub use watchers::watchers;
--- a/components/discovery/src/relay.rs
+++ b/components/discovery/src/relay.rs
@@ -12,11 +12,13 @@
 use transport::{Client, Payload};
 
 use crate::compression::{Compressor, inflate};
-use crate::entry::{CrashEntry, Record};
+use crate::entry::{CrashEntry, Record, SuspicionEntry};
 use crate::feed::{Change, Changes, Error, Position, Result, Snapshot, Update};
 
 /// Path at which a daemon accepts the crashes of its peers.
 pub const CRASHES_PATH: &str = "/v1/crashes";
+/// Path at which a daemon accepts the suspicions of its peers.
+pub const SUSPICIONS_PATH: &str = "/v1/suspicions";
 /// Added to the time for which a peer may wait before it responds.
 const RESPONSE_MARGIN: Millis = Millis(500);
 /// Time for a peer to accept crashes.
@@ -232,12 +234,24 @@
     ///
     /// Fails if the peer is unreachable or does not accept them.
     pub async fn send_crashes(&self, crashes: &[CrashEntry]) -> Result<()> {
-        let body = serde_json::to_vec(crashes).map_err(|e| Error::Unavailable {
+        self.post(CRASHES_PATH, crashes).await
+    }
+
+    /// Sends suspicions; older daemons accept none.
+    ///
+    /// # Errors
+    ///
+    /// As [`RelayClient::send_crashes`].
+    pub async fn send_suspicions(&self, suspicions: &[SuspicionEntry]) -> Result<()> {
+        self.post(SUSPICIONS_PATH, suspicions).await
+    }
+
+    async fn post(&self, path: &str, list: &[impl Serialize]) -> Result<()> {
+        let body = serde_json::to_vec(list).map_err(|e| Error::Unavailable {
             detail: e.to_string(),
         })?;
-        self.send(Method::POST, CRASHES_PATH, body.into(), SEND_TIMEOUT)
-            .await
-            .map(|_| ())
+        let sent = self.send(Method::POST, path, body.into(), SEND_TIMEOUT);
+        sent.await.map(|_| ())
     }
 
     async fn send(&self, method: Method, uri: &str, body: Bytes, timeout: Millis) -> Result<Bytes> {
--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -10,9 +10,12 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use clock::Millis;
-use discovery::{CRASHES_PATH, CrashEntry, CrashExchange, Position};
+use discovery::{
+    CRASHES_PATH, CrashEntry, CrashExchange, Position, SUSPICIONS_PATH, SuspicionEntry,
+};
 use http::StatusCode;
 use quota::Message;
+use serde::de::DeserializeOwned;
 use telemetry::names;
 use transport::{Local, local};
 use upstreams::{UpstreamState, UpstreamView};
@@ -41,6 +44,7 @@
     Router::new()
         .route("/v1/directory", get(directory))
         .route(CRASHES_PATH, post(crashes))
+        .route(SUSPICIONS_PATH, post(suspicions))
         .route(QUOTA_PATH, post(quota))
         .fallback(handed_over)
         .with_state(App(Local::new(gateway.clone())))
@@ -76,22 +80,42 @@
     .await
 }
 
-/// Merges the crashes that a peer sends; a body that is too long or too slow is
-/// refused.
-async fn crashes(State(app): State<App>, request: Request) -> StatusCode {
+/// Reads a peer's message.
+///
+/// # Errors
+///
+/// Fails with the status of the answer if it is too long, too slow or malformed.
+async fn read_message<T: DeserializeOwned>(
+    request: Request,
+    limit: usize,
+    timeout: Millis,
+) -> Result<T, StatusCode> {
+    let body = to_bytes(request.into_body(), limit);
+    let body = compio::time::timeout(timeout.into(), body)
+        .await
+        .map_err(|_| StatusCode::REQUEST_TIMEOUT)?
+        .map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?;
+    serde_json::from_slice(&body).map_err(|_| StatusCode::BAD_REQUEST)
+}
+
+/// Merges the crashes that a peer sends.
+async fn crashes(State(app): State<App>, request: Request) -> Result<(), StatusCode> {
     local(async move {
-        let body = to_bytes(request.into_body(), CRASHES_LIMIT_BYTES);
-        match compio::time::timeout(CRASHES_TIMEOUT.into(), body).await {
-            Ok(Ok(body)) => match serde_json::from_slice::<Vec<CrashEntry>>(&body) {
-                Ok(crashes) => {
-                    app.0.crash_sharing.merge_crashes(&crashes);
-                    StatusCode::OK
-                }
-                Err(_) => StatusCode::BAD_REQUEST,
-            },
-            Ok(Err(_)) => StatusCode::PAYLOAD_TOO_LARGE,
-            Err(_) => StatusCode::REQUEST_TIMEOUT,
-        }
+        let crashes =
+            read_message::<Vec<CrashEntry>>(request, CRASHES_LIMIT_BYTES, CRASHES_TIMEOUT);
+        app.0.crash_sharing.merge_crashes(&crashes.await?);
+        Ok(())
+    })
+    .await
+}
+
+/// Merges the suspicions that a peer sends.
+async fn suspicions(State(app): State<App>, request: Request) -> Result<(), StatusCode> {
+    local(async move {
+        let suspicions =
+            read_message::<Vec<SuspicionEntry>>(request, CRASHES_LIMIT_BYTES, CRASHES_TIMEOUT);
+        app.0.crash_sharing.merge_suspicions(suspicions.await?);
+        Ok(())
     })
     .await
 }
@@ -100,14 +124,10 @@
 /// workspaces.
 async fn quota(State(app): State<App>, request: Request) -> Response {
     local(async move {
-        let body = to_bytes(request.into_body(), QUOTA_LIMIT_BYTES);
-        let body = match compio::time::timeout(QUOTA_TIMEOUT.into(), body).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(_)) => return StatusCode::PAYLOAD_TOO_LARGE.into_response(),
-            Err(_) => return StatusCode::REQUEST_TIMEOUT.into_response(),
-        };
-        let Ok(message) = serde_json::from_slice::<Message>(&body) else {
-            return StatusCode::BAD_REQUEST.into_response();
+        let message = read_message::<Message>(request, QUOTA_LIMIT_BYTES, QUOTA_TIMEOUT);
+        let message = match message.await {
+            Ok(message) => message,
+            Err(status) => return status.into_response(),
         };
         let answer = app.0.quotas.answer(&message);
         match answer.grants.is_empty() && !message.requests.is_empty() {
--- a/components/gateway/src/crash_sharing.rs
+++ b/components/gateway/src/crash_sharing.rs
@@ -11,14 +11,14 @@
 use clock::Millis;
 use discovery::{
     CrashEntry, CrashExchange, CrashRecords, Directory, Error, Lease, Leases, RelayClient, Result,
-    SharedDirectory,
+    SharedDirectory, SuspicionEntry,
 };
 use futures_channel::oneshot;
 use rand::seq::IndexedRandom;
 use slog::{Logger, debug, info, warn};
 use upstreams::{CRASH_TTL, Shared, SharedCrash};
 
-use self::convert::{CrashKey, key, to_entry, to_shared_crash};
+use self::convert::{CrashKey, key, to_entry, to_shared_crash, to_suspicion, to_suspicion_entry};
 pub use self::schedule::{MissingCrash, WriteSchedule, crash_write_delay};
 
 mod convert;
@@ -77,6 +77,15 @@
         })
     }
 
+    /// Merges the suspicions of a peer.
+    pub(crate) fn merge_suspicions(&self, entries: Vec<SuspicionEntry>) {
+        let now = Millis::now();
+        for entry in entries {
+            let suspicion = to_suspicion(entry);
+            self.shared.crashes.merge_suspicion(suspicion, now);
+        }
+    }
+
     /// Merges the crashes that the store holds.
     pub(crate) fn merge_directory(&self, directory: &Directory) {
         self.merge(directory.crashes(), "store");
@@ -124,16 +133,20 @@
         waiting.await.is_ok()
     }
 
-    /// Sends the own crashes that are new, or newly cleared, to some peers.
+    /// Sends the own crashes that are new, or newly cleared, and new suspicions to some
+    /// peers.
     fn send_to_peers(&self, now: Millis) {
-        let entries = self.find_unsent(now);
-        if entries.is_empty() {
+        let crashes = self.find_unsent(now);
+        let suspicions = self.shared.crashes.take_suspicions().into_iter();
+        let suspicions: Vec<SuspicionEntry> = suspicions.map(to_suspicion_entry).collect();
+        if crashes.is_empty() && suspicions.is_empty() {
             return;
         }
         for peer in self.choose_peers() {
-            let (entries, log) = (entries.clone(), self.log.clone());
+            let (crashes, suspicions) = (crashes.clone(), suspicions.clone());
+            let log = self.log.clone();
             compio::runtime::spawn(async move {
-                if let Err(e) = RelayClient::new(peer).send_crashes(&entries).await {
+                if let Err(e) = send(peer, &crashes, &suspicions).await {
                     debug!(log, "crashes not sent to a peer"; "peer" => %peer, "error" => %e);
                 }
             })
@@ -245,6 +258,21 @@
     }
 }
 
+async fn send(
+    peer: SocketAddr,
+    crashes: &[CrashEntry],
+    suspicions: &[SuspicionEntry],
+) -> Result<()> {
+    let client = RelayClient::new(peer);
+    if !crashes.is_empty() {
+        client.send_crashes(crashes).await?;
+    }
+    if !suspicions.is_empty() {
+        client.send_suspicions(suspicions).await?;
+    }
+    Ok(())
+}
+
 impl CrashExchange for CrashSharing {
     fn unwritten_crashes(&self) -> Vec<CrashEntry> {
         let (now, wall) = (Millis::now(), Millis::wall());
--- a/components/gateway/src/crash_sharing/convert.rs
+++ b/components/gateway/src/crash_sharing/convert.rs
@@ -2,8 +2,8 @@
 //! monotonic clocks of daemons differ.
 
 use clock::Millis;
-use discovery::CrashEntry;
-use upstreams::{CRASH_TTL, Crash, SharedCrash};
+use discovery::{CrashEntry, SuspicionEntry};
+use upstreams::{CRASH_TTL, Crash, SharedCrash, Suspicion};
 
 /// The request and the process of the upstream.
 pub(super) type CrashKey = (u64, String);
@@ -43,3 +43,20 @@
         is_own: false,
     }
 }
+
+/// Converts a suspicion for other daemons.
+pub(super) fn to_suspicion_entry(suspicion: Suspicion) -> SuspicionEntry {
+    SuspicionEntry {
+        fingerprint: suspicion.fingerprint,
+        shard: suspicion.shard,
+        domain: suspicion.domain,
+    }
+}
+
+pub(super) fn to_suspicion(entry: SuspicionEntry) -> Suspicion {
+    Suspicion {
+        fingerprint: entry.fingerprint,
+        shard: entry.shard,
+        domain: entry.domain,
+    }
+}
--- a/components/gateway/src/link_watch.rs
+++ b/components/gateway/src/link_watch.rs
@@ -13,8 +13,8 @@
 const INTERVAL: Millis = Millis(100);
 const LOST_INTERVAL: Millis = Millis(300);
 
-/// Watches the links to the upstreams, and the upstreams where abandoned requests may run,
-/// until the task is dropped.
+/// Watches the links to the upstreams, the upstreams where abandoned requests may run, and
+/// those that have fallen silent, until the task is dropped.
 pub(crate) async fn run(gateway: Rc<Gateway>) {
     loop {
         let links = &gateway.fleet.shared().links;
@@ -24,6 +24,9 @@
         };
         compio::time::sleep(interval.into()).await;
         gateway.fleet.shared().watch_abandoned();
+        if !links.are_cut() {
+            gateway.fleet.pools().iter().for_each(|p| p.check_silent());
+        }
         if links.are_cut() || needs_check(&gateway) {
             check(&gateway).await;
         }
--- a/components/telemetry/src/metric.rs
+++ b/components/telemetry/src/metric.rs
@@ -60,6 +60,8 @@
     pub const QUARANTINED: &str = "coltsfootgw_quarantined";
     /// Connections to upstreams that were lost while a request ran.
     pub const LOST_CONNECTIONS_TOTAL: &str = "coltsfootgw_lost_connections_total";
+    /// Upstreams that left requests unanswered and accepted no connection.
+    pub const SILENT_UPSTREAMS_TOTAL: &str = "coltsfootgw_silent_upstreams_total";
     /// Answers that were malformed or larger than allowed.
     pub const UNUSABLE_ANSWERS_TOTAL: &str = "coltsfootgw_unusable_answers_total";
     /// Requests that ran on an upstream when it ended.
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -8,18 +8,21 @@
 use clock::Millis;
 use telemetry::names;
 
+pub(crate) use crate::attempt::record::record_refused;
 use crate::attempt::record::{
-    is_slow, record_lost_connection, record_outcome, record_refused, record_report, record_unusable,
+    is_slow, record_lost_connection, record_outcome, record_report, record_unusable,
 };
 use crate::call::Call;
 use crate::failure::{Failure, Reason, Result};
 use crate::message::{Answer, Recipient};
 use crate::pool::Pool;
-use crate::sent::{SentGuard, SentRequest};
+use crate::sent::{Answered, SentGuard, SentRequest};
 use crate::slot::Slot;
-use crate::upstream::{CheckoutError, Upstream};
+use crate::upstream::{CheckoutError, PooledConnection, Upstream};
 
 const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+/// Time for an upstream that may have ended to accept a connection.
+const CONNECT_TIMEOUT: Millis = Millis(500);
 
 /// A running attempt.
 ///
@@ -52,21 +55,43 @@
         if is_slow(self.pool, elapsed) {
             self.upstream.health.borrow_mut().record_slow(now);
         }
-        // Only then are crashes of abandoned requests looked for.
-        let is_listed = self.pool.shared.config.confirms_crashes && now < self.call.deadline;
-        if let Some(request) = self.sent.request().filter(|_| is_listed) {
-            let caller_left = self.call.caller_left.clone();
-            let abandoned = &self.upstream.abandoned;
-            abandoned.add(request, caller_left, self.call.deadline);
-            self.pool.shared.unwatched.add(self.pool, self.upstream);
+        self.list_unanswered(now);
+    }
+}
+
+impl Attempt<'_> {
+    /// Lists the request at its upstream, which may end by it. Only if crashes are confirmed,
+    /// those of such requests are looked for.
+    fn list_unanswered(&self, now: Millis) {
+        let shared = &self.pool.shared;
+        let Some(request) = self.sent.request() else {
+            return;
+        };
+        if !shared.config.confirms_crashes {
+            return;
+        }
+        let (caller_left, deadline) = (self.call.caller_left.clone(), self.call.deadline);
+        self.upstream.unanswered.add(request, caller_left, deadline);
+        if now < deadline {
+            shared.unwatched.add(self.pool, self.upstream);
         }
     }
 }
 
-/// Sends a call to the slot's upstream and checks the answer.
-pub(crate) async fn run(slot: &Slot, pool: &Rc<Pool>, call: &Call, shard: &str) -> Result<Answer> {
+/// Sends a call for a shard to the slot's upstream and checks the answer; `answered` is that
+/// of all attempts for the shard.
+pub(crate) async fn run(
+    slot: &Slot,
+    pool: &Rc<Pool>,
+    call: &Call,
+    shard: &str,
+    answered: &Answered,
+) -> Result<Answer> {
     let began = Millis::now();
-    let result = exchange(slot, pool, call, shard).await;
+    let result = exchange(slot, pool, call, shard, answered).await;
+    if result.is_ok() {
+        answered.set();
+    }
     let elapsed = Millis::now().since(began);
     let seconds = Duration::from(elapsed).as_secs_f64();
     match &result {
@@ -98,17 +123,30 @@
     });
 }
 
-fn sent_request(slot: &Slot, call: &Call, shard: &str) -> SentRequest {
-    SentRequest {
-        fingerprint: call.fingerprint,
-        shard: shard.into(),
-        is_suspect: slot.running.is_suspect,
+/// Takes a connection for a request. A suspect gets a new one: what it is sent to is then
+/// known to have been there, so that its end says something about the suspect. So does any
+/// request to an upstream that was silent.
+async fn check_out(
+    slot: &Slot,
+    pool: &Pool,
+) -> std::result::Result<PooledConnection, CheckoutError> {
+    let upstream = &slot.upstream;
+    let is_suspect = slot.running.is_suspect && pool.shared.config.confirms_crashes;
+    match is_suspect || upstream.silence.is_silent() {
+        true => upstream.check_out_new(CONNECT_TIMEOUT).await,
+        false => upstream.check_out().await,
     }
 }
 
-async fn exchange(slot: &Slot, pool: &Rc<Pool>, call: &Call, shard: &str) -> Result<Answer> {
+async fn exchange(
+    slot: &Slot,
+    pool: &Rc<Pool>,
+    call: &Call,
+    shard: &str,
+    answered: &Answered,
+) -> Result<Answer> {
     let upstream = &slot.upstream;
-    let mut pooled = match upstream.check_out().await {
+    let mut pooled = match check_out(slot, pool).await {
         Ok(pooled) => pooled,
         Err(CheckoutError::Limit) => return Err(Failure::not_run(Reason::Overloaded)),
         Err(CheckoutError::Refused) => {
@@ -146,13 +184,20 @@
     if shared.rate_limits.count(&upstream.process) {
         metrics::counter!(names::LIMITED_SENDS_TOTAL).increment(1);
     }
+    let sent = SentRequest {
+        fingerprint: call.fingerprint,
+        shard: shard.into(),
+        is_suspect: slot.running.is_suspect,
+        sent_at: started,
+        answered: answered.clone(),
+    };
     let mut attempt = Attempt {
         pool,
         upstream,
         call,
         started,
         is_finished: false,
-        sent: SentGuard::new(upstream, sent_request(slot, call, shard)),
+        sent: SentGuard::new(upstream, sent),
     };
     call.may_have_run.set(true);
     call.attempts.borrow_mut().add(shard);
@@ -170,6 +215,7 @@
         }
         Err(e) if e.is_unusable() => return Err(record_unusable(pool, upstream, &e)),
         Err(_) => {
+            attempt.list_unanswered(call.deadline);
             // The lost connection no longer counts towards the limit.
             drop(pooled);
             return Err(record_lost_connection(pool, upstream).await);
--- a/components/upstreams/src/attempt/record.rs
+++ b/components/upstreams/src/attempt/record.rs
@@ -45,7 +45,7 @@
         false => {
             upstream.close_idle();
             let requests: Vec<SentRequest> = upstream.sent.borrow().values().cloned().collect();
-            record_crashes(pool, upstream, &requests, now);
+            record_crashes(&pool.shared, upstream, &requests, now);
         }
     }
     Failure::unknown(Reason::ConnectionDied)
@@ -164,6 +164,11 @@
 ) {
     let now = Millis::now();
     let upstream = &slot.upstream;
+    let is_misdirected = matches!(result, Err(f) if f.reason == Reason::Misdirected);
+    if !is_misdirected {
+        upstream.silence.record_answer(now);
+        upstream.unanswered.outlive(now);
+    }
     match result {
         Ok(_) => {
             let elapsed = now.since(started);
@@ -175,6 +180,7 @@
                 .latency
                 .borrow_mut()
                 .record(elapsed, pool_mean_ms, now);
+            pool.shared.silent.acquit(call.fingerprint, shard);
             if pool.shared.crashes.clear(call.fingerprint, shard, now) {
                 slog::debug!(pool.shared.log, "suspect cleared"; "fingerprint" => call.fingerprint,
                     "upstream" => &upstream.id, "shard" => shard);
@@ -187,13 +193,14 @@
             }
             upstream.request_poll();
         }
-        Err(f) if f.reason == Reason::Misdirected => {
+        Err(_) if is_misdirected => {
             slog::info!(pool.shared.log, "upstream was replaced"; "upstream" => &upstream.id,
                 "address" => %upstream.address);
             upstream.is_replaced.set(true);
             let limits = &pool.shared.cold_limits;
             limits.give_back(&upstream.process, Millis::since_boot());
             pool.drop_unservable();
+            pool.shared.record_replaced(upstream);
         }
         Err(f) if f.ran == Ran::Unknown => upstream.health.borrow_mut().record_failure(now),
         Err(_) => {}
--- a/components/upstreams/src/crash_check.rs
+++ b/components/upstreams/src/crash_check.rs
@@ -13,6 +13,7 @@
 use crate::link_check::{LinkCheck, accepts};
 use crate::pool::Pool;
 use crate::sent::SentRequest;
+use crate::shared::Shared;
 use crate::upstream::Upstream;
 
 /// An upstream that accepts no connection for so long has ended.
@@ -51,7 +52,7 @@
         let mut check = upstream.check.borrow_mut();
         let check = check.get_or_insert_default();
         check.add(upstream.sent.borrow().values());
-        check.add(upstream.abandoned.requests(Millis::now()).iter());
+        check.add(upstream.unanswered.abandoned(Millis::now()).iter());
         check.waiters.push(sender);
     }
     if is_first {
@@ -62,7 +63,8 @@
 
 async fn run(pool: Rc<Pool>, upstream: Rc<Upstream>) {
     let began = Millis::now();
-    let has_crashed = !accepts(&upstream, CONNECT_TIMEOUT).await || {
+    let expects_end = pool.expects_end(&upstream);
+    let refuses = !accepts(&upstream, CONNECT_TIMEOUT).await || {
         // Wakes the waiters: most upstreams that accept a connection have not ended.
         if let Some(check) = upstream.check.borrow_mut().as_mut() {
             check.waiters.clear();
@@ -70,19 +72,24 @@
         compio::time::sleep(SECOND_LOOK_DELAY.into()).await;
         !upstream.has_open_idle() && !accepts(&upstream, CONNECT_TIMEOUT).await
     };
-    let has_crashed = has_crashed && reaches_others(&pool, &upstream, began).await;
+    let has_crashed = refuses && reaches_others(&pool, &upstream, began).await;
     let check = upstream.check.borrow_mut().take().unwrap_or_default();
     slog::debug!(pool.shared.log, "checked whether an upstream ended"; "upstream" => &upstream.id,
         "ended" => has_crashed, "requests" => check.requests.len());
-    if has_crashed {
-        upstream.close_idle();
-        record_crashes(&pool, &upstream, &check.requests, Millis::now());
+    match has_crashed {
+        true => {
+            upstream.close_idle();
+            record_crashes(&pool.shared, &upstream, &check.requests, Millis::now());
+        }
+        // It may have ended and started again at once.
+        false if !refuses && !expects_end => pool.shared.record_doubt(&upstream, began),
+        false => {}
     }
 }
 
 /// Whether this daemon reaches other upstreams, or knows none. If it does not reach them,
 /// its own links are lost, and the upstream may serve others.
-async fn reaches_others(pool: &Pool, upstream: &Rc<Upstream>, since: Millis) -> bool {
+pub(crate) async fn reaches_others(pool: &Pool, upstream: &Rc<Upstream>, since: Millis) -> bool {
     let shared = &pool.shared;
     if shared.links.has_contact_since(since) {
         return true;
@@ -92,7 +99,7 @@
 
 /// Records that an upstream crashed during requests.
 pub(crate) fn record_crashes(
-    pool: &Pool,
+    shared: &Shared,
     upstream: &Upstream,
     requests: &[SentRequest],
     now: Millis,
@@ -100,9 +107,9 @@
     if requests.is_empty() {
         return;
     }
-    upstream.abandoned.clear();
+    upstream.unanswered.clear();
     for request in requests {
-        log_crash(pool, upstream, request, now);
+        log_crash(shared, upstream, request, now);
         let crash = Crash {
             upstream: upstream.process.clone(),
             shard: request.shard.to_string(),
@@ -110,19 +117,19 @@
             alone: request.is_suspect,
             expires_at: now + CRASH_TTL,
         };
-        if pool.shared.crashes.record(request.fingerprint, crash, now) {
-            slog::warn!(pool.shared.log, "request quarantined"; "fingerprint" => request.fingerprint,
+        if shared.crashes.record(request.fingerprint, crash, now) {
+            slog::warn!(shared.log, "request quarantined"; "fingerprint" => request.fingerprint,
                 "upstream" => &upstream.id);
         }
     }
-    pool.shared.notify_peers();
+    shared.notify_peers();
 }
 
-fn log_crash(pool: &Pool, upstream: &Upstream, request: &SentRequest, now: Millis) {
+fn log_crash(shared: &Shared, upstream: &Upstream, request: &SentRequest, now: Millis) {
     metrics::counter!(names::CRASHES_TOTAL).increment(1);
-    let known = pool.shared.crashes.crash_domains(request.fingerprint, now);
-    pool.shared.log_limiter.write(|| {
-        slog::warn!(pool.shared.log, "upstream crashed during request"; "fingerprint" => request.fingerprint,
+    let known = shared.crashes.crash_domains(request.fingerprint, now);
+    shared.log_limiter.write(|| {
+        slog::warn!(shared.log, "upstream crashed during request"; "fingerprint" => request.fingerprint,
             "upstream" => &upstream.id, "shard" => &*request.shard, "alone" => request.is_suspect,
             "known_crashes" => known.len());
     });
--- a/components/upstreams/src/crashes.rs
+++ b/components/upstreams/src/crashes.rs
@@ -2,6 +2,7 @@
 
 mod entry;
 mod exchange;
+mod suspicions;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -13,6 +14,8 @@
 use crate::failure::{Failure, Reason};
 use entry::Entry;
 pub use exchange::SharedCrash;
+pub use suspicions::Suspicion;
+use suspicions::Suspicions;
 
 pub(crate) const DEFAULT_CRASH_LIMIT: usize = 2;
 /// Time for which a crash counts.
@@ -26,7 +29,7 @@
 pub enum CrashStatus {
     /// No upstream crashed while it ran.
     Clear,
-    /// An upstream crashed while it ran, but perhaps for another reason.
+    /// An upstream crashed, or may have, while it ran, but perhaps for another reason.
     Suspect,
     /// Several upstreams crashed while it ran, and it is refused.
     Quarantined {
@@ -59,6 +62,7 @@
     crash_limit: usize,
     entries: RefCell<HashMap<u64, Entry>>,
     watchers: RefCell<HashMap<u64, Vec<oneshot::Sender<()>>>>,
+    suspicions: Suspicions,
 }
 
 impl Default for CrashTable {
@@ -75,6 +79,7 @@
             crash_limit,
             entries: RefCell::default(),
             watchers: RefCell::default(),
+            suspicions: Suspicions::default(),
         }
     }
 
@@ -125,25 +130,43 @@
     /// Returns the status of a request.
     pub fn status(&self, fingerprint: u64, now: Millis) -> CrashStatus {
         let entries = self.entries.borrow();
-        let Some(entry) = entries.get(&fingerprint) else {
-            return CrashStatus::Clear;
-        };
+        let has_crashes = entries
+            .get(&fingerprint)
+            .is_some_and(|entry| entry.counted(now).next().is_some());
         match self.quarantine_end(&entries, fingerprint, now) {
             Some(end) => CrashStatus::Quarantined {
                 expires_in: end.since(now),
             },
-            None if entry.counted(now).next().is_some() => CrashStatus::Suspect,
+            None if has_crashes => CrashStatus::Suspect,
+            None if self.suspicions.contains(fingerprint, now) => CrashStatus::Suspect,
             None => CrashStatus::Clear,
         }
     }
 
-    /// Returns the failure domains of the upstreams that crashed while a request
-    /// ran there.
+    /// Suspects a request, of which peers are to be told.
+    pub fn suspect(&self, suspicion: Suspicion, now: Millis) {
+        self.suspicions.add_own(suspicion, now);
+    }
+
+    /// Merges the suspicion of a peer.
+    pub fn merge_suspicion(&self, suspicion: Suspicion, now: Millis) {
+        self.suspicions.add(suspicion, now);
+    }
+
+    /// Returns the suspicions of this daemon since the last call.
+    pub fn take_suspicions(&self) -> Vec<Suspicion> {
+        self.suspicions.take_unsent()
+    }
+
+    /// Returns the failure domains of the upstreams that crashed, or may have, while a
+    /// request ran there.
     pub(crate) fn crash_domains(&self, fingerprint: u64, now: Millis) -> Vec<String> {
         let entries = self.entries.borrow();
         let crashes = entries.get(&fingerprint).into_iter();
         let counted = crashes.flat_map(|e| e.counted(now));
-        counted.map(|c| c.domain.clone()).collect()
+        let mut domains = self.suspicions.domains(fingerprint, now);
+        domains.extend(counted.map(|c| c.domain.clone()));
+        domains
     }
 
     /// Returns the time since the last crash under a request; [`CRASH_TTL`] if there
@@ -175,7 +198,8 @@
     /// Records that a request succeeded for a shard, which voids the crashes under
     /// it there; a quarantine stays. `true` if there were any.
     pub fn clear(&self, fingerprint: u64, shard: &str, now: Millis) -> bool {
-        self.clear_if(fingerprint, now + CRASH_TTL, now, |c| c.shard == shard)
+        let was_suspected = self.suspicions.clear(fingerprint, shard);
+        self.clear_if(fingerprint, now + CRASH_TTL, now, |c| c.shard == shard) || was_suspected
     }
 
     fn clear_if(
--- a/components/upstreams/src/dispatch.rs
+++ b/components/upstreams/src/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::pool::Pool;
 use crate::queue::SlotRequest;
 use crate::search::ShardSearch;
+use crate::sent::Answered;
 
 impl Pool {
     /// Runs one sub-request, with hedges and retries, on the replicas of a shard.
@@ -33,6 +34,7 @@
         let mut candidates = shard.replicas();
         let mut last = Failure::not_run(Reason::NoReplica);
         let mut attempts = 0;
+        let answered = Answered::default();
         self.retries.earn(call.policy.retry_percent);
         self.hedges.earn(call.policy.hedge_percent);
         while !candidates.is_empty() {
@@ -57,7 +59,7 @@
                 }
             })?;
             let left = call.deadline.since(Millis::now());
-            let running = attempt::run(&slot, self, call, shard.name());
+            let running = attempt::run(&slot, self, call, shard.name(), &answered);
             match compio::time::timeout(left.into(), running).await {
                 Ok(Err(failure)) if failure.reason == Reason::Revoked => return Err(failure),
                 Ok(Err(failure)) if failure.ran == Ran::No && !call.caller_left.get() => {
--- a/components/upstreams/src/known_upstreams.rs
+++ b/components/upstreams/src/known_upstreams.rs
@@ -22,6 +22,15 @@
         known.push(Rc::downgrade(upstream));
     }
 
+    /// Whether another process was added later at the address of an upstream.
+    pub(crate) fn has_successor(&self, upstream: &Rc<Upstream>) -> bool {
+        let known = self.0.borrow();
+        let alive = known.iter().filter_map(Weak::upgrade);
+        let later = alive.skip_while(|u| !Rc::ptr_eq(u, upstream)).skip(1);
+        let mut at_address = later.filter(|u| u.address == upstream.address);
+        at_address.any(|u| u.process != upstream.process)
+    }
+
     /// Returns up to `count` upstreams at random, without `excluded` and those of
     /// evacuated failure domains.
     pub(crate) fn sample(
--- a/components/upstreams/src/link_check.rs
+++ b/components/upstreams/src/link_check.rs
@@ -14,19 +14,36 @@
 /// Time for one of several upstreams to accept a connection.
 const CONNECT_TIMEOUT: Millis = Millis(250);
 
-/// Whether a new connection is accepted within `timeout`; it is kept for the next
-/// request.
-pub(crate) async fn accepts(upstream: &Upstream, timeout: Millis) -> bool {
-    let connecting = compio::time::timeout(timeout.into(), upstream.connect()).await;
-    match connecting {
+/// What becomes of a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Connecting {
+    /// It is accepted.
+    Accepted,
+    /// It is refused.
+    Refused,
+    /// It is neither within the time.
+    TimedOut,
+}
+
+/// Tries to connect within `timeout`; the connection is kept for the next request.
+pub(crate) async fn try_connect(upstream: &Upstream, timeout: Millis) -> Connecting {
+    let connecting = compio::time::timeout(timeout.into(), upstream.connect());
+    match connecting.await {
         Ok(Ok(pooled)) => {
             upstream.keep(pooled, None);
-            true
+            Connecting::Accepted
         }
-        Ok(Err(_)) | Err(_) => false,
+        Ok(Err(_)) => Connecting::Refused,
+        Err(_) => Connecting::TimedOut,
     }
 }
 
+/// Whether a new connection is accepted within `timeout`; it is kept for the next
+/// request.
+pub(crate) async fn accepts(upstream: &Upstream, timeout: Millis) -> bool {
+    try_connect(upstream, timeout).await == Connecting::Accepted
+}
+
 /// Result of a check of the links.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkCheck {
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -141,6 +141,7 @@
         self.shared.upstreams.add(&upstream);
         let key = self.upstreams.borrow_mut().insert(upstream.clone());
         self.keys.borrow_mut().insert(endpoint.id.clone(), key);
+        self.shared.record_start(&upstream);
         upstream
     }
 
@@ -187,6 +188,15 @@
         })
     }
 
+    /// Whether an upstream is leaving, or has left the pool.
+    pub(crate) fn expects_end(&self, upstream: &Rc<Upstream>) -> bool {
+        let key = self.key_of(&upstream.name).filter(|key| {
+            let present = self.find(*key);
+            present.is_some_and(|u| Rc::ptr_eq(&u, upstream))
+        });
+        !key.is_some_and(|key| self.is_staying(key))
+    }
+
     /// Whether evacuations leave no upstream that takes requests.
     pub fn is_evacuated(&self) -> bool {
         let all = self.entries();
--- a/components/upstreams/src/search.rs
+++ b/components/upstreams/src/search.rs
@@ -15,6 +15,7 @@
 use crate::placement::AcquireError;
 use crate::pool::Pool;
 use crate::queue::SlotRequest;
+use crate::sent::Answered;
 use crate::slot::Slot;
 use crate::upstream::UpstreamKey;
 
@@ -44,6 +45,7 @@
     attempts: usize,
     last: Failure,
     ran: Ran,
+    answered: Answered,
 }
 
 impl<'a> ShardSearch<'a> {
@@ -58,6 +60,7 @@
             attempts,
             last,
             ran: Ran::No,
+            answered: Answered::default(),
         }
     }
 
@@ -239,10 +242,11 @@
 
     fn start(&mut self, slot: Slot) -> LocalBoxFuture<'a, Event> {
         let (pool, call, shard) = (self.pool, self.call, self.shard);
+        let answered = self.answered.clone();
         self.tried.push(slot.key);
         self.attempts += 1;
         Box::pin(async move {
-            let result = attempt::run(&slot, pool, call, shard.name()).await;
+            let result = attempt::run(&slot, pool, call, shard.name(), &answered).await;
             Event::Finished(slot.key, result)
         })
     }
--- a/components/upstreams/src/sent.rs
+++ b/components/upstreams/src/sent.rs
@@ -1,7 +1,9 @@
 //! Requests that were sent to an upstream and are not answered yet.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
+use clock::Millis;
 use slotmap::new_key_type;
 
 use crate::upstream::Upstream;
@@ -18,6 +20,23 @@
     pub(crate) shard: Rc<str>,
     /// Whether it was suspected of crashing upstreams when it got its slot.
     pub(crate) is_suspect: bool,
+    pub(crate) sent_at: Millis,
+    /// Set once it, or a repeat of it, was answered for its shard by any upstream.
+    pub(crate) answered: Answered,
+}
+
+/// Whether a sub-request was answered by any upstream; its clones share it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Answered(Rc<Cell<bool>>);
+
+impl Answered {
+    pub(crate) fn set(&self) {
+        self.0.set(true);
+    }
+
+    pub(crate) fn is_set(&self) -> bool {
+        self.0.get()
+    }
 }
 
 /// Lists a request at its upstream until it is dropped.
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -18,6 +18,7 @@
 use crate::known_upstreams::KnownUpstreams;
 use crate::links::Links;
 use crate::rate_limits::RateLimits;
+use crate::silence::SilentUpstreams;
 
 /// Decides whether this daemon owns a group of a topology.
 pub type OwnsGroup = dyn Fn(&Topology, usize) -> bool;
@@ -68,6 +69,8 @@
     pub(crate) upstreams: KnownUpstreams,
     /// Upstreams where requests were cancelled.
     pub(crate) unwatched: Unwatched,
+    /// Upstreams that fell silent.
+    pub(crate) silent: SilentUpstreams,
     /// The links of this daemon to all upstreams together.
     pub links: Links,
     /// Crashes of upstreams, by the requests that ran there.
@@ -103,6 +106,7 @@
             cold_limits: ColdLimits::new(config.cold_bounds),
             upstreams: KnownUpstreams::default(),
             unwatched: Unwatched::default(),
+            silent: SilentUpstreams::default(),
             links: Links::default(),
             crashes: CrashTable::new(config.crash_limit),
             peer_notifier: RefCell::default(),
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -9,12 +9,13 @@
 use slotmap::{SlotMap, new_key_type};
 use transport::Connection;
 
-use crate::abandoned::Abandoned;
 use crate::crash_check::CrashCheck;
 use crate::endpoint::Endpoint;
 use crate::health::Health;
 use crate::sent::{SentKey, SentRequest};
 use crate::shared::PoolConfig;
+use crate::silence::Silence;
+use crate::unanswered::UnansweredRequests;
 use crate::upstream_latency::UpstreamLatency;
 
 const TRIAL_INTERVAL: Millis = Millis(250);
@@ -65,8 +66,11 @@
     is_preferred: bool,
     /// Requests that were sent to it and are not answered yet.
     pub(crate) sent: RefCell<SlotMap<SentKey, SentRequest>>,
-    /// Requests that may run there without a caller.
-    pub(crate) abandoned: Abandoned,
+    /// Requests that were sent to it and will not be answered.
+    pub(crate) unanswered: UnansweredRequests,
+    /// Whether it is watched for its end, as abandoned requests may run there.
+    pub(crate) is_watched: Cell<bool>,
+    pub(crate) silence: Silence,
     /// Set while it is checked whether it ended.
     pub(crate) check: RefCell<Option<CrashCheck>>,
     /// Requests that run here now.
@@ -142,7 +146,9 @@
             health: RefCell::new(Health::new(config.failures_to_eject)),
             is_preferred,
             sent: RefCell::default(),
-            abandoned: Abandoned::default(),
+            unanswered: UnansweredRequests::default(),
+            is_watched: Cell::default(),
+            silence: Silence::default(),
             check: RefCell::default(),
             latency: RefCell::default(),
             running: RefCell::default(),
@@ -222,6 +228,17 @@
         self.open_connection().await
     }
 
+    /// Opens a connection within a time: an upstream that accepts it has not ended before.
+    pub(crate) async fn check_out_new(
+        &self,
+        within: Millis,
+    ) -> Result<PooledConnection, CheckoutError> {
+        // Makes room for it.
+        drop(self.take_idle());
+        let opening = compio::time::timeout(within.into(), self.open_connection());
+        opening.await.unwrap_or(Err(CheckoutError::Refused))
+    }
+
     fn take_idle(&self) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let now = Millis::now();
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -1,8 +1,10 @@
 //! Stand-ins for the platform: its store, its upstreams, whole sites, and the
 //! gateway processes that tests start on a site.
 
+pub mod crash_load;
 pub mod crash_site;
 pub mod endpoints;
+mod full_queue;
 pub mod gateway;
 pub mod keys;
 pub mod link;
--- a/standins/src/platform/crash_site.rs
+++ b/standins/src/platform/crash_site.rs
@@ -1,19 +1,22 @@
 //! A site whose upstreams end while they run certain requests. An upstream that
-//! ended closes its connections, refuses new ones for a while and returns as
-//! another instance at the same address.
+//! ended is away for a while and returns as another instance at the same address.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use clock::Millis;
+use compio::net::TcpListener;
+use compio::runtime::JoinHandle;
 use futures_util::future::{Either, select};
 use serde_json::json;
 use transport::{Event, Listener, ServerLimits, listen, serve, serve_connection};
 
+use super::full_queue::FullQueue;
 use super::site::{configuration, put, shard_name, upstream_entry};
 use super::store::{self, PlatformStore};
-use super::upstream::{self, CrashLog, PlatformUpstream};
+use super::upstream::{self, CrashLog, Ending, PlatformUpstream};
 
 /// Failure domains of the upstreams, in turn.
 pub const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
@@ -34,8 +37,12 @@
     pub store_address: SocketAddr,
     /// What happened to the upstreams.
     pub log: Rc<CrashLog>,
+    running: Running,
 }
 
+/// The present upstream at each address.
+type Running = Rc<RefCell<HashMap<SocketAddr, Rc<PlatformUpstream>>>>;
+
 impl CrashSite {
     /// Starts a site of shards with some upstreams each, on free ports of loopback.
     ///
@@ -49,6 +56,7 @@
             store: store.clone(),
             store_address: listener.address,
             log: Rc::default(),
+            running: Running::default(),
         };
         let limits = ServerLimits::default();
         let serving = serve(
@@ -70,6 +78,7 @@
                     starts: Cell::new(0),
                     store: store.clone(),
                     log: site.log.clone(),
+                    running: site.running.clone(),
                 };
                 compio::runtime::spawn(host.run()).detach();
             }
@@ -77,6 +86,11 @@
         put(&store, "op/config", &configuration(shards, 1));
         site
     }
+
+    /// Returns the upstreams that run now, or will again.
+    pub fn upstreams(&self) -> Vec<Rc<PlatformUpstream>> {
+        self.running.borrow().values().cloned().collect()
+    }
 }
 
 async fn bind_any() -> Listener {
@@ -94,8 +108,12 @@
     starts: Cell<usize>,
     store: Rc<PlatformStore>,
     log: Rc<CrashLog>,
+    running: Running,
 }
 
+/// The connections of an upstream that it serves.
+type Connections = Vec<JoinHandle<()>>;
+
 impl Host {
     async fn run(self) {
         loop {
@@ -103,27 +121,44 @@
             self.starts.set(self.starts.get() + 1);
             let upstream = PlatformUpstream::with_crashes(&id, SLOTS, SERVICE_TIME, &self.log);
             let key = format!("servers/{id}");
-            self.serve(&upstream, &key).await;
-            self.log.ends.borrow_mut().push(Millis::now());
-            compio::time::sleep(DOWNTIME.into()).await;
+            let listener = self.listen().await;
+            self.register(&key, &upstream);
+            let mut connections = Connections::new();
+            loop {
+                self.serve(&upstream, &listener, &mut connections).await;
+                self.log.ends.borrow_mut().push(Millis::now());
+                if self.log.ending.get() != Ending::CutOff {
+                    break;
+                }
+                self.be_silent(&upstream, &listener).await;
+                upstream.crash.replace(Event::default());
+            }
+            self.end(&upstream, listener, connections).await;
             self.store.delete(&key);
         }
     }
 
-    /// Serves until a request ends the upstream; then all connections are closed.
-    async fn serve(&self, upstream: &Rc<PlatformUpstream>, key: &str) {
-        let listener = loop {
+    async fn listen(&self) -> TcpListener {
+        loop {
             match listen(self.address).await {
-                Ok(listener) => break listener,
+                Ok(listener) => return listener,
                 Err(_) => compio::time::sleep(BIND_RETRY_DELAY.into()).await,
             }
-        };
-        self.register(key);
+        }
+    }
+
+    /// Serves until a request ends the upstream.
+    async fn serve(
+        &self,
+        upstream: &Rc<PlatformUpstream>,
+        listener: &TcpListener,
+        connections: &mut Connections,
+    ) {
         let router = upstream::router(upstream);
-        let mut connections = Vec::new();
+        let ended = upstream.crash.borrow().clone();
         loop {
             let accept = std::pin::pin!(listener.accept());
-            let crash = std::pin::pin!(upstream.crash.wait());
+            let crash = std::pin::pin!(ended.wait());
             match select(accept, crash).await {
                 Either::Left((Ok((stream, _)), _)) => {
                     let limits = ServerLimits::default();
@@ -136,7 +171,43 @@
         }
     }
 
-    fn register(&self, key: &str) {
+    /// Answers nothing and accepts no connection for [`DOWNTIME`].
+    async fn be_silent(&self, upstream: &PlatformUpstream, listener: &TcpListener) {
+        upstream.is_silent.set(true);
+        let full = FullQueue::fill(listener, self.address);
+        compio::time::sleep(DOWNTIME.into()).await;
+        full.empty(listener);
+        upstream.is_silent.set(false);
+    }
+
+    /// Stays away for [`DOWNTIME`], unless it is back at once; all connections are closed
+    /// then.
+    async fn end(
+        &self,
+        upstream: &PlatformUpstream,
+        listener: TcpListener,
+        connections: Connections,
+    ) {
+        match self.log.ending.get() {
+            Ending::Closed | Ending::CutOff => drop((listener, connections)),
+            Ending::Restarted => return drop((listener, connections)),
+            Ending::SilentRefused => {
+                upstream.is_silent.set(true);
+                drop(listener);
+                compio::time::sleep(DOWNTIME.into()).await;
+                return drop(connections);
+            }
+            Ending::Silent => {
+                self.be_silent(upstream, &listener).await;
+                return drop((listener, connections));
+            }
+        }
+        compio::time::sleep(DOWNTIME.into()).await;
+    }
+
+    fn register(&self, key: &str, upstream: &Rc<PlatformUpstream>) {
+        let mut running = self.running.borrow_mut();
+        running.insert(self.address, upstream.clone());
         let mut entry = upstream_entry(&shard_name(self.shard), self.address, "ready", 1);
         entry["zone"] = json!(DOMAINS[self.replica % DOMAINS.len()]);
         put(&self.store, key, &entry);
--- a/standins/src/platform/link.rs
+++ b/standins/src/platform/link.rs
@@ -3,7 +3,7 @@
 
 use std::cell::Cell;
 use std::collections::HashMap;
-use std::net::{SocketAddr, TcpStream as BlockingStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,10 +18,10 @@
 use compio::net::{TcpListener, TcpStream};
 use futures_util::future::select;
 use http::header;
-use nix::sys::socket::Backlog;
 use serde_json::Value;
 use transport::{Event, Listener, Local, ServerLimits, local, serve};
 
+use super::full_queue::FullQueue;
 use super::site::Site;
 use super::store;
 
@@ -66,9 +66,6 @@
 const LARGEST_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 const BUFFER_BYTES: usize = 64 * 1024;
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
-/// A connection that is not accepted within this time is dropped by the kernel, because
-/// the queue of the listener is full.
-const FILL_TIMEOUT: Duration = Duration::from_millis(10);
 
 /// Time within which all forwarders follow a change.
 const SETTLE_TIME: Duration = Duration::from_millis(200);
@@ -177,10 +174,9 @@
             match self.state.get() {
                 LinkState::Up => self.accept(&listener).await,
                 state if state.is_hanging() => {
-                    let _fillers = fill_queue(&listener, self.address);
+                    let full = FullQueue::fill(&listener, self.address);
                     self.wait_while(state).await;
-                    let all = Backlog::new(128).expect("the length is valid");
-                    let _ = nix::sys::socket::listen(&listener, all);
+                    full.empty(&listener);
                 }
                 state => {
                     drop(listener);
@@ -226,14 +222,6 @@
     }
 }
 
-/// Fills the queue of a listener, so that the kernel drops further connections.
-fn fill_queue(listener: &TcpListener, address: SocketAddr) -> Vec<BlockingStream> {
-    let none = Backlog::new(0).expect("the length is valid");
-    let _ = nix::sys::socket::listen(listener, none);
-    let connect = || BlockingStream::connect_timeout(&address, FILL_TIMEOUT).ok();
-    std::iter::from_fn(connect).collect()
-}
-
 /// Copies bytes until the connection ends; holds them while the links hang.
 async fn copy(
     mut from: TcpStream,
--- a/standins/src/platform/upstream.rs
+++ b/standins/src/platform/upstream.rs
@@ -20,6 +20,7 @@
 /// Time for which an upstream runs a request that ends it.
 const TIME_TO_CRASH: Millis = Millis(100);
 const RECORD_BYTES: usize = 16;
+const VOICE_POLL_INTERVAL: Millis = Millis(10);
 /// Size of a large answer in bytes.
 pub const LARGE_BYTES: usize = 1024 * 1024;
 /// Requests whose headers are kept.
@@ -48,26 +49,67 @@
     Large,
 }
 
+/// How upstreams end by a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Ending {
+    /// Their connections are closed, and new ones refused.
+    #[default]
+    Closed,
+    /// Their connections are closed, and they are back at once.
+    Restarted,
+    /// Their connections go silent, and new ones get no answer.
+    Silent,
+    /// As `Silent`, but new connections are refused.
+    SilentRefused,
+    /// As `Silent`, but the same process is back afterwards and goes on: it did not end.
+    CutOff,
+}
+
+/// A request that reached an upstream.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When it did.
+    pub at: Millis,
+    /// Its identifier.
+    pub id: String,
+}
+
 /// The requests that end upstreams, and the ends, of a whole site.
 #[derive(Debug, Default)]
 pub struct CrashLog {
-    /// Times at which a request that ends its upstream reached one.
-    pub arrivals: RefCell<Vec<Millis>>,
+    /// The requests that ended their upstreams, each time that one reached an upstream.
+    pub arrivals: RefCell<Vec<Arrival>>,
     /// Times at which an upstream ended.
     pub ends: RefCell<Vec<Millis>>,
     /// Whether an upstream goes on with a request whose caller has disconnected.
     pub outlives_callers: Cell<bool>,
+    /// How upstreams end.
+    pub ending: Cell<Ending>,
 }
 
 impl CrashLog {
-    /// Returns the number of requests that reached an upstream later than `delay`
-    /// after the third upstream had ended.
+    /// Returns how often requests reached an upstream later than `delay` after the third
+    /// upstream had ended.
     pub fn late_arrivals(&self, delay: Millis) -> usize {
+        self.late_ids(delay).len()
+    }
+
+    /// Returns the number of requests that reached any upstream later than `delay` after
+    /// the third upstream had ended; a search reaches several.
+    pub fn late_requests(&self, delay: Millis) -> usize {
+        let mut ids = self.late_ids(delay);
+        ids.sort_unstable();
+        ids.dedup();
+        ids.len()
+    }
+
+    fn late_ids(&self, delay: Millis) -> Vec<String> {
         let Some(third) = self.ends.borrow().get(2).copied() else {
-            return 0;
+            return Vec::new();
         };
         let arrivals = self.arrivals.borrow();
-        arrivals.iter().filter(|&&at| at > third + delay).count()
+        let late = arrivals.iter().filter(|a| a.at > third + delay);
+        late.map(|a| a.id.clone()).collect()
     }
 }
 
@@ -102,7 +144,9 @@
     /// Set if requests with [`CRASHING`] in the path end it.
     pub crash_log: Option<Rc<CrashLog>>,
     /// Happens when a request ends it.
-    pub crash: Event,
+    pub crash: RefCell<Event>,
+    /// Whether it answers nothing for now.
+    pub is_silent: Cell<bool>,
     busy: Cell<usize>,
 }
 
@@ -142,7 +186,8 @@
             refused: Cell::new(0),
             cancelled: Cell::new(0),
             crash_log: None,
-            crash: Event::default(),
+            crash: RefCell::default(),
+            is_silent: Cell::new(false),
             busy: Cell::new(0),
         }
     }
@@ -158,6 +203,13 @@
         starts.map(count).max().unwrap_or(0)
     }
 
+    /// Waits while it is silent.
+    async fn wait_for_voice(&self) {
+        while self.is_silent.get() {
+            compio::time::sleep(VOICE_POLL_INTERVAL.into()).await;
+        }
+    }
+
     fn record_headers(&self, headers: &HeaderMap) {
         let mut received = self.received.borrow_mut();
         received.truncate(HEADERS_KEPT - 1);
@@ -209,9 +261,11 @@
 
 async fn answer(State(app): State<App>, request: Request) -> Response {
     local(async move {
+        app.0.wait_for_voice().await;
         app.0.arrivals.borrow_mut().push(Millis::now());
         app.0.record_headers(request.headers());
         let mut response = run(&app.0, request).await;
+        app.0.wait_for_voice().await;
         if let Some(limit) = app.0.rate_limit.get() {
             let value = HeaderValue::from_str(&limit.to_string()).unwrap();
             response.headers_mut().insert("server-limit", value);
@@ -256,8 +310,11 @@
     };
     let load = format!("{},0,{}", upstream.busy.get(), upstream.slots);
     if let Some(log) = upstream.crash_log.as_ref().filter(|_| is_crashing) {
-        log.arrivals.borrow_mut().push(Millis::now());
-        let crash = upstream.crash.clone();
+        log.arrivals.borrow_mut().push(Arrival {
+            at: Millis::now(),
+            id: request_id.clone(),
+        });
+        let crash = upstream.crash.borrow().clone();
         let crashing = compio::runtime::spawn(async move {
             compio::time::sleep(TIME_TO_CRASH.into()).await;
             crash.set();
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -2,22 +2,20 @@
 //! gateways: how often it reaches upstreams, and what becomes of the other
 //! requests. Real processes run against a stand-in store and upstreams.
 
-use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use clock::Millis;
-use compio::runtime::JoinHandle;
 use http::{Request, Response, StatusCode};
 use rstest::rstest;
 use standins::fleet::wait_until;
-use standins::platform::crash_site::CrashSite;
-use standins::platform::gateway::{
-    ANSWER_LIMIT_BYTES, Gateway, PROPAGATION, TIMEOUT, retry_after_s, start_gateway_at,
+use standins::platform::crash_load::{
+    Harmless, is_quarantined, print_logs, start_gateways, try_get, try_send,
 };
-use standins::platform::site::{HOST, READ, SEARCH};
+use standins::platform::crash_site::CrashSite;
+use standins::platform::gateway::{Gateway, PROPAGATION, retry_after_s};
+use standins::platform::site::{READ, SEARCH};
 use standins::platform::upstream::CRASHING;
 use transport::Payload;
 
@@ -31,34 +29,11 @@
 const RUN_TIME: Millis = Millis(12_000);
 /// Callers that leave before the upstream ends do so after this time.
 const CALLER_PATIENCE: Millis = Millis(50);
-/// Harmless requests are sent to each gateway at this interval.
-const HARMLESS_INTERVAL: Millis = Millis(85);
-/// Every other harmless request has one of this many paths.
-const REPEATED_PATHS: usize = 20;
-/// Every tenth harmless request differs from the crashing one in its credentials
-/// alone.
-const NEAR_INTERVAL: usize = 10;
 const TROUBLE_AT: Millis = Millis(6_000);
 const RESTART_INTERVAL: Millis = Millis(3_000);
 /// A quarantined request is told to come back later than after this time.
 const MIN_RETRY_AFTER_S: f64 = 60.0;
 
-async fn start_gateways(site: &CrashSite, count: usize) -> Vec<Gateway> {
-    let mut gateways: Vec<Gateway> = Vec::new();
-    for _ in 0..count {
-        let seeds: Vec<_> = gateways.iter().take(3).map(|g| g.endpoints).collect();
-        gateways.push(start_gateway_at(site.store_address, &seeds).await);
-    }
-    for gateway in &gateways {
-        wait_until("the gateway is ready", PROPAGATION, async || {
-            gateway.is_ready().await
-        })
-        .await;
-    }
-    compio::time::sleep(PROPAGATION).await;
-    gateways
-}
-
 /// What happens to the gateways and the store during a test.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Trouble {
@@ -71,83 +46,6 @@
     StoreAway,
 }
 
-async fn try_get(gateway: SocketAddr, path: &str, id: &str) -> Option<Response<Bytes>> {
-    let request = Request::get(path).body(Payload::default()).unwrap();
-    try_send(gateway, request, id, TIMEOUT).await
-}
-
-/// Sends a request; its caller disconnects after `patience`.
-async fn try_send(
-    gateway: SocketAddr,
-    mut request: Request<Payload>,
-    id: &str,
-    patience: Millis,
-) -> Option<Response<Bytes>> {
-    let headers = [
-        ("host", HOST),
-        ("request-id", id),
-        ("deadline-milliseconds", "1000"),
-    ];
-    for (name, value) in headers {
-        request.headers_mut().insert(name, value.parse().unwrap());
-    }
-    let sent = transport::request(gateway, request, ANSWER_LIMIT_BYTES, patience);
-    sent.await.ok()
-}
-
-fn is_quarantined(answer: &Response<Bytes>) -> bool {
-    answer.body().starts_with(b"quarantined")
-}
-
-/// Harmless requests that are sent to a gateway during a test.
-#[derive(Default)]
-struct Harmless {
-    sent: Cell<usize>,
-    answered: Cell<usize>,
-    quarantined: RefCell<Vec<String>>,
-}
-
-impl Harmless {
-    fn start(self: &Rc<Self>, gateway: &Gateway, number: usize, prefix: &str) -> JoinHandle<()> {
-        let (harmless, prefix) = (self.clone(), prefix.to_owned());
-        let address = gateway.endpoints.callers();
-        compio::runtime::spawn(async move {
-            for n in 0.. {
-                compio::time::sleep(HARMLESS_INTERVAL.into()).await;
-                let path = match n % 2 {
-                    _ if n % NEAR_INTERVAL == 0 => format!("{prefix}{CRASHING}"),
-                    0 => format!("{prefix}once-{number}-{n}"),
-                    _ => format!("{prefix}often-{}", n % REPEATED_PATHS),
-                };
-                let harmless = harmless.clone();
-                compio::runtime::spawn(async move {
-                    harmless
-                        .send(address, &path, &format!("h-{number}-{n}"))
-                        .await;
-                })
-                .detach();
-            }
-        })
-    }
-
-    async fn send(&self, gateway: SocketAddr, path: &str, id: &str) {
-        self.sent.set(self.sent.get() + 1);
-        let request = Request::get(path)
-            .header("authorization", "harmless")
-            .body(Payload::default())
-            .unwrap();
-        match try_send(gateway, request, id, TIMEOUT).await {
-            Some(answer) if answer.status() == StatusCode::OK => {
-                self.answered.set(self.answered.get() + 1);
-            }
-            Some(answer) if is_quarantined(&answer) => {
-                self.quarantined.borrow_mut().push(path.to_owned());
-            }
-            _ => {}
-        }
-    }
-}
-
 /// Sends the crashing request to the gateways in turn, with trouble meanwhile;
 /// returns the last answer.
 async fn send_crashing(
@@ -186,19 +84,6 @@
     last.expect("a gateway answered")
 }
 
-fn print_logs(gateways: &[Gateway]) {
-    for (n, gateway) in gateways.iter().enumerate() {
-        let log = gateway.process.read_log();
-        let count = |line: &str| log.lines().filter(|l| l.contains(line)).count();
-        println!(
-            "gateway {n}: {} connections lost, {} crashes, {} quarantined",
-            count("connection lost during requests"),
-            count("upstream crashed during request"),
-            count("request quarantined"),
-        );
-    }
-}
-
 #[rstest]
 #[case::one_gateway(1, 1, Trouble::None)]
 #[case::seven_gateways(7, 1, Trouble::None)]
@@ -219,11 +104,7 @@
         _ => SEARCH,
     };
     let harmless = Rc::new(Harmless::default());
-    let load: Vec<_> = gateways
-        .iter()
-        .enumerate()
-        .map(|(n, g)| harmless.start(g, n, prefix))
-        .collect();
+    let load = harmless.start(&gateways, prefix);
     let path = format!("{prefix}{CRASHING}");
     let last = send_crashing(&site, &mut gateways, &path, trouble).await;
     drop(load);
@@ -293,11 +174,7 @@
     site.log.outlives_callers.set(true);
     let gateways = start_gateways(&site, 3).await;
     let harmless = Rc::new(Harmless::default());
-    let load: Vec<_> = gateways
-        .iter()
-        .enumerate()
-        .map(|(n, g)| harmless.start(g, n, prefix))
-        .collect();
+    let load = harmless.start(&gateways, prefix);
     let path = format!("{prefix}{CRASHING}");
     let begin = Millis::now();
     for n in 0.. {
