Count a reconnected upstream as ended only if it is replaced within a second

Cause: an upstream that lost connections under requests and accepts others was remembered for 30 s.

Change: such an upstream must be seen replaced within 1 s; silent ones still have 30 s. Ends without open requests are no longer logged.

--- a/components/upstreams/src/crash_check.rs
+++ b/components/upstreams/src/crash_check.rs
@@ -81,8 +81,7 @@
             upstream.close_idle();
             record_crashes(&pool.shared, &upstream, &check.requests, Millis::now());
         }
-        // It may have ended and started again at once.
-        false if !refuses && !expects_end => pool.shared.record_doubt(&upstream, began),
+        false if !refuses && !expects_end => pool.shared.record_reconnection(&upstream, began),
         false => {}
     }
 }
--- a/components/upstreams/src/link_check.rs
+++ b/components/upstreams/src/link_check.rs
@@ -25,14 +25,11 @@
     TimedOut,
 }
 
-/// Tries to connect within `timeout`; the connection is kept for the next request.
+/// Tries to connect within `timeout`; the connection is closed again.
 pub(crate) async fn try_connect(upstream: &Upstream, timeout: Millis) -> Connecting {
     let connecting = compio::time::timeout(timeout.into(), upstream.connect());
     match connecting.await {
-        Ok(Ok(pooled)) => {
-            upstream.keep(pooled, None);
-            Connecting::Accepted
-        }
+        Ok(Ok(_)) => Connecting::Accepted,
         Ok(Err(_)) => Connecting::Refused,
         Err(_) => Connecting::TimedOut,
     }
@@ -41,7 +38,14 @@
 /// Whether a new connection is accepted within `timeout`; it is kept for the next
 /// request.
 pub(crate) async fn accepts(upstream: &Upstream, timeout: Millis) -> bool {
-    try_connect(upstream, timeout).await == Connecting::Accepted
+    let connecting = compio::time::timeout(timeout.into(), upstream.connect()).await;
+    match connecting {
+        Ok(Ok(pooled)) => {
+            upstream.keep(pooled, None);
+            true
+        }
+        Ok(Err(_)) | Err(_) => false,
+    }
 }
 
 /// Result of a check of the links.
@@ -80,8 +84,7 @@
 }
 
 async fn can_connect(upstream: &Rc<Upstream>) -> bool {
-    let connecting = compio::time::timeout(CONNECT_TIMEOUT.into(), upstream.connect());
-    matches!(connecting.await, Ok(Ok(_)))
+    try_connect(upstream, CONNECT_TIMEOUT).await == Connecting::Accepted
 }
 
 impl Pool {
--- a/components/upstreams/src/shared.rs
+++ b/components/upstreams/src/shared.rs
@@ -81,8 +81,8 @@
     /// Decides whether this daemon owns a group; without it, the daemon owns
     /// all groups.
     pub owns_group: RefCell<Option<Rc<OwnsGroup>>>,
-    /// The memory of large answers.
-    pub answer_memory: ResponseMemory,
+    /// The memory of large answers, those of other daemons included.
+    pub answer_memory: Rc<ResponseMemory>,
     /// Limits the log lines about single requests.
     pub log_limiter: RequestLogLimiter,
     /// Settings of the pools.
@@ -111,7 +111,7 @@
             crashes: CrashTable::new(config.crash_limit),
             peer_notifier: RefCell::default(),
             owns_group: RefCell::default(),
-            answer_memory: ResponseMemory::default(),
+            answer_memory: Rc::default(),
             log_limiter: RequestLogLimiter::new(log),
             config,
             log: log.clone(),
--- a/components/upstreams/src/silence.rs
+++ b/components/upstreams/src/silence.rs
@@ -31,6 +31,9 @@
 const CONNECT_TIMEOUT: Millis = Millis(300);
 /// Another process must be seen at the address of a silent upstream within this time.
 const MEMORY: Millis = Millis(30_000);
+/// The same of one that lost connections and accepts others: most such upstreams have not
+/// ended, and may be replaced for another reason later.
+const RESTART_TIME: Millis = Millis(1_000);
 /// Silent upstreams that are remembered; the oldest gives way.
 const LIMIT: usize = 256;
 
@@ -67,13 +70,16 @@
     upstream: Rc<Upstream>,
     /// Its requests from before may be the cause.
     since: Millis,
+    /// Time within which another process must be seen.
+    within: Millis,
 }
 
 impl Silent {
     /// Returns the requests that it had not answered, unless it went on with others.
     fn requests(&self) -> Vec<SentRequest> {
         let upstream = &self.upstream;
-        if upstream.silence.answered_at.get() > self.since {
+        let is_late = Millis::now().since(self.since) > self.within;
+        if is_late || upstream.silence.answered_at.get() > self.since {
             return Vec::new();
         }
         let mut requests = pending(upstream);
@@ -89,9 +95,9 @@
 
 impl SilentUpstreams {
     /// Adds an upstream, or one that was heard of meanwhile again.
-    pub(crate) fn add(&self, upstream: &Rc<Upstream>, since: Millis) {
+    fn add(&self, upstream: &Rc<Upstream>, since: Millis, within: Millis) {
         let mut all = self.0.borrow_mut();
-        all.retain(|s| since.since(s.since) < MEMORY);
+        all.retain(|s| since.since(s.since) < s.within);
         let is_known = |s: &Silent| {
             Rc::ptr_eq(&s.upstream, upstream) && upstream.silence.answered_at.get() <= s.since
         };
@@ -105,6 +111,7 @@
         all.push(Silent {
             upstream: upstream.clone(),
             since,
+            within,
         });
     }
 
@@ -196,7 +203,7 @@
     let requests = match pool.expects_end(upstream) {
         true => Vec::new(),
         false => {
-            shared.record_doubt(upstream, since);
+            shared.record_doubt(upstream, since, MEMORY);
             let mut requests = pending(upstream);
             requests.extend(upstream.unanswered.running(now));
             requests
@@ -218,9 +225,15 @@
 }
 
 impl Shared {
+    /// Records that an upstream has lost connections under requests, at `since` or before, and
+    /// accepts others: it may have ended and started again at once.
+    pub(crate) fn record_reconnection(&self, upstream: &Rc<Upstream>, since: Millis) {
+        self.record_doubt(upstream, since, RESTART_TIME);
+    }
+
     /// Records that an upstream may have ended, at `since` or before.
-    pub(crate) fn record_doubt(&self, upstream: &Rc<Upstream>, since: Millis) {
-        self.silent.add(upstream, since);
+    fn record_doubt(&self, upstream: &Rc<Upstream>, since: Millis, within: Millis) {
+        self.silent.add(upstream, since, within);
         if self.upstreams.has_successor(upstream) {
             self.record_replaced(upstream);
         }
@@ -247,8 +260,11 @@
 
     fn record_end(&self, silent: &Silent) {
         let (upstream, requests) = (&silent.upstream, silent.requests());
+        if requests.is_empty() {
+            return;
+        }
         slog::info!(self.log, "silent upstream has ended"; "upstream" => &upstream.id,
-            "requests" => requests.len());
+            "requests" => requests.len(), "after_ms" => Millis::now().since(silent.since).0);
         upstream.close_idle();
         record_crashes(self, upstream, &requests, Millis::now());
     }
