Bound the memory of other gateways' answers

The operators' report on bytes without end: a gateway that hands requests to others kept up to 8 MiB of each answer, for any number of requests.

Cause: only answers of upstreams shared a bound on the memory of large answers.

--- a/components/gateway/src/peer_forward.rs
+++ b/components/gateway/src/peer_forward.rs
@@ -16,7 +16,7 @@
 use rand::seq::IndexedRandom;
 use routes::Delivery;
 use telemetry::names;
-use transport::Client;
+use transport::{Client, ResponseMemory};
 use upstreams::{AttemptsMade, Failure, Ran, Reason};
 
 use self::message::{peer_request, take_outcome};
@@ -65,6 +65,7 @@
 pub(crate) struct PeerForwarder {
     directory: SharedDirectory,
     own: InstanceEntry,
+    answer_memory: Rc<ResponseMemory>,
     /// Time that this daemon needs to pass an answer on.
     answer_time: Millis,
     /// Gateways that searches are handed to.
@@ -78,9 +79,14 @@
 }
 
 impl PeerForwarder {
-    pub(crate) fn new(directory: SharedDirectory, own: InstanceEntry) -> Self {
+    pub(crate) fn new(
+        directory: SharedDirectory,
+        own: InstanceEntry,
+        answer_memory: Rc<ResponseMemory>,
+    ) -> Self {
         Self {
             directory,
+            answer_memory,
             answer_time: answer_time(own.millicores),
             own,
             delegates: RefCell::default(),
@@ -238,7 +244,8 @@
         let mut clients = self.clients.borrow_mut();
         let create = || {
             let client = Client::with_idle_limit(peer, IDLE_CONNECTIONS);
-            Rc::new(client.with_connect_timeout(CONNECT_TIMEOUT))
+            let client = client.with_connect_timeout(CONNECT_TIMEOUT);
+            Rc::new(client.with_memory(&self.answer_memory))
         };
         clients.entry(peer).or_insert_with(create).clone()
     }
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -177,7 +177,11 @@
         settings.peer_address,
         log,
     );
-    let peer_forwarder = Rc::new(PeerForwarder::new(directory.clone(), own_entry(&settings)));
+    let peer_forwarder = Rc::new(PeerForwarder::new(
+        directory.clone(),
+        own_entry(&settings),
+        shared.answer_memory.clone(),
+    ));
     let delegating = peer_forwarder.clone();
     let quotas = Quotas::new(&settings, &fleet, &follower, log);
     let assigned = quotas.clone();
--- a/components/transport/src/client.rs
+++ b/components/transport/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use clock::Millis;
@@ -9,6 +10,7 @@
 
 use crate::connection::{Connection, Payload};
 use crate::error::{Error, Result};
+use crate::response_memory::ResponseMemory;
 
 const DEFAULT_IDLE_LIMIT: usize = 4;
 
@@ -19,6 +21,7 @@
     idle: RefCell<Vec<Connection>>,
     idle_limit: usize,
     connect_timeout: Option<Millis>,
+    memory: Option<Rc<ResponseMemory>>,
 }
 
 impl Client {
@@ -34,6 +37,15 @@
             idle: RefCell::default(),
             idle_limit,
             connect_timeout: None,
+            memory: None,
+        }
+    }
+
+    /// Lets large responses share their memory with other large ones.
+    pub fn with_memory(self, memory: &Rc<ResponseMemory>) -> Self {
+        Self {
+            memory: Some(memory.clone()),
+            ..self
         }
     }
 
@@ -90,7 +102,7 @@
 
     async fn exchange(&self, request: Request<Payload>, limit: usize) -> Result<Response<Bytes>> {
         while let Some(mut conn) = self.take_idle() {
-            match conn.send(request.clone(), limit).await {
+            match self.send_on(&mut conn, request.clone(), limit).await {
                 Err(Error::NotSent { .. }) => {}
                 Ok(response) => return Ok(self.keep_idle(conn, response)),
                 Err(e) => return Err(e),
@@ -105,10 +117,22 @@
         limit: usize,
     ) -> Result<Response<Bytes>> {
         let mut conn = self.open().await?;
-        let response = conn.send(request, limit).await?;
+        let response = self.send_on(&mut conn, request, limit).await?;
         Ok(self.keep_idle(conn, response))
     }
 
+    async fn send_on(
+        &self,
+        conn: &mut Connection,
+        request: Request<Payload>,
+        limit: usize,
+    ) -> Result<Response<Bytes>> {
+        match &self.memory {
+            Some(memory) => conn.send_within(request, limit, memory).await,
+            None => conn.send(request, limit).await,
+        }
+    }
+
     async fn open(&self) -> Result<Connection> {
         let address = self.address;
         let opening = Connection::open(address);
--- a/standins/src/platform/unbounded.rs
+++ b/standins/src/platform/unbounded.rs
@@ -14,6 +14,8 @@
 /// Bytes of a stalled body that are sent at once.
 const STALLED_BYTES: usize = 320 * 1024;
 const SLOW_INTERVAL: Duration = Duration::from_secs(1);
+/// Lets the other tasks of the test run.
+const YIELD_TIME: Duration = Duration::from_millis(1);
 
 /// The part of an answer that is unbounded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +28,8 @@
     Interim,
     /// A body whose length is not told.
     Body,
+    /// A body whose length is told, and is larger than any memory.
+    KnownBody,
     /// A body in chunks.
     Chunks,
     /// The extension of a chunk.
@@ -50,6 +54,7 @@
             Unbounded::Body | Unbounded::SlowBody | Unbounded::StalledBody => {
                 "HTTP/1.1 200 OK\r\n\r\n"
             }
+            Unbounded::KnownBody => "HTTP/1.1 200 OK\r\ncontent-length: 1099511627776\r\n\r\n",
             Unbounded::Chunks => "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
             Unbounded::ChunkExtension => {
                 "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4;x="
@@ -72,6 +77,7 @@
             Unbounded::Chunks => "10\r\n0123456789abcdef\r\n",
             Unbounded::HeaderValue
             | Unbounded::Body
+            | Unbounded::KnownBody
             | Unbounded::ChunkExtension
             | Unbounded::SlowHead
             | Unbounded::SlowBody
@@ -143,9 +149,11 @@
         }
         sent += block.len();
         counts.largest.set(counts.largest.get().max(sent));
-        if part.is_slow() {
-            compio::time::sleep(SLOW_INTERVAL).await;
-        }
+        let pause = match part.is_slow() {
+            true => SLOW_INTERVAL,
+            false => YIELD_TIME,
+        };
+        compio::time::sleep(pause).await;
         next = block.clone();
     }
 }
--- a/tests/gateway_unbounded.rs
+++ b/tests/gateway_unbounded.rs
@@ -142,6 +142,7 @@
 #[case::header_value(Unbounded::HeaderValue)]
 #[case::interim(Unbounded::Interim)]
 #[case::body(Unbounded::Body)]
+#[case::known_body(Unbounded::KnownBody)]
 #[case::chunks(Unbounded::Chunks)]
 #[case::chunk_extension(Unbounded::ChunkExtension)]
 #[case::trailers(Unbounded::Trailers)]
@@ -184,8 +185,13 @@
 /// The gateway stays responsive and says why the store is of no use.
 #[rstest]
 #[case::head(Unbounded::Head)]
+#[case::header_value(Unbounded::HeaderValue)]
 #[case::interim(Unbounded::Interim)]
 #[case::body(Unbounded::Body)]
+#[case::known_body(Unbounded::KnownBody)]
+#[case::chunks(Unbounded::Chunks)]
+#[case::chunk_extension(Unbounded::ChunkExtension)]
+#[case::trailers(Unbounded::Trailers)]
 #[case::slow_body(Unbounded::SlowBody)]
 #[compio::test]
 async fn an_unbounded_answer_of_the_store_costs_no_memory(#[case] part: Unbounded) {
