Conclude less from silence, and say it once

- A silent upstream that reports later that it leaves was only cut off from this daemon: its requests no longer count as crashes when another process follows it (left_as_planned).
- Silent upstreams were kept after their pool had dropped them, and were tried by the checks of this daemon's links: many that are gone could make it take its links for lost (a_silent_upstream_that_was_dropped_says_nothing_of_the_links).
They are also forgotten in time now, not only when another one is found.
- The requests of one silent upstream were sent to up to 16 peers anew each 0.4 s while they stayed unanswered (peers_are_told_once_of_a_suspect).

--- a/components/transport/src/error.rs
+++ b/components/transport/src/error.rs
@@ -122,6 +122,15 @@
         )
     }
 
+    /// Whether the peer refused the connection. Others can't be opened for reasons of this
+    /// process, such as its limit on descriptors.
+    pub fn is_refused(&self) -> bool {
+        match self {
+            Error::Connect { source, .. } => source.kind() == io::ErrorKind::ConnectionRefused,
+            _ => false,
+        }
+    }
+
     /// Whether the request certainly did not reach the peer.
     pub fn is_unsent(&self) -> bool {
         matches!(
--- a/components/upstreams/src/abandoned.rs
+++ b/components/upstreams/src/abandoned.rs
@@ -58,12 +58,12 @@
     upstream.is_watched.set(false);
 }
 
-/// Opens a connection and keeps it; `false` if the upstream accepts no more from this daemon.
+/// Opens a connection and keeps it; `false` if that says nothing about the upstream.
 async fn open_idle(upstream: &Upstream) -> bool {
     match upstream.check_out().await {
         Ok(pooled) => upstream.keep(pooled, None),
         Err(CheckoutError::Refused) => {}
-        Err(CheckoutError::Limit) => return false,
+        Err(CheckoutError::Limit | CheckoutError::Failed) => return false,
     }
     true
 }
--- a/components/upstreams/src/attempt.rs
+++ b/components/upstreams/src/attempt.rs
@@ -55,25 +55,24 @@
         if is_slow(self.pool, elapsed) {
             self.upstream.health.borrow_mut().record_slow(now);
         }
-        self.list_unanswered(now);
+        self.list_unanswered();
+        // The caller may have left.
+        if self.pool.shared.config.confirms_crashes && now < self.call.deadline {
+            self.pool.shared.unwatched.add(self.pool, self.upstream);
+        }
     }
 }
 
 impl Attempt<'_> {
     /// Lists the request at its upstream, which may end by it. Only if crashes are confirmed,
     /// those of such requests are looked for.
-    fn list_unanswered(&self, now: Millis) {
-        let shared = &self.pool.shared;
-        let Some(request) = self.sent.request() else {
-            return;
-        };
-        if !shared.config.confirms_crashes {
+    fn list_unanswered(&self) {
+        if !self.pool.shared.config.confirms_crashes {
             return;
         }
-        let (caller_left, deadline) = (self.call.caller_left.clone(), self.call.deadline);
-        self.upstream.unanswered.add(request, caller_left, deadline);
-        if now < deadline {
-            shared.unwatched.add(self.pool, self.upstream);
+        if let Some(request) = self.sent.request() {
+            let (caller_left, deadline) = (self.call.caller_left.clone(), self.call.deadline);
+            self.upstream.unanswered.add(request, caller_left, deadline);
         }
     }
 }
@@ -123,9 +122,9 @@
     });
 }
 
-/// Takes a connection for a request. A suspect gets a new one: what it is sent to is then
-/// known to have been there, so that its end says something about the suspect. So does any
-/// request to an upstream that was silent.
+/// Takes a connection for a request. A suspect gets a new one, and so does any request to an
+/// upstream that was silent: an upstream that had ended before does not accept it, so that
+/// its end is never taken for one by the request.
 async fn check_out(
     slot: &Slot,
     pool: &Pool,
@@ -149,7 +148,7 @@
     let mut pooled = match check_out(slot, pool).await {
         Ok(pooled) => pooled,
         Err(CheckoutError::Limit) => return Err(Failure::not_run(Reason::Overloaded)),
-        Err(CheckoutError::Refused) => {
+        Err(CheckoutError::Refused | CheckoutError::Failed) => {
             record_refused(pool, upstream);
             return Err(Failure::not_run(Reason::NoReplica));
         }
@@ -215,7 +214,7 @@
         }
         Err(e) if e.is_unusable() => return Err(record_unusable(pool, upstream, &e)),
         Err(_) => {
-            attempt.list_unanswered(call.deadline);
+            attempt.list_unanswered();
             // The lost connection no longer counts towards the limit.
             drop(pooled);
             return Err(record_lost_connection(pool, upstream).await);
--- a/components/upstreams/src/attempt/record.rs
+++ b/components/upstreams/src/attempt/record.rs
@@ -180,7 +180,7 @@
                 .latency
                 .borrow_mut()
                 .record(elapsed, pool_mean_ms, now);
-            pool.shared.silent.acquit(call.fingerprint, shard);
+            pool.shared.silent.record_success(call.fingerprint, shard);
             if pool.shared.crashes.clear(call.fingerprint, shard, now) {
                 slog::debug!(pool.shared.log, "suspect cleared"; "fingerprint" => call.fingerprint,
                     "upstream" => &upstream.id, "shard" => shard);
--- a/components/upstreams/src/crash_check.rs
+++ b/components/upstreams/src/crash_check.rs
@@ -10,7 +10,7 @@
 use telemetry::names;
 
 use crate::crashes::{CRASH_TTL, Crash};
-use crate::link_check::{LinkCheck, accepts};
+use crate::link_check::{Connecting, LinkCheck, connect_idle};
 use crate::pool::Pool;
 use crate::sent::SentRequest;
 use crate::shared::Shared;
@@ -64,25 +64,38 @@
 async fn run(pool: Rc<Pool>, upstream: Rc<Upstream>) {
     let began = Millis::now();
     let expects_end = pool.expects_end(&upstream);
-    let refuses = !accepts(&upstream, CONNECT_TIMEOUT).await || {
-        // Wakes the waiters: most upstreams that accept a connection have not ended.
-        if let Some(check) = upstream.check.borrow_mut().as_mut() {
-            check.waiters.clear();
-        }
-        compio::time::sleep(SECOND_LOOK_DELAY.into()).await;
-        !upstream.has_open_idle() && !accepts(&upstream, CONNECT_TIMEOUT).await
+    let first = connect_idle(&upstream, CONNECT_TIMEOUT).await;
+    let outcome = match first {
+        Connecting::Accepted => look_again(&upstream).await,
+        _ => first,
     };
-    let has_crashed = refuses && reaches_others(&pool, &upstream, began).await;
+    let has_crashed = outcome.is_unreachable() && reaches_others(&pool, &upstream, began).await;
     let check = upstream.check.borrow_mut().take().unwrap_or_default();
     slog::debug!(pool.shared.log, "checked whether an upstream ended"; "upstream" => &upstream.id,
         "ended" => has_crashed, "requests" => check.requests.len());
-    match has_crashed {
-        true => {
+    match outcome {
+        _ if has_crashed => {
             upstream.close_idle();
             record_crashes(&pool.shared, &upstream, &check.requests, Millis::now());
         }
-        false if !refuses && !expects_end => pool.shared.record_reconnection(&upstream, began),
-        false => {}
+        // It may have ended and started again at once.
+        Connecting::Accepted if !expects_end => {
+            pool.shared.record_reconnection(&upstream, began);
+        }
+        _ => {}
+    }
+}
+
+/// Looks again whether an upstream accepts connections that has just accepted one.
+async fn look_again(upstream: &Upstream) -> Connecting {
+    // Wakes the waiters: most upstreams that accept a connection have not ended.
+    if let Some(check) = upstream.check.borrow_mut().as_mut() {
+        check.waiters.clear();
+    }
+    compio::time::sleep(SECOND_LOOK_DELAY.into()).await;
+    match upstream.has_open_idle() {
+        true => Connecting::Accepted,
+        false => connect_idle(upstream, CONNECT_TIMEOUT).await,
     }
 }
 
--- a/components/upstreams/src/crashes.rs
+++ b/components/upstreams/src/crashes.rs
@@ -143,9 +143,9 @@
         }
     }
 
-    /// Suspects a request, of which peers are to be told.
-    pub fn suspect(&self, suspicion: Suspicion, now: Millis) {
-        self.suspicions.add_own(suspicion, now);
+    /// Suspects a request, of which peers are to be told; `true` if that is new.
+    pub fn suspect(&self, suspicion: Suspicion, now: Millis) -> bool {
+        self.suspicions.add_own(suspicion, now)
     }
 
     /// Merges the suspicion of a peer.
--- a/components/upstreams/src/known_upstreams.rs
+++ b/components/upstreams/src/known_upstreams.rs
@@ -31,8 +31,8 @@
         at_address.any(|u| u.process != upstream.process)
     }
 
-    /// Returns up to `count` upstreams at random, without `excluded` and those of
-    /// evacuated failure domains.
+    /// Returns up to `count` upstreams at random, without `excluded`, those that their pools
+    /// have dropped and those of evacuated failure domains.
     pub(crate) fn sample(
         &self,
         count: usize,
@@ -41,7 +41,8 @@
         let known = self.0.borrow();
         let alive = known.iter().filter_map(Weak::upgrade);
         let is_other = |u: &Rc<Upstream>| excluded.is_none_or(|e| !Rc::ptr_eq(u, e));
-        let candidates = alive.filter(|u| is_other(u) && !u.is_evacuated.get());
+        let is_used = |u: &Rc<Upstream>| !u.is_removed.get() && !u.is_evacuated.get();
+        let candidates = alive.filter(|u| is_other(u) && is_used(u));
         candidates.sample(&mut rand::rng(), count)
     }
 }
--- a/components/upstreams/src/link_check.rs
+++ b/components/upstreams/src/link_check.rs
@@ -7,7 +7,7 @@
 
 use crate::pool::Pool;
 use crate::shared::Shared;
-use crate::upstream::Upstream;
+use crate::upstream::{CheckoutError, PooledConnection, Upstream};
 
 /// Upstreams that are tried in one check.
 const SAMPLE: usize = 6;
@@ -23,28 +23,43 @@
     Refused,
     /// It is neither within the time.
     TimedOut,
+    /// It could not be opened for another reason, which can be this daemon's.
+    Failed,
+}
+
+impl Connecting {
+    /// Whether the upstream can't be reached, and not for a reason of this daemon.
+    pub(crate) fn is_unreachable(self) -> bool {
+        matches!(self, Connecting::Refused | Connecting::TimedOut)
+    }
 }
 
 /// Tries to connect within `timeout`; the connection is closed again.
 pub(crate) async fn try_connect(upstream: &Upstream, timeout: Millis) -> Connecting {
-    let connecting = compio::time::timeout(timeout.into(), upstream.connect());
-    match connecting.await {
-        Ok(Ok(_)) => Connecting::Accepted,
-        Ok(Err(_)) => Connecting::Refused,
-        Err(_) => Connecting::TimedOut,
-    }
+    open(upstream, timeout)
+        .await
+        .err()
+        .unwrap_or(Connecting::Accepted)
 }
 
-/// Whether a new connection is accepted within `timeout`; it is kept for the next
-/// request.
-pub(crate) async fn accepts(upstream: &Upstream, timeout: Millis) -> bool {
-    let connecting = compio::time::timeout(timeout.into(), upstream.connect()).await;
-    match connecting {
-        Ok(Ok(pooled)) => {
+/// Tries to connect within `timeout`; the connection is kept for the next request.
+pub(crate) async fn connect_idle(upstream: &Upstream, timeout: Millis) -> Connecting {
+    match open(upstream, timeout).await {
+        Ok(pooled) => {
             upstream.keep(pooled, None);
-            true
+            Connecting::Accepted
         }
-        Ok(Err(_)) | Err(_) => false,
+        Err(outcome) => outcome,
+    }
+}
+
+async fn open(upstream: &Upstream, timeout: Millis) -> Result<PooledConnection, Connecting> {
+    let connecting = compio::time::timeout(timeout.into(), upstream.connect());
+    match connecting.await {
+        Ok(Ok(pooled)) => Ok(pooled),
+        Ok(Err(CheckoutError::Refused)) => Err(Connecting::Refused),
+        Ok(Err(CheckoutError::Failed | CheckoutError::Limit)) => Err(Connecting::Failed),
+        Err(_) => Err(Connecting::TimedOut),
     }
 }
 
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -103,7 +103,10 @@
             endpoints.iter().map(|e| (e.id.as_str(), e)).collect();
         self.upstreams.borrow_mut().retain(|_, u| {
             let endpoint = by_id.get(u.name.as_str());
-            endpoint.is_some_and(|e| u.is_same_process(e))
+            let is_kept = endpoint.is_some_and(|e| u.is_same_process(e));
+            // Running requests and the memory of silent ones can keep it.
+            u.is_removed.set(!is_kept);
+            is_kept
         });
         self.keys
             .borrow_mut()
--- a/components/upstreams/src/sent.rs
+++ b/components/upstreams/src/sent.rs
@@ -25,6 +25,18 @@
     pub(crate) answered: Answered,
 }
 
+impl SentRequest {
+    /// Whether it is a request, or a repeat of it, for a shard.
+    pub(crate) fn is(&self, fingerprint: u64, shard: &str) -> bool {
+        self.fingerprint == fingerprint && *self.shard == *shard
+    }
+
+    /// Whether it was sent by a time and was not answered by any upstream.
+    pub(crate) fn is_pending_since(&self, sent_by: Millis) -> bool {
+        self.sent_at <= sent_by && !self.answered.is_set()
+    }
+}
+
 /// Whether a sub-request was answered by any upstream; its clones share it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Answered(Rc<Cell<bool>>);
--- a/components/upstreams/src/silence.rs
+++ b/components/upstreams/src/silence.rs
@@ -78,8 +78,7 @@
     /// Returns the requests that it had not answered, unless it went on with others.
     fn requests(&self) -> Vec<SentRequest> {
         let upstream = &self.upstream;
-        let is_late = Millis::now().since(self.since) > self.within;
-        if is_late || upstream.silence.answered_at.get() > self.since {
+        if self.is_over(Millis::now()) || upstream.silence.answered_at.get() > self.since {
             return Vec::new();
         }
         let mut requests = pending(upstream);
@@ -87,6 +86,10 @@
         requests.retain(|r| r.sent_at <= self.since);
         requests
     }
+
+    fn is_over(&self, now: Millis) -> bool {
+        now.since(self.since) > self.within
+    }
 }
 
 /// The upstreams of a daemon that fell silent lately.
@@ -97,7 +100,6 @@
     /// Adds an upstream, or one that was heard of meanwhile again.
     fn add(&self, upstream: &Rc<Upstream>, since: Millis, within: Millis) {
         let mut all = self.0.borrow_mut();
-        all.retain(|s| since.since(s.since) < s.within);
         let is_known = |s: &Silent| {
             Rc::ptr_eq(&s.upstream, upstream) && upstream.silence.answered_at.get() <= s.since
         };
@@ -115,12 +117,19 @@
         });
     }
 
+    /// Removes those that can't be found to have ended any more.
+    fn forget(&self, now: Millis) {
+        self.0.borrow_mut().retain(|s| !s.is_over(now));
+    }
+
     /// Records that a request was answered for a shard: it ends no upstream.
-    pub(crate) fn acquit(&self, fingerprint: u64, shard: &str) {
+    pub(crate) fn record_success(&self, fingerprint: u64, shard: &str) {
         for silent in self.0.borrow().iter() {
-            let requests = silent.requests().into_iter();
-            let same = requests.filter(|r| r.fingerprint == fingerprint && *r.shard == *shard);
+            let upstream = &silent.upstream;
+            let sent = upstream.sent.borrow();
+            let same = sent.values().filter(|r| r.is(fingerprint, shard));
             same.for_each(|r| r.answered.set());
+            upstream.unanswered.record_success(fingerprint, shard);
         }
     }
 
@@ -144,8 +153,14 @@
     /// again and again.
     pub fn check_silent(self: &Rc<Self>) {
         let now = Millis::now();
+        self.shared.silent.forget(now);
+        let mut quiet = self.upstreams();
+        quiet.retain(|u| is_quiet(u, LEAST_PATIENCE, now));
+        if quiet.is_empty() {
+            return;
+        }
         let patience = self.patience();
-        for upstream in self.upstreams() {
+        for upstream in quiet {
             let is_quiet = is_quiet(&upstream, patience, now);
             if is_quiet && !upstream.silence.is_checked.replace(true) {
                 compio::runtime::spawn(check(self.clone(), upstream)).detach();
@@ -167,10 +182,10 @@
     if now.since(heard) <= patience {
         return false;
     }
+    let sent_by = now - patience;
     let sent = upstream.sent.borrow();
-    let running = sent.values().filter(|r| !r.answered.is_set());
-    let is_old = |r: &SentRequest| now.since(r.sent_at) > patience;
-    running.clone().any(is_old) || upstream.unanswered.running(now).iter().any(is_old)
+    sent.values().any(|r| r.is_pending_since(sent_by))
+        || upstream.unanswered.has_running_since(sent_by, now)
 }
 
 /// Checks whether an upstream accepts connections.
@@ -186,7 +201,7 @@
         Connecting::TimedOut if reaches_others(&pool, &upstream, began).await => {
             record_silence(&pool, &upstream, began);
         }
-        Connecting::TimedOut => {}
+        Connecting::TimedOut | Connecting::Failed => {}
     }
     upstream.silence.is_checked.set(false);
 }
@@ -203,7 +218,7 @@
     let requests = match pool.expects_end(upstream) {
         true => Vec::new(),
         false => {
-            shared.record_doubt(upstream, since, MEMORY);
+            shared.record_possible_end(upstream, since, MEMORY);
             let mut requests = pending(upstream);
             requests.extend(upstream.unanswered.running(now));
             requests
@@ -213,26 +228,29 @@
         slog::info!(shared.log, "upstream is silent"; "upstream" => &upstream.id,
             "address" => %upstream.address, "requests" => requests.len());
     });
-    for request in &requests {
+    let suspect = |request: &SentRequest| {
         let suspicion = Suspicion {
             fingerprint: request.fingerprint,
             shard: request.shard.to_string(),
             domain: upstream.domain.clone(),
         };
-        shared.crashes.suspect(suspicion, now);
+        shared.crashes.suspect(suspicion, now)
+    };
+    let new = requests.iter().filter(|r| suspect(r)).count();
+    if new > 0 {
+        shared.notify_peers();
     }
-    shared.notify_peers();
 }
 
 impl Shared {
     /// Records that an upstream has lost connections under requests, at `since` or before, and
     /// accepts others: it may have ended and started again at once.
     pub(crate) fn record_reconnection(&self, upstream: &Rc<Upstream>, since: Millis) {
-        self.record_doubt(upstream, since, RESTART_TIME);
+        self.record_possible_end(upstream, since, RESTART_TIME);
     }
 
     /// Records that an upstream may have ended, at `since` or before.
-    fn record_doubt(&self, upstream: &Rc<Upstream>, since: Millis, within: Millis) {
+    fn record_possible_end(&self, upstream: &Rc<Upstream>, since: Millis, within: Millis) {
         self.silent.add(upstream, since, within);
         if self.upstreams.has_successor(upstream) {
             self.record_replaced(upstream);
@@ -260,7 +278,9 @@
 
     fn record_end(&self, silent: &Silent) {
         let (upstream, requests) = (&silent.upstream, silent.requests());
-        if requests.is_empty() {
+        // One that has reported since that it leaves was only cut off from this daemon.
+        let is_leaving = upstream.is_drained.get() || self.drains.is_leaving(&upstream.process);
+        if requests.is_empty() || is_leaving {
             return;
         }
         slog::info!(self.log, "silent upstream has ended"; "upstream" => &upstream.id,
--- a/components/upstreams/src/unanswered.rs
+++ b/components/upstreams/src/unanswered.rs
@@ -49,6 +49,20 @@
         self.0.borrow_mut().retain(|u| u.deadline > now);
     }
 
+    /// Records that a request was answered by another upstream for its shard.
+    pub(crate) fn record_success(&self, fingerprint: u64, shard: &str) {
+        let list = self.0.borrow();
+        let same = list.iter().filter(|u| u.request.is(fingerprint, shard));
+        same.for_each(|u| u.request.answered.set());
+    }
+
+    /// Whether a request from before may still run that no other upstream has answered.
+    pub(crate) fn has_running_since(&self, sent_by: Millis, now: Millis) -> bool {
+        let list = self.0.borrow();
+        let mut running = list.iter().filter(|u| u.deadline > now);
+        running.any(|u| u.request.is_pending_since(sent_by))
+    }
+
     /// Returns the requests that may still run and whose callers have left.
     pub(crate) fn abandoned(&self, now: Millis) -> Vec<SentRequest> {
         self.select(|u| u.deadline > now && u.caller_left.get())
--- a/components/upstreams/src/upstream.rs
+++ b/components/upstreams/src/upstream.rs
@@ -58,6 +58,8 @@
     pub(crate) is_evacuated: Cell<bool>,
     /// Whether another process was found at its address.
     pub(crate) is_replaced: Cell<bool>,
+    /// Whether its pool has dropped it.
+    pub(crate) is_removed: Cell<bool>,
     pub(crate) open: Rc<Cell<usize>>,
     idle: RefCell<Vec<PooledConnection>>,
     pub(crate) health: RefCell<Health>,
@@ -141,6 +143,7 @@
             is_drained: Cell::new(false),
             is_evacuated: Cell::new(false),
             is_replaced: Cell::new(false),
+            is_removed: Cell::new(false),
             open: Rc::default(),
             idle: RefCell::default(),
             health: RefCell::new(Health::new(config.failures_to_eject)),
@@ -258,7 +261,10 @@
         let opening = Opening::new(&self.open);
         let conn = Connection::open(self.address)
             .await
-            .map_err(|_| CheckoutError::Refused)?;
+            .map_err(|e| match e.is_refused() {
+                true => CheckoutError::Refused,
+                false => CheckoutError::Failed,
+            })?;
         // The pooled connection counts from here on, instead of `opening`.
         self.open.set(self.open.get() + 1);
         drop(opening);
@@ -323,6 +329,8 @@
 pub(crate) enum CheckoutError {
     /// All connections that this daemon may open are open.
     Limit,
-    /// The connection could not be opened.
+    /// The upstream refused the connection, or did not accept it in time.
     Refused,
+    /// The connection could not be opened for another reason, which can be this daemon's.
+    Failed,
 }
