Refuse a write as not run if it never got a connection

Cause: a request that must not be repeated and that waits for a connection until its deadline, as to an upstream that accepts none, was answered 504, which promises nothing, though nothing was sent.

Change: dispatch answers "not run" if the attempt was not sent.

Test: a_request_that_gets_no_connection_has_not_run (components/upstreams/tests/silence.rs) failed before and passes.

--- a/components/upstreams/src/dispatch.rs
+++ b/components/upstreams/src/dispatch.rs
@@ -68,6 +68,10 @@
                     last = failure;
                 }
                 Ok(result) => return result,
+                // It may have waited for a connection all the time.
+                Err(_) if !call.may_have_run.get() => {
+                    return Err(Failure::not_run(Reason::Timeout));
+                }
                 Err(_) => return Err(Failure::unknown(Reason::Timeout)),
             }
             candidates.retain(|k| *k != slot.key);
--- a/components/upstreams/tests/silence.rs
+++ b/components/upstreams/tests/silence.rs
@@ -8,7 +8,7 @@
 use clock::Millis;
 use compio::runtime::JoinHandle;
 use rstest::rstest;
-use upstreams::{CrashStatus, Endpoint, LinkCheck, Pool, PoolConfig};
+use upstreams::{CrashStatus, Endpoint, LinkCheck, Pool, PoolConfig, Ran};
 
 #[path = "support/test_pool.rs"]
 mod test_pool;
@@ -21,6 +21,7 @@
 const FINGERPRINT: u64 = 7;
 /// Longer than a silent upstream takes to be found.
 const TIMEOUT: Millis = Millis(4_000);
+const SHORT_TIMEOUT: Millis = Millis(300);
 const INTERVAL: Duration = Duration::from_millis(20);
 /// A connection that is not accepted within this time meets a full queue.
 const FILL_TIMEOUT: Duration = Duration::from_millis(20);
@@ -207,3 +208,17 @@
     assert_eq!(pool.shared().crashes.take_suspicions().len(), 1);
     drop(sent);
 }
+
+/// Guards against answering 504 for a request that must not be repeated and that never got a
+/// connection: its caller may send it again.
+#[compio::test]
+async fn a_request_that_gets_no_connection_has_not_run() {
+    let (_listener, first) = listen();
+    let _queue = fill_queue(first.address);
+    let pool = pool();
+    pool.install(&[endpoint("u", first)]);
+    let call = call_once(FINGERPRINT, SHORT_TIMEOUT);
+    let result = pool.dispatch(&AllUpstreams(pool.clone()), &call).await;
+    let failure = result.expect_err("nothing answers");
+    assert_eq!(failure.ran, Ran::No);
+}
