--- a/components/upstreams/tests/silence.rs
+++ b/components/upstreams/tests/silence.rs
@@ -162,7 +162,7 @@
         };
         pool.install(&[endpoint("u", draining), other.clone()]);
     }
-    pool.install(&[other.clone()]);
+    pool.install(std::slice::from_ref(&other));
     let following = Process {
         start: next,
         ..first
