--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -9,6 +9,7 @@
 pub mod keys;
 pub mod link;
 pub mod paced_load;
+pub mod parted;
 pub mod peer;
 pub mod quotas;
 pub mod repeating;
--- a/standins/src/platform/upstream.rs
+++ b/standins/src/platform/upstream.rs
@@ -20,7 +20,7 @@
 /// Time for which an upstream runs a request that ends it.
 const TIME_TO_CRASH: Millis = Millis(100);
 const RECORD_BYTES: usize = 16;
-const VOICE_POLL_INTERVAL: Millis = Millis(10);
+const SILENCE_POLL_INTERVAL: Millis = Millis(10);
 /// Size of a large answer in bytes.
 pub const LARGE_BYTES: usize = 1024 * 1024;
 /// Requests whose headers are kept.
@@ -203,10 +203,10 @@
         starts.map(count).max().unwrap_or(0)
     }
 
-    /// Waits while it is silent.
-    async fn wait_for_voice(&self) {
+    /// Waits until it answers again.
+    async fn wait_while_silent(&self) {
         while self.is_silent.get() {
-            compio::time::sleep(VOICE_POLL_INTERVAL.into()).await;
+            compio::time::sleep(SILENCE_POLL_INTERVAL.into()).await;
         }
     }
 
@@ -261,11 +261,11 @@
 
 async fn answer(State(app): State<App>, request: Request) -> Response {
     local(async move {
-        app.0.wait_for_voice().await;
+        app.0.wait_while_silent().await;
         app.0.arrivals.borrow_mut().push(Millis::now());
         app.0.record_headers(request.headers());
         let mut response = run(&app.0, request).await;
-        app.0.wait_for_voice().await;
+        app.0.wait_while_silent().await;
         if let Some(limit) = app.0.rate_limit.get() {
             let value = HeaderValue::from_str(&limit.to_string()).unwrap();
             response.headers_mut().insert("server-limit", value);
--- a/tests/gateway_handover_versions.rs
+++ b/tests/gateway_handover_versions.rs
@@ -5,26 +5,20 @@
 
 use http::StatusCode;
 use standins::fleet::wait_until;
-use standins::platform::gateway::{Gateway, PROPAGATION, start_gateway_at};
+use standins::platform::gateway::{Gateway, PROPAGATION};
 use standins::platform::link::{LinkState, Links};
+use standins::platform::parted::start_parted;
 use standins::platform::peer::start_peer;
 use standins::platform::site::{self, READ, SHARDS, start_site};
 
 const OLD: u64 = 2;
 const NEW: u64 = 9;
 const REQUESTS: usize = 60;
-/// Time within which lost links are noticed.
-const LOSS_TIME: Duration = Duration::from_secs(3);
 
-/// Starts a gateway that is parted from all upstreams.
-async fn start_parted(links: &Links) -> Gateway {
-    let gateway = start_gateway_at(links.store_address, &[]).await;
-    wait_until("the gateway is ready", PROPAGATION, async || {
-        gateway.is_ready().await
-    })
-    .await;
-    links.set(LinkState::Closed).await;
-    wait_until("a peer answers", LOSS_TIME, async || {
+/// Starts a gateway that reaches no upstream, and waits until a peer serves its callers.
+async fn start_served_by_peers(links: &Links) -> Gateway {
+    let gateway = start_parted(links).await;
+    wait_until("a peer answers", PROPAGATION, async || {
         let answer = gateway.get(&format!("{READ}0"), "probe").await;
         answer.status() == StatusCode::OK
     })
@@ -50,7 +44,7 @@
     let site = start_site().await;
     let links = Links::start(&site).await;
     let (old, new) = (start_peer(&site, OLD).await, start_peer(&site, NEW).await);
-    let gateway = start_parted(&links).await;
+    let gateway = start_served_by_peers(&links).await;
     let mut versions = Vec::new();
     for id in 0..REQUESTS {
         versions.push(serving_version(&gateway, id).await);
@@ -67,7 +61,7 @@
     let site = start_site().await;
     let links = Links::start(&site).await;
     start_peer(&site, NEW).await;
-    let gateway = start_parted(&links).await;
+    let gateway = start_served_by_peers(&links).await;
     assert_eq!(serving_version(&gateway, 0).await, NEW);
     links.set(LinkState::Up).await;
     compio::time::sleep(Duration::from_secs(2)).await;
--- a/tests/gateway_refusal_statuses.rs
+++ b/tests/gateway_refusal_statuses.rs
@@ -2,22 +2,18 @@
 //! that do not say so otherwise. Real processes run against a stand-in store, upstreams and
 //! peers.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use rstest::rstest;
-use standins::fleet::wait_until;
-use standins::platform::gateway::{Gateway, PROPAGATION, ready, start_gateway_at};
-use standins::platform::link::{LinkState, Links};
+use standins::platform::gateway::ready;
+use standins::platform::link::Links;
+use standins::platform::parted::start_parted;
 use standins::platform::peer::start_peer_answering;
 use standins::platform::site::{READ, WRITE, start_site};
 use standins::platform::upstream::Mode;
 
 const REQUESTS: usize = 20;
 const VERSION: u64 = 9;
-/// Time within which lost links are noticed.
-const LOSS_TIME: Duration = Duration::from_secs(3);
 
 /// Guards against a request that must not be repeated being answered as not run though an
 /// upstream has run it: its caller would send it again.
@@ -59,24 +55,6 @@
     assert!(answer.headers().contains_key("server-stamp"), "{answer:?}");
 }
 
-/// Starts a gateway that reaches no upstream.
-async fn start_parted(links: &Links) -> Gateway {
-    let gateway = start_gateway_at(links.store_address, &[]).await;
-    wait_until("the gateway is ready", PROPAGATION, async || {
-        gateway.is_ready().await
-    })
-    .await;
-    links.set(LinkState::Closed).await;
-    wait_until("the links are lost", LOSS_TIME, async || {
-        // Finds out that the links are lost.
-        gateway.get(&format!("{READ}0"), "probe").await;
-        let metrics = gateway.metrics("/metrics").await;
-        metrics.contains("coltsfootgw_links_lost 1")
-    })
-    .await;
-    gateway
-}
-
 /// Guards against the same where another gateway passes such an answer on, as older ones do.
 #[rstest]
 #[case::request_timeout(StatusCode::REQUEST_TIMEOUT)]
--- a/tests/gateway_silent_ends.rs
+++ b/tests/gateway_silent_ends.rs
@@ -31,10 +31,10 @@
 /// Interval of requests that are all alike, at each gateway.
 const ALIKE_INTERVAL: Millis = Millis(30);
 /// Upstreams that are lost at once, and how often.
-const RACK: usize = 6;
-const RACK_LOSSES: usize = 2;
+const LOST: usize = 6;
+const LOSSES: usize = 2;
 /// Longer than such upstreams are away.
-const RACK_INTERVAL: Millis = Millis(5_000);
+const LOSS_INTERVAL: Millis = Millis(5_000);
 const WARM_UP: Millis = Millis(2_000);
 /// Longer than callers wait.
 const SLOW: Millis = Millis(2_500);
@@ -171,7 +171,7 @@
 #[case::silent(Ending::Silent)]
 #[case::cut_off(Ending::CutOff)]
 #[compio::test]
-async fn requests_of_a_lost_rack_are_not_quarantined(#[case] ending: Ending) {
+async fn requests_of_upstreams_lost_at_once_are_not_quarantined(#[case] ending: Ending) {
     let site = CrashSite::start(1, UPSTREAMS).await;
     site.log.ending.set(ending);
     let gateways = start_gateways(&site, 3).await;
@@ -180,15 +180,15 @@
         harmless.start(&gateways, READ),
         send_alike(&gateways, &harmless),
     ];
-    for _ in 0..RACK_LOSSES {
-        compio::time::sleep(RACK_INTERVAL.into()).await;
-        let rack = site.upstreams().into_iter().take(RACK);
-        rack.for_each(|u| u.crash.borrow().set());
+    for _ in 0..LOSSES {
+        compio::time::sleep(LOSS_INTERVAL.into()).await;
+        let lost = site.upstreams().into_iter().take(LOST);
+        lost.for_each(|u| u.crash.borrow().set());
     }
-    compio::time::sleep(RACK_INTERVAL.into()).await;
+    compio::time::sleep(LOSS_INTERVAL.into()).await;
     drop(load);
     print_logs(&gateways);
-    assert_eq!(site.log.ends.borrow().len(), RACK * RACK_LOSSES);
+    assert_eq!(site.log.ends.borrow().len(), LOST * LOSSES);
     assert_none_quarantined(&harmless);
 }
 
@@ -200,9 +200,9 @@
     let harmless = Rc::new(Harmless::default());
     let load = harmless.start(&gateways, READ);
     compio::time::sleep(WARM_UP.into()).await;
-    let slow = site.upstreams().into_iter().take(RACK);
+    let slow = site.upstreams().into_iter().take(LOST);
     slow.for_each(|u| u.service_time.set(SLOW));
-    compio::time::sleep(RACK_INTERVAL.into()).await;
+    compio::time::sleep(LOSS_INTERVAL.into()).await;
     drop(load);
     for gateway in &gateways {
         let metrics = gateway.metrics("/metrics").await;
--- a/tests/gateway_unbounded_peers.rs
+++ b/tests/gateway_unbounded_peers.rs
@@ -9,10 +9,10 @@
 use http::StatusCode;
 use rstest::rstest;
 use serde_json::json;
-use standins::fleet::wait_until;
 use standins::memory::memory_kib;
-use standins::platform::gateway::{Gateway, PROPAGATION, start_gateway_at};
-use standins::platform::link::{LinkState, Links};
+use standins::platform::gateway::{Gateway, PROPAGATION};
+use standins::platform::link::Links;
+use standins::platform::parted::start_parted;
 use standins::platform::peer::start_peer;
 use standins::platform::site::{self, READ, SHARDS, start_site};
 use standins::platform::unbounded::{self, Unbounded, UnboundedCounts};
@@ -25,24 +25,6 @@
 /// Growth of the gateway's memory: half of what a gateway may use (260 MB).
 const MEMORY_LIMIT_KIB: usize = 130_000_000 / 1024;
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
-const LOSS_TIME: Duration = Duration::from_secs(3);
-
-/// Starts a gateway that reaches no upstream, and waits until it notices.
-async fn start_parted(links: &Links) -> Gateway {
-    let gateway = start_gateway_at(links.store_address, &[]).await;
-    wait_until("the gateway is ready", PROPAGATION, async || {
-        gateway.is_ready().await
-    })
-    .await;
-    links.set(LinkState::Closed).await;
-    wait_until("the links are lost", LOSS_TIME, async || {
-        gateway.get(&format!("{READ}0"), "probe").await;
-        let metrics = gateway.metrics("/metrics").await;
-        metrics.contains("coltsfootgw_links_lost 1")
-    })
-    .await;
-    gateway
-}
 
 /// Sends requests one after the other; returns how many were served.
 async fn send_reads(gateway: &Gateway, client: usize) -> usize {
