--- a/components/discovery/src/feed.rs
+++ b/components/discovery/src/feed.rs
@@ -113,6 +113,12 @@
     /// no answer `within` a time.
     async fn watch_anew(&self, after: Position, within: Millis) -> Result<Changes>;
 
+    /// Returns what was left out of answers since the last call because it could not be read:
+    /// its key, if that is known, and the reason.
+    fn take_unreadable(&self) -> Vec<String> {
+        Vec::new()
+    }
+
     /// Returns the latest epoch in any answer of the store or of a peer.
     fn epoch(&self) -> u64;
 
--- a/components/discovery/src/follow.rs
+++ b/components/discovery/src/follow.rs
@@ -294,7 +294,7 @@
                 "revision" => after.revision, "epoch_before" => before.epoch,
                 "revision_before" => before.revision);
         }
-        for entry in rejected {
+        for entry in rejected.into_iter().chain(self.feed.take_unreadable()) {
             warn!(self.log, "record ignored"; "entry" => entry);
         }
         // Dropping the senders wakes the waiting peers.
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -7,20 +7,42 @@
 
 use axum::http::StatusCode;
 use clock::Millis;
-use serde::Serialize;
+use serde::{Serialize, Serializer};
+use serde_json::{Value, json};
 
 pub use routes::router;
 
 mod routes;
 
-/// An item as it is sent.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
 struct Item {
     key: String,
     value: String,
     revision: u64,
     created: u64,
     lease: u64,
+    /// Fields that are sent with other values, or what is sent in place of the item;
+    /// null for neither.
+    odd: Value,
+}
+
+impl Serialize for Item {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut sent = json!({
+            "key": self.key, "value": self.value, "revision": self.revision,
+            "created": self.created, "lease": self.lease,
+        });
+        match &self.odd {
+            Value::Null => {}
+            Value::Object(fields) => {
+                for (name, value) in fields {
+                    sent[name] = value.clone();
+                }
+            }
+            other => sent = other.clone(),
+        }
+        sent.serialize(serializer)
+    }
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -97,6 +119,16 @@
 
     /// Writes an item whose value is base64 text.
     pub fn put(&self, key: &str, value: &str, lease: u64) {
+        self.insert(key, value, lease, Value::Null);
+    }
+
+    /// Writes an item that is sent with other fields than it has, or as another value if
+    /// `odd` is no object.
+    pub fn put_odd(&self, key: &str, odd: Value) {
+        self.insert(key, "", 0, odd);
+    }
+
+    fn insert(&self, key: &str, value: &str, lease: u64, odd: Value) {
         let revision = self.next_revision();
         let mut items = self.items.borrow_mut();
         let created = items.get(key).map_or(revision, |i| i.created);
@@ -106,6 +138,7 @@
             revision,
             created,
             lease,
+            odd,
         };
         items.insert(key.to_owned(), item.clone());
         self.history.borrow_mut().push(Event::Put(item));
--- /dev/null
+++ b/tests/gateway_odd_entries.rs
@@ -0,0 +1,121 @@
+//! One entry of another writer in the list of upstreams that can't be read, with a name of
+//! its own. It must cost itself alone: the gateways go on following the store, and read it
+//! after a restart. Real processes run against a stand-in store and upstreams.
+
+use http::StatusCode;
+use rstest::rstest;
+use serde_json::{Value, json};
+use standins::fleet::wait_until;
+use standins::platform::gateway::{Gateway, PROPAGATION, start_gateways};
+use standins::platform::site::{self, READ, SHARDS, Site, start_site};
+
+/// Entries of another writer, more than the store lists in one page.
+const ENTRIES: usize = 600;
+const GATEWAYS: usize = 2;
+const REQUESTS: usize = 20;
+
+/// Sends requests to each gateway; all must be served.
+async fn assert_served(gateways: &[Gateway], when: &str) {
+    for gateway in gateways {
+        for n in 0..REQUESTS {
+            let answer = gateway.get(&format!("{READ}{n}"), when).await;
+            assert_eq!(answer.status(), StatusCode::OK, "{when}");
+        }
+    }
+}
+
+/// Waits until all gateways are ready.
+async fn wait_until_ready(gateways: &[Gateway]) {
+    for gateway in gateways {
+        wait_until("the gateway is ready", PROPAGATION, async || {
+            gateway.is_ready().await
+        })
+        .await;
+    }
+}
+
+/// Writes a configuration with a route of its own; all gateways must put it in force.
+async fn assert_followed(site: &Site, gateways: &[Gateway], version: u64) {
+    let mut configuration = site::configuration(SHARDS, version);
+    let mut route = configuration["routes"][1].clone();
+    route["name"] = json!("added");
+    route["prefix"] = json!(format!("/added-{version}/"));
+    configuration["routes"].as_array_mut().unwrap().push(route);
+    site::put(&site.store, "op/config", &configuration);
+    for gateway in gateways {
+        wait_until("the change is in force", PROPAGATION, async || {
+            let path = format!("/added-{version}/1");
+            gateway.get(&path, "added").await.status() == StatusCode::OK
+        })
+        .await;
+    }
+}
+
+async fn restart_all(gateways: &mut [Gateway]) {
+    for gateway in gateways.iter_mut() {
+        gateway.process.kill();
+    }
+    for gateway in gateways {
+        gateway.restart().await;
+    }
+}
+
+/// Guards against a service that stands still while one entry can't be read.
+#[rstest]
+#[case::text(" ", json!({ "value": "not base64!" }))]
+#[case::cut_short("&", json!({ "value": "e30" }))]
+#[case::number("+", json!({ "value": 7 }))]
+#[case::large_number("#", json!({ "value": 1e300 }))]
+#[case::null("%41", json!({ "value": null }))]
+#[case::object("%", json!({ "value": { "service": "shard-0" } }))]
+#[case::list(" ", json!({ "value": [101, 51] }))]
+#[case::no_text("&", json!({ "value": "/w==" }))]
+#[case::no_entry("+", json!({ "value": "NwA=" }))]
+#[case::revision("#", json!({ "revision": "seven" }))]
+#[case::negative_revision("%", json!({ "revision": -1 }))]
+#[case::deletion(" ", json!({ "deleted": "no" }))]
+#[case::key("&", json!({ "key": 7 }))]
+#[case::no_item("+", json!("servers/"))]
+#[compio::test]
+async fn one_odd_entry_costs_itself_alone(#[case] mark: &str, #[case] odd: Value) {
+    let site = start_site().await;
+    for n in 0..ENTRIES {
+        let key = format!("servers/box{n:03}");
+        site::put(&site.store, &key, &json!("not an entry of an upstream"));
+    }
+    let backup = site.store.back_up();
+    let mut gateways = start_gateways(&site, GATEWAYS).await;
+    assert_served(&gateways, "before").await;
+    // It is the last one of the list.
+    let key = format!("servers/~{mark}1");
+    site.store.put_odd(&key, odd.clone());
+    assert_followed(&site, &gateways, 2).await;
+    site.store.compact();
+    assert_followed(&site, &gateways, 3).await;
+    site.store.restore(&backup);
+    site.store.put_odd(&key, odd);
+    assert_followed(&site, &gateways, 4).await;
+    assert_served(&gateways, "meanwhile").await;
+    restart_all(&mut gateways).await;
+    wait_until_ready(&gateways).await;
+    assert_served(&gateways, "after the restart").await;
+    site.store.delete(&key);
+    assert_followed(&site, &gateways, 5).await;
+    assert_served(&gateways, "after").await;
+}
+
+/// Guards against a page that leads nowhere because its last entry can't be read.
+#[rstest]
+#[case::value(json!({ "value": 7 }))]
+#[case::revision(json!({ "revision": null }))]
+#[compio::test]
+async fn pages_of_odd_entries_lead_on(#[case] odd: Value) {
+    let site = start_site().await;
+    for n in 0..ENTRIES {
+        site.store
+            .put_odd(&format!("servers/b &+#%{n:03}"), odd.clone());
+    }
+    let gateways = start_gateways(&site, GATEWAYS).await;
+    wait_until_ready(&gateways).await;
+    assert_served(&gateways, "while they stand").await;
+}
