--- a/tests/gateway_odd_entries.rs
+++ b/tests/gateway_odd_entries.rs
@@ -119,3 +119,42 @@
     wait_until_ready(&gateways).await;
     assert_served(&gateways, "while they stand").await;
 }
+
+/// Guards against an entry with the fields of an upstream, one of them with an extreme value,
+/// that ends a process or stops it from following the store.
+#[rstest]
+#[case::slots(json!({ "capacity-slots": u64::MAX }))]
+#[case::slots_as_many_as_bits(json!({ "capacity-slots": 1_u64 << 61 }))]
+#[case::sequence(json!({ "seq": u64::MAX }))]
+#[case::start(json!({ "born": u64::MAX }))]
+#[case::cold(json!({ "cold-remaining-ms": 1e300 }))]
+#[case::warm(json!({ "cold-remaining-ms": -1e300 }))]
+#[case::port(json!({ "address": "127.0.0.1:0" }))]
+#[case::broadcast(json!({ "address": "255.255.255.255:80" }))]
+#[case::scope(json!({ "address": "[fe80::1%7]:80" }))]
+#[case::domain(json!({ "zone": "a\n\"\u{1}\u{fc}" }))]
+#[case::service(json!({ "service": "shard-0\n\"\u{1}\u{fc}" }))]
+#[case::long_service(json!({ "service": "s".repeat(40_000) }))]
+#[compio::test]
+async fn an_extreme_value_ends_nothing(#[case] fields: Value) {
+    let site = start_site().await;
+    let mut entry = site.entry(0, 0, 1);
+    // Nothing listens there.
+    entry["address"] = json!("127.0.0.1:9");
+    for (name, value) in fields.as_object().unwrap() {
+        entry[name] = value.clone();
+    }
+    let mut gateways = start_gateways(&site, GATEWAYS).await;
+    site::put(&site.store, "servers/~ &+#%", &entry);
+    assert_followed(&site, &gateways, 2).await;
+    assert_served(&gateways, "meanwhile").await;
+    restart_all(&mut gateways).await;
+    wait_until_ready(&gateways).await;
+    assert_served(&gateways, "after the restart").await;
+    assert_followed(&site, &gateways, 3).await;
+    for gateway in &mut gateways {
+        assert!(gateway.process.is_running());
+        let log = gateway.process.read_log();
+        assert!(!log.contains("panic"), "{log}");
+    }
+}
