Report a record that can't be used once, and not without bounds

What operators saw: the line "record ignored" for each odd entry at each read of the store and at each write of the entry again, with all of the value that the error quotes, up to 64 KiB. The log holds 2,048 lines before it drops some, so that the lines about anything else were lost.

Cause: the directory kept no memory of what it had rejected, and the follower logged each rejection.

Items that the store's client leaves out are reported in the same way, also when the read fails later on.

Why it works: reports are taken from that memory alone, whose size is bounded, and only a record that became usable or was deleted gets another one.

--- a/components/discovery/src/directory.rs
+++ b/components/discovery/src/directory.rs
@@ -10,6 +10,7 @@
 use crate::entry::{CrashEntry, Decode, Entry, InstanceEntry, Record, UpstreamEntry};
 use crate::feed::{Change, Changes, Position, Snapshot, Update};
 use crate::history::History;
+use crate::rejections::{Rejection, Rejections};
 
 mod cold;
 mod records;
@@ -45,7 +46,7 @@
     history: History,
     position: Position,
     lapse_until: Millis,
-    rejected: Vec<String>,
+    rejections: Rejections,
     /// Returns the time by the clock that includes suspension.
     boot_clock: Rc<dyn Fn() -> Millis>,
 }
@@ -67,7 +68,7 @@
             history: History::default(),
             position: Position::default(),
             lapse_until: Millis::ZERO,
-            rejected: Vec::new(),
+            rejections: Rejections::default(),
             boot_clock,
         }
     }
@@ -157,10 +158,16 @@
         }
     }
 
-    /// Returns the keys and errors of the records that could not be decoded
-    /// since the last call.
+    /// Records what the store holds and could not be read.
+    pub fn reject(&mut self, unreadable: Vec<Rejection>) {
+        unreadable.into_iter().for_each(|r| self.rejections.add(r));
+    }
+
+    /// Returns reports of the records that can't be used, with keys and errors, since the last
+    /// call. Each is reported once until it can be used or is deleted, and not all if there
+    /// are many.
     pub fn take_rejected(&mut self) -> Vec<String> {
-        std::mem::take(&mut self.rejected)
+        self.rejections.take()
     }
 
     /// Starts the grace period after an outage of the store, in which records that
--- a/components/discovery/src/directory/records.rs
+++ b/components/discovery/src/directory/records.rs
@@ -9,6 +9,7 @@
 use super::cold::{ColdEnd, cold_end};
 use super::{Departed, Directory, KnownRecord};
 use crate::entry::{Entry, Record, UpstreamEntry};
+use crate::rejections::Rejection;
 
 impl Directory {
     pub(super) fn put(&mut self, record: Record) -> bool {
@@ -23,10 +24,12 @@
             Ok(Entry::Foreign) => return false,
             Ok(entry) => entry,
             Err(reason) => {
-                self.rejected.push(format!("{}: {reason}", record.key));
+                let key = record.key;
+                self.rejections.add(Rejection { key, reason });
                 return false;
             }
         };
+        self.rejections.forget(&record.key);
         match entry {
             Entry::Configuration(read) => self.put_configuration(record, read, is_known),
             Entry::Upstream(entry) => self.put_upstream(record, entry),
@@ -130,6 +133,7 @@
     }
 
     pub(super) fn delete(&mut self, key: &str, revision: u64, now: Millis) -> bool {
+        self.rejections.forget(key);
         let Some(known) = self.known.get_mut(key) else {
             return false;
         };
--- a/components/discovery/src/feed.rs
+++ b/components/discovery/src/feed.rs
@@ -5,6 +5,7 @@
 use snafu::Snafu;
 
 use crate::entry::Record;
+use crate::rejections::Rejection;
 
 /// Result with this crate's error.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -113,9 +114,8 @@
     /// no answer `within` a time.
     async fn watch_anew(&self, after: Position, within: Millis) -> Result<Changes>;
 
-    /// Returns what was left out of answers since the last call because it could not be read:
-    /// its key, if that is known, and the reason.
-    fn take_unreadable(&self) -> Vec<String> {
+    /// Returns what was left out of answers since the last call because it could not be read.
+    fn take_unreadable(&self) -> Vec<Rejection> {
         Vec::new()
     }
 
--- a/components/discovery/src/follow.rs
+++ b/components/discovery/src/follow.rs
@@ -283,10 +283,10 @@
     fn update(&self, change: impl FnOnce(&mut Directory, Millis) -> bool) -> Result<()> {
         let now = Millis::now();
         let before = self.directory.borrow().position();
-        let (is_changed, rejected, after) = {
+        let (is_changed, after) = {
             let mut directory = self.directory.borrow_mut();
             let is_changed = change(&mut directory, now);
-            (is_changed, directory.take_rejected(), directory.position())
+            (is_changed, directory.position())
         };
         if before.revision > 0 && after.epoch > before.epoch {
             metrics::counter!(names::STORE_RESTORES_TOTAL).increment(1);
@@ -294,9 +294,7 @@
                 "revision" => after.revision, "epoch_before" => before.epoch,
                 "revision_before" => before.revision);
         }
-        for entry in rejected.into_iter().chain(self.feed.take_unreadable()) {
-            warn!(self.log, "record ignored"; "entry" => entry);
-        }
+        self.log_rejected();
         // Dropping the senders wakes the waiting peers.
         self.waiting_peers.borrow_mut().clear();
         if is_changed {
@@ -305,6 +303,14 @@
         Ok(())
     }
 
+    fn log_rejected(&self) {
+        let mut directory = self.directory.borrow_mut();
+        directory.reject(self.feed.take_unreadable());
+        for entry in directory.take_rejected() {
+            warn!(self.log, "record ignored"; "entry" => entry);
+        }
+    }
+
     fn notify_listeners(&self) {
         let directory = self.directory.borrow();
         for listener in self.listeners.borrow().iter() {
@@ -342,6 +348,8 @@
     }
 
     fn record_result(&self, result: &Result<()>) {
+        // A read that failed later on can have met some.
+        self.log_rejected();
         match result {
             Err(Error::Compacted { after }) => {
                 info!(self.log, "store compacted its history, reading all records"; "after" => after);
--- a/components/discovery/src/lib.rs
+++ b/components/discovery/src/lib.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod history;
 mod registration;
+mod rejections;
 mod relay;
 mod watchers;
 
@@ -22,5 +23,6 @@
 pub use feed::{Change, Changes, Error, Feed, Position, Result, Snapshot, Update};
 pub use follow::{Follower, Listeners, Reach, SharedDirectory};
 pub use registration::{Lease, Leases, Registration};
+pub use rejections::Rejection;
 pub use relay::{CRASHES_PATH, PeerUpdate, RelayClient, RelayState, SUSPICIONS_PATH};
 pub use watchers::watchers;
--- a/tests/gateway_odd_entries.rs
+++ b/tests/gateway_odd_entries.rs
@@ -13,6 +13,8 @@
 const ENTRIES: usize = 600;
 const GATEWAYS: usize = 2;
 const REQUESTS: usize = 20;
+/// Log lines about all odd entries together, however often they are read.
+const MOST_REPORTS: usize = 200;
 
 /// Sends requests to each gateway; all must be served.
 async fn assert_served(gateways: &[Gateway], when: &str) {
@@ -51,6 +53,15 @@
     }
 }
 
+/// Each gateway must have reported odd entries, each once and not too many.
+fn assert_reported(gateways: &[Gateway]) {
+    for gateway in gateways {
+        let log = gateway.process.read_log();
+        let reports = log.matches("record ignored").count();
+        assert!((1..=MOST_REPORTS).contains(&reports), "{reports} reports");
+    }
+}
+
 async fn restart_all(gateways: &mut [Gateway]) {
     for gateway in gateways.iter_mut() {
         gateway.process.kill();
@@ -96,6 +107,7 @@
     site.store.put_odd(&key, odd);
     assert_followed(&site, &gateways, 4).await;
     assert_served(&gateways, "meanwhile").await;
+    assert_reported(&gateways);
     restart_all(&mut gateways).await;
     wait_until_ready(&gateways).await;
     assert_served(&gateways, "after the restart").await;
