Read each entry of the instance list alone

What operators would see: three native daemons that were restarted while the platform's list of instances held one entry that can't be read had not found each other after 20 s.

Change: entries are taken from the list as raw JSON and decoded alone; those that can't be read are logged with their number and the first reason, whenever they differ from before.

Why it works: a field of one entry can no longer fail the others, whatever its type.

--- a/components/members/src/instances.rs
+++ b/components/members/src/instances.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use clock::Millis;
-use slog::info;
+use slog::{info, warn};
 use store::{InstanceList, InstanceState};
 
 use crate::member::{Member, State};
@@ -17,9 +17,16 @@
     /// Reads the platform's list of instances at intervals, until the daemon
     /// stops.
     pub async fn follow_list(self: Rc<Self>, list: Rc<dyn InstanceList>) {
+        let mut unreadable = Vec::new();
         loop {
             match list.list().await {
-                Ok(instances) => self.seed(&instances),
+                Ok(listing) => {
+                    self.seed(&listing.instances);
+                    if listing.unreadable != unreadable {
+                        self.log_unreadable(&listing.unreadable);
+                        unreadable = listing.unreadable;
+                    }
+                }
                 Err(e) => info!(self.log, "instance list not read"; "error" => %e),
             }
             let pause = if self.is_alone() {
@@ -31,6 +38,12 @@
         }
     }
 
+    fn log_unreadable(&self, reasons: &[String]) {
+        let first = reasons.first().map(String::as_str);
+        warn!(self.log, "entries of the instance list ignored"; "count" => reasons.len(),
+            "first" => first);
+    }
+
     fn seed(&self, instances: &[store::Instance]) {
         let now = Millis::now();
         let live = instances.iter().filter(|i| i.state == InstanceState::Live);
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -9,7 +9,6 @@
 use clock::Millis;
 use http::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
-use serde::de::DeserializeOwned;
 use serde_json::json;
 use transport::{Client, Payload, header_number, uri_component};
 
@@ -169,7 +168,7 @@
         })
 }
 
-pub(crate) fn decode<T: DeserializeOwned>(service: &'static str, body: &[u8]) -> Result<T> {
+pub(crate) fn decode<'a, T: Deserialize<'a>>(service: &'static str, body: &'a [u8]) -> Result<T> {
     serde_json::from_slice(body).map_err(|e| Error::Malformed {
         service,
         detail: e.to_string(),
--- a/components/store/src/instances.rs
+++ b/components/store/src/instances.rs
@@ -7,6 +7,7 @@
 use clock::Millis;
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use transport::Client;
 
 use crate::error::Result;
@@ -38,11 +39,21 @@
     pub state: InstanceState,
 }
 
+/// What the platform lists.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// The instances.
+    pub instances: Vec<Instance>,
+    /// Why entries could not be read, one reason for each of them.
+    pub unreadable: Vec<String>,
+}
+
 /// The platform's list of instances.
 #[async_trait(?Send)]
 pub trait InstanceList {
-    /// Returns the instances that the platform lists.
-    async fn list(&self) -> Result<Vec<Instance>>;
+    /// Returns the instances that the platform lists; an entry that can't be read costs
+    /// itself alone.
+    async fn list(&self) -> Result<Listing>;
 }
 
 /// HTTP client of the list of instances.
@@ -60,17 +71,34 @@
 }
 
 #[derive(Deserialize)]
-struct ListReply {
-    instances: Vec<Instance>,
+struct ListReply<'a> {
+    #[serde(borrow)]
+    instances: Vec<&'a RawValue>,
+}
+
+impl From<ListReply<'_>> for Listing {
+    fn from(reply: ListReply<'_>) -> Self {
+        let mut listing = Self::default();
+        for entry in reply.instances {
+            match serde_json::from_str(entry.get()) {
+                Ok(instance) => listing.instances.push(instance),
+                Err(e) => listing.unreadable.push(e.to_string()),
+            }
+        }
+        listing
+    }
 }
 
 #[async_trait(?Send)]
 impl InstanceList for HttpInstanceList {
-    async fn list(&self) -> Result<Vec<Instance>> {
+    async fn list(&self) -> Result<Listing> {
         let request = build(SERVICE, Method::GET, "/v1/instances", Bytes::new())?;
         let response = call(SERVICE, &self.client, request, CALL_TIMEOUT).await?;
         match response.status() {
-            StatusCode::OK => decode::<ListReply>(SERVICE, response.body()).map(|l| l.instances),
+            StatusCode::OK => {
+                let reply = decode::<ListReply<'_>>(SERVICE, response.body());
+                reply.map(Listing::from)
+            }
             status => Err(status_error(SERVICE, status)),
         }
     }
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -8,5 +8,5 @@
 
 pub use error::{Error, Result};
 pub use http::HttpStore;
-pub use instances::{HttpInstanceList, Instance, InstanceList, InstanceState};
+pub use instances::{HttpInstanceList, Instance, InstanceList, InstanceState, Listing};
 pub use kv::{Entry, Store, Swap, VALUE_LIMIT_BYTES};
--- a/standins/src/fleet/daemons.rs
+++ b/standins/src/fleet/daemons.rs
@@ -75,11 +75,17 @@
 
     /// Replaces the list of instances by the fleet's daemons.
     pub async fn publish_instances(&self) {
-        let instances: Vec<Value> = self
+        self.publish_instances_with(&[]).await;
+    }
+
+    /// Replaces the list of instances by the fleet's daemons and other entries.
+    pub async fn publish_instances_with(&self, others: &[Value]) {
+        let mut instances: Vec<Value> = self
             .daemons
             .iter()
             .map(|d| json!({ "id": d.name, "address": d.peers, "domain": d.domain, "state": "live" }))
             .collect();
+        instances.extend_from_slice(others);
         let answer = JsonClient::new(self.instances_address)
             .post("/v1/instances", &json!(instances))
             .await;
