Show that gateways pass odd entries on in a form that peers can read

A guard, no change: gateways encode what they relay themselves, so that a gateway that starts while the store is away gets the directory from its peers though odd entries stand among the changes or in the full list.

Evidence: odd_entries_are_passed_on_readably (tests/gateway_odd_entries.rs) passes in its three cases.

--- a/tests/gateway_odd_entries.rs
+++ b/tests/gateway_odd_entries.rs
@@ -2,6 +2,8 @@
 //! its own. It must cost itself alone: the gateways go on following the store, and read it
 //! after a restart. Real processes run against a stand-in store and upstreams.
 
+use std::time::Duration;
+
 use http::StatusCode;
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -13,6 +15,8 @@
 const ENTRIES: usize = 600;
 const GATEWAYS: usize = 2;
 const REQUESTS: usize = 20;
+/// Time within which a gateway that starts reads the directory of a peer.
+const PEER_READ: Duration = Duration::from_secs(5);
 /// Log lines about all odd entries together, however often they are read.
 const MOST_REPORTS: usize = 200;
 
@@ -170,3 +174,29 @@
         assert!(!log.contains("panic"), "{log}");
     }
 }
+
+/// Guards against a gateway that passes an odd entry on in a form that its peers can't read:
+/// one that starts while the store is away gets everything from its peers.
+#[rstest]
+#[case::value(json!({ "value": 7 }))]
+#[case::revision(json!({ "revision": "seven" }))]
+#[case::no_entry(json!({ "value": "NwA=" }))]
+#[compio::test]
+async fn odd_entries_are_passed_on_readably(#[case] odd: Value) {
+    let site = start_site().await;
+    let mut gateways = start_gateways(&site, GATEWAYS).await;
+    // It is among the changes and, after the history is discarded, in the full list.
+    site.store.put_odd("servers/~ &+#%", odd.clone());
+    site.store.put_odd("op/evacuate/z &+#%", odd);
+    assert_followed(&site, &gateways, 2).await;
+    site.store.compact();
+    assert_followed(&site, &gateways, 3).await;
+    site.store.is_down.set(true);
+    let last = gateways.last_mut().unwrap();
+    last.restart().await;
+    wait_until("the gateway is ready", PEER_READ, async || {
+        last.is_ready().await
+    })
+    .await;
+    assert_served(&gateways, "without the store").await;
+}
