--- a/tests/odd_instances.rs
+++ b/tests/odd_instances.rs
@@ -18,8 +18,9 @@
     }
     fleet.wait_until_ready().await;
     for daemon in &fleet.daemons {
-        let log = daemon.process.read_log();
-        let reports = log.matches("instance list ignored").count();
+        const REPORT: &str = "instance list ignored";
+        daemon.process.wait_for_line(REPORT).await;
+        let reports = daemon.process.read_log().matches(REPORT).count();
         assert_eq!(reports, 1, "{}", daemon.name);
     }
 }
