Bound the reasons for which entries of the instance list are ignored

Cause: the error of the JSON library quotes the entry, up to the 4 MiB of the answer, which was kept and logged. Change: reasons are cut at 300 characters, as those of records are. Result: the case of a long entry in standins/tests/ instance_list.rs passes with the change; without it the reason quotes all 60,000 letters (by reading, not run).

--- a/components/discovery/src/rejections.rs
+++ b/components/discovery/src/rejections.rs
@@ -42,9 +42,7 @@
 impl Rejections {
     /// Adds a record that can't be used; reports it unless that was done before.
     pub(crate) fn add(&mut self, mut rejection: Rejection) {
-        if let Some((end, _)) = rejection.reason.char_indices().nth(REASON_CHARS) {
-            rejection.reason.truncate(end);
-        }
+        rejection.reason = rejection.reason.chars().take(REASON_CHARS).collect();
         let count = self.reported.len();
         let reasons = match self.reported.get_mut(&rejection.key) {
             Some(reasons) => reasons,
--- a/components/store/src/instances.rs
+++ b/components/store/src/instances.rs
@@ -15,6 +15,8 @@
 
 const SERVICE: &str = "instance list";
 const CALL_TIMEOUT: Millis = Millis(1_500);
+/// Longest part of a reason that is kept, in characters: it can quote the entry.
+const REASON_CHARS: usize = 300;
 
 /// State of an instance in the platform's list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -82,7 +84,10 @@
         for entry in reply.instances {
             match serde_json::from_str(entry.get()) {
                 Ok(instance) => listing.instances.push(instance),
-                Err(e) => listing.unreadable.push(e.to_string()),
+                Err(e) => {
+                    let reason = e.to_string().chars().take(REASON_CHARS).collect();
+                    listing.unreadable.push(reason);
+                }
             }
         }
         listing
--- a/standins/tests/instance_list.rs
+++ b/standins/tests/instance_list.rs
@@ -9,6 +9,9 @@
 use store::{HttpInstanceList, InstanceList};
 use transport::{Event, Listener, ServerLimits, serve};
 
+/// Longest reason, in bytes.
+const LONGEST_REASON: usize = 2_000;
+
 async fn start_list() -> SocketAddr {
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
     let listener = Listener::bind(any_port).await.unwrap();
@@ -32,6 +35,7 @@
 #[case::empty(json!({}))]
 #[case::state(json!({ "id": "a &+#%", "address": "127.0.0.1:80", "domain": "a", "state": "gone" }))]
 #[case::address(json!({ "id": "a", "address": "nowhere", "domain": "a", "state": "live" }))]
+#[case::long(json!("x".repeat(60_000)))]
 #[case::id(json!({ "id": 7, "address": "127.0.0.1:80", "domain": "a", "state": "live" }))]
 #[compio::test]
 async fn an_entry_that_cannot_be_read_costs_itself_alone(#[case] odd: Value) {
@@ -43,4 +47,5 @@
     let ids: Vec<&str> = listing.instances.iter().map(|i| i.id.as_str()).collect();
     assert_eq!(ids, ["entry-1", "entry-2"]);
     assert_eq!(listing.unreadable.len(), 1);
+    assert!(listing.unreadable[0].len() < LONGEST_REASON);
 }
